--- /dev/null
+++ b/admission.go
@@ -0,0 +1,68 @@
+package gypsumyard
+
+import (
+	"context"
+	"time"
+)
+
+// A Ticket asks for one execution slot.
+type Ticket struct {
+	Customer string
+	// Plan is the plan in force when the request arrived.
+	Plan Plan
+	// Priority asks to outrank all other traffic. It counts only if the plan
+	// allows it.
+	Priority bool
+	// Long tells that the request was marked or learned to run long. A long
+	// request never takes the last free slot of an instance.
+	Long bool
+	// InTransaction tells that the request continues an open transaction. It
+	// goes before the customer's other requests, so that locks are released.
+	InTransaction bool
+	// Expected is the expected run time. Zero means unknown.
+	Expected time.Duration
+	// Deadline is when the caller gives up. Zero means only the plan's
+	// max-wait applies.
+	Deadline time.Time
+	// Targets are the instances that may serve the request, in any order.
+	Targets []Target
+}
+
+// A Target is one instance that may serve a request.
+type Target struct {
+	Instance string
+	// Cost is the expected wait at the instance besides the wait for a slot:
+	// the time until the needed position is applied, and the distance.
+	Cost time.Duration
+	// Reason says in a few words why the instance was considered.
+	Reason string
+}
+
+// A Grant is the right to run one request on an instance. It must be released.
+type Grant struct {
+	ID       uint64
+	Customer string
+	Target   Target
+	// Waited is how long the request was queued.
+	Waited time.Duration
+}
+
+// An InstanceCapacity tells how many statements an instance may run.
+type InstanceCapacity struct {
+	Name  string
+	Slots int
+	// Available is false while the instance gets no new work.
+	Available bool
+}
+
+// An Admitter decides when and where a request of one database may run.
+type Admitter interface {
+	// Acquire waits for a slot. It fails with an *Error of ClassLoad or
+	// ClassPlan, at once where the wait would be too long, or with the cause
+	// of ctx.
+	Acquire(ctx context.Context, t Ticket) (Grant, error)
+	// Release returns the slot and charges the time that the request ran.
+	Release(g Grant, used time.Duration)
+	// SetInstances replaces the instances and their capacities.
+	SetInstances(instances []InstanceCapacity)
+}
--- /dev/null
+++ b/internal/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock provides the system clock and a fake clock for tests.
+package clock
--- /dev/null
+++ b/position.go
@@ -0,0 +1,93 @@
+package gypsumyard
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// A Term numbers the periods in which one instance is the primary of a
+// database. Terms only grow. Zero is no term.
+type Term uint64
+
+// An Offset counts the records of a database's log. The first record has
+// offset 1.
+type Offset uint64
+
+// A Position names a record of a database's log: the term in which the record
+// was written and its offset. The zero Position precedes every record.
+type Position struct {
+	Term   Term   `json:"term"`
+	Offset Offset `json:"offset"`
+}
+
+// IsZero reports whether p precedes every record.
+func (p Position) IsZero() bool { return p == Position{} }
+
+// Compare orders positions by term and then by offset. It is the order in
+// which a promotion prefers logs.
+func (p Position) Compare(q Position) int {
+	if c := cmp.Compare(p.Term, q.Term); c != 0 {
+		return c
+	}
+	return cmp.Compare(p.Offset, q.Offset)
+}
+
+// String returns the position in the form "term/offset".
+func (p Position) String() string {
+	return fmt.Sprintf("%d/%d", p.Term, p.Offset)
+}
+
+// ParsePosition parses the form that [Position.String] returns.
+func ParsePosition(s string) (p Position, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("parse position %q: %w", s, err)
+		}
+	}()
+	term, offset, ok := strings.Cut(s, "/")
+	if !ok {
+		return Position{}, fmt.Errorf("want term/offset")
+	}
+	t, err := strconv.ParseUint(term, 10, 64)
+	if err != nil {
+		return Position{}, err
+	}
+	o, err := strconv.ParseUint(offset, 10, 64)
+	if err != nil {
+		return Position{}, err
+	}
+	return Position{Term: Term(t), Offset: Offset(o)}, nil
+}
+
+// A TermStart tells at which offset a term begins in one instance's log.
+type TermStart struct {
+	Term  Term   `json:"term"`
+	Start Offset `json:"start"`
+}
+
+// A History lists the terms of one instance's log in ascending order.
+type History []TermStart
+
+// Contains reports whether the log that h describes, applied up to applied,
+// holds the record at p. A record of an older term that lies at or past the
+// start of the next term was cut off by a promotion and is not contained.
+func (h History) Contains(applied Offset, p Position) bool {
+	if p.IsZero() {
+		return true
+	}
+	if p.Offset > applied {
+		return false
+	}
+	for i, t := range h {
+		if t.Term != p.Term {
+			continue
+		}
+		if i+1 < len(h) && p.Offset >= h[i+1].Start {
+			return false
+		}
+		return p.Offset >= t.Start
+	}
+	return false
+}
