config, planlist: settings and plan lists

Cause: hosts need checked settings, and lists that are edited exactly once, reach every host and never revert. Change: settings in JSON with comments with all mistakes reported at once; lists split over objects of the store, edits with operation ids, copies that only move to higher versions, distribution by three watchers, a push tree and comparison with random peers.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,53 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/gypsumyard/gypsumyard/internal/config"
+	"github.com/matryer/is"
+	"golang.org/x/tools/txtar"
+)
+
+// Guards against mistakes in a file that are reported one at a time, at the
+// wrong place or not at all. Each archive holds the settings and the report.
+func TestReports(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			is := is.New(t)
+			archive, err := txtar.ParseFile(f)
+			is.NoErr(err)
+			_, err = config.Parse("host.jsonc", archive.Files[0].Data)
+			report := "ok\n"
+			if err != nil {
+				report = err.Error() + "\n"
+			}
+			is.Equal(report, string(archive.Files[1].Data))
+		})
+	}
+}
+
+// Guards against a file that cannot be read being taken for an empty one.
+func TestMissingFile(t *testing.T) {
+	is := is.New(t)
+	_, err := config.Load(filepath.Join(t.TempDir(), "none.jsonc"))
+	is.True(os.IsNotExist(err) || strings.Contains(err.Error(), "no such file"))
+}
+
+// Guards against settings that make the parser panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"host": {"name": "a"}, /* x */ "peers": {"seeds": ["127.0.0.1:1",]}}`))
+	f.Add([]byte(`{"callers": {"buffer-total": "1GiB"}, "owner": []}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := config.Parse("f", data)
+		if err == nil && s.Host.Name == "" {
+			t.Fatal("accepted settings without a host name")
+		}
+	})
+}
--- /dev/null
+++ b/internal/planlist/copy.go
@@ -0,0 +1,185 @@
+package planlist
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// A localCopy is a host's copy of the objects of the lists. An object is
+// replaced only by a newer version of it, whatever its source.
+type localCopy struct {
+	mu      sync.RWMutex
+	objects map[string]*decodedObject
+	// complete is the version of the store up to which no change is missing.
+	complete gypsumyard.Version
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// A decodedObject is an object together with its live entries.
+type decodedObject struct {
+	gypsumyard.Object
+	plans     map[string]gypsumyard.Plan
+	customers map[string]gypsumyard.Customer
+	databases map[string]gypsumyard.Database
+}
+
+func newLocalCopy() *localCopy {
+	return &localCopy{objects: map[string]*decodedObject{}, changed: make(chan struct{})}
+}
+
+func decodeObject(o gypsumyard.Object) (d *decodedObject, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("object %s version %d: %w", o.Name, o.Version, err)
+		}
+	}()
+	kind, err := kindOf(o.Name)
+	if err != nil {
+		return nil, err
+	}
+	d = &decodedObject{Object: o}
+	if o.Deleted {
+		return d, nil
+	}
+	doc, err := decodeDocument(o.Value)
+	if err != nil {
+		return nil, err
+	}
+	switch kind {
+	case Plans:
+		d.plans, err = parseObject[gypsumyard.Plan](doc)
+	case Customers:
+		d.customers, err = parseObject[gypsumyard.Customer](doc)
+	case Databases:
+		d.databases, err = parseObject[gypsumyard.Database](doc)
+	}
+	return d, err
+}
+
+// apply takes over the objects that are newer than the copies and returns
+// them, with an error for those that cannot be decoded. Their copies stay.
+func (c *localCopy) apply(objects []gypsumyard.Object) (applied []gypsumyard.Object, errs []error) {
+	for _, o := range objects {
+		if !c.older(o) {
+			continue
+		}
+		d, err := decodeObject(o)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if c.replace(d) {
+			applied = append(applied, o)
+		}
+	}
+	return applied, errs
+}
+
+// older reports whether the copy of the object is older than o.
+func (c *localCopy) older(o gypsumyard.Object) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	d, ok := c.objects[o.Name]
+	return !ok || d.Version < o.Version
+}
+
+// replace sets the copy unless it has become newer meanwhile.
+func (c *localCopy) replace(d *decodedObject) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old, ok := c.objects[d.Name]; ok && old.Version >= d.Version {
+		return false
+	}
+	c.objects[d.Name] = d
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return true
+}
+
+// completeTo records that no change up to the version is missing.
+func (c *localCopy) completeTo(v gypsumyard.Version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.complete = max(c.complete, v)
+}
+
+func (c *localCopy) completeVersion() gypsumyard.Version {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.complete
+}
+
+// newer returns the copies that are newer than after, ordered by version.
+func (c *localCopy) newer(after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var objects []gypsumyard.Object
+	for _, d := range c.objects {
+		if d.Version > after {
+			objects = append(objects, d.Object)
+		}
+	}
+	slices.SortFunc(objects, func(a, b gypsumyard.Object) int { return cmp.Compare(a.Version, b.Version) })
+	return objects, c.complete
+}
+
+func (c *localCopy) changes() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
+
+func (c *localCopy) versions() map[string]gypsumyard.Version {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	versions := make(map[string]gypsumyard.Version, len(c.objects))
+	for name, d := range c.objects {
+		versions[name] = d.Version
+	}
+	return versions
+}
+
+// object returns the copy of an object, or an empty one.
+func (c *localCopy) object(name string) *decodedObject {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if d, ok := c.objects[name]; ok {
+		return d
+	}
+	return &decodedObject{}
+}
+
+func (c *localCopy) customer(name string) (gypsumyard.Customer, bool) {
+	v, ok := c.object(ObjectName(Customers, name)).customers[name]
+	return v, ok
+}
+
+func (c *localCopy) plan(name string) (gypsumyard.Plan, bool) {
+	v, ok := c.object(ObjectName(Plans, name)).plans[name]
+	return v, ok
+}
+
+func (c *localCopy) database(name string) (gypsumyard.Database, bool) {
+	v, ok := c.object(ObjectName(Databases, name)).databases[name]
+	return v, ok
+}
+
+func (c *localCopy) allDatabases() []gypsumyard.Database {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	all := map[string]gypsumyard.Database{}
+	for _, d := range c.objects {
+		maps.Copy(all, d.databases)
+	}
+	sorted := make([]gypsumyard.Database, 0, len(all))
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		sorted = append(sorted, all[name])
+	}
+	return sorted
+}
--- /dev/null
+++ b/internal/planlist/document.go
@@ -0,0 +1,146 @@
+package planlist
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+)
+
+// Prefix begins the names of all objects of the lists, so that one watch
+// carries them all.
+const Prefix = "gypsumyard/"
+
+// A Kind is one of the lists.
+type Kind string
+
+// The lists.
+const (
+	Plans     Kind = "plans"
+	Customers Kind = "customers"
+	Databases Kind = "databases"
+)
+
+// ParseKind returns the kind of the given name.
+func ParseKind(s string) (Kind, error) {
+	switch k := Kind(s); k {
+	case Plans, Customers, Databases:
+		return k, nil
+	}
+	return "", fmt.Errorf("list %q is none of plans, customers, databases", s)
+}
+
+// shardCounts holds over how many objects a list is split. An edit rewrites and
+// distributes one object: with 10,000 customers an object has about 40 entries
+// and 10 KB, so that 25,000 edits a day cost a host about 3 KB/s.
+var shardCounts = map[Kind]uint32{Plans: 1, Customers: 256, Databases: 64}
+
+// operationsKept is how many operations an object remembers for edits whose
+// answer was lost.
+const operationsKept = 64
+
+// ObjectName returns the name of the object that holds the entry.
+func ObjectName(k Kind, entry string) string {
+	h := fnv.New32a()
+	h.Write([]byte(entry))
+	return fmt.Sprintf("%s%s-%03d", Prefix, k, h.Sum32()%shardCounts[k])
+}
+
+// kindOf returns the list to which an object belongs.
+func kindOf(object string) (Kind, error) {
+	rest, ok := strings.CutPrefix(object, Prefix)
+	if !ok {
+		return "", fmt.Errorf("object %q does not belong to the lists", object)
+	}
+	i := strings.LastIndexByte(rest, '-')
+	return ParseKind(rest[:max(i, 0)])
+}
+
+// An Entry is one customer, plan or database as the store holds it.
+type Entry struct {
+	// Version counts the edits of the entry, removals included.
+	Version uint64 `json:"version"`
+	// Operation is the last edit.
+	Operation string `json:"operation"`
+	// Deleted marks a tombstone.
+	Deleted bool            `json:"deleted,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// A document is the value of one object.
+type document struct {
+	Entries map[string]Entry `json:"entries"`
+	// Operations are the ids of the latest edits, oldest first.
+	Operations []string `json:"operations"`
+	// Edits counts all edits of the object.
+	Edits uint64 `json:"edits"`
+}
+
+func decodeDocument(value []byte) (d document, err error) {
+	if len(value) > 0 {
+		if err := json.Unmarshal(value, &d); err != nil {
+			return document{}, fmt.Errorf("decode list object: %w", err)
+		}
+	}
+	if d.Entries == nil {
+		d.Entries = map[string]Entry{}
+	}
+	return d, nil
+}
+
+func (d *document) encode() ([]byte, error) {
+	b, err := json.Marshal(d)
+	if err != nil {
+		return nil, fmt.Errorf("encode list object: %w", err)
+	}
+	return b, nil
+}
+
+// applied reports whether the operation is part of the document.
+func (d *document) applied(name, operation string) bool {
+	return d.Entries[name].Operation == operation || slices.Contains(d.Operations, operation)
+}
+
+// set replaces an entry as part of the operation.
+func (d *document) set(name, operation string, value json.RawMessage) {
+	d.Entries[name] = Entry{
+		Version:   d.Entries[name].Version + 1,
+		Operation: operation,
+		Deleted:   value == nil,
+		Value:     value,
+	}
+	d.Edits++
+	d.Operations = append(d.Operations, operation)
+	if n := len(d.Operations) - operationsKept; n > 0 {
+		d.Operations = d.Operations[n:]
+	}
+}
+
+// parseObject decodes the live entries of an object.
+func parseObject[T any](d document) (map[string]T, error) {
+	values := make(map[string]T, len(d.Entries))
+	for name, e := range d.Entries {
+		if e.Deleted {
+			continue
+		}
+		var v T
+		if err := json.Unmarshal(e.Value, &v); err != nil {
+			return nil, fmt.Errorf("decode entry %q: %w", name, err)
+		}
+		values[name] = v
+	}
+	return values, nil
+}
+
+// Validate reports all mistakes in the value of an entry.
+func Validate(k Kind, name string, value json.RawMessage) error {
+	switch k {
+	case Plans:
+		return validate(value, name, checkPlan)
+	case Customers:
+		return validate(value, name, checkCustomer)
+	default:
+		return validate(value, name, checkDatabase)
+	}
+}
--- /dev/null
+++ b/internal/planlist/inforce.go
@@ -0,0 +1,59 @@
+package planlist
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// A HostVersion tells whether a change is in force on one host.
+type HostVersion struct {
+	Host    string `json:"host"`
+	InForce bool   `json:"in-force"`
+	// Error says why the host's answer is missing.
+	Error string `json:"error,omitempty"`
+}
+
+// InForce asks all live hosts of the region whether the object is in force
+// there in the given version or a later one.
+func (s *Service) InForce(ctx context.Context, object string, version gypsumyard.Version) []HostVersion {
+	answers := []HostVersion{{Host: s.members.Self().Name, InForce: s.copy.inForce(object, version)}}
+	peers := s.peers()
+	if peers == nil {
+		return answers
+	}
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	for _, h := range s.others() {
+		tasks.Go(func() {
+			a := askInForce(ctx, peers, h, object, version)
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
+		})
+	}
+	tasks.Wait()
+	slices.SortFunc(answers, func(a, b HostVersion) int { return cmp.Compare(a.Host, b.Host) })
+	return answers
+}
+
+func askInForce(ctx context.Context, peers gypsumyard.Peers, h gypsumyard.Host, object string, version gypsumyard.Version) HostVersion {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	objects, _, err := peers.FetchObjects(ctx, h, version-1)
+	if err != nil {
+		return HostVersion{Host: h.Name, Error: err.Error()}
+	}
+	held := slices.ContainsFunc(objects, func(o gypsumyard.Object) bool { return o.Name == object })
+	return HostVersion{Host: h.Name, InForce: held}
+}
+
+func (c *localCopy) inForce(object string, version gypsumyard.Version) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	d, ok := c.objects[object]
+	return ok && d.Version >= version
+}
--- a/peers.go
+++ b/peers.go
@@ -7,9 +7,9 @@
 	// PushObjects hands objects of the lists to a host, which applies those
 	// that are newer than its own.
 	PushObjects(ctx context.Context, to Host, objects []Object) error
-	// FetchObjects returns the objects of which the host has a newer version
-	// than have names, and those that have does not name.
-	FetchObjects(ctx context.Context, from Host, have map[string]Version) ([]Object, error)
+	// FetchObjects returns the host's copies that are newer than after, and
+	// the version of the store up to which the host's copies are complete.
+	FetchObjects(ctx context.Context, from Host, after Version) ([]Object, Version, error)
 	// ProbeInstance asks a host to read the status of an instance over a
 	// fresh connection of its own.
 	ProbeInstance(ctx context.Context, via Host, database, instance string) (InstanceStatus, error)
@@ -24,9 +24,10 @@
 	// Apply takes over the objects that are newer than the copies and returns
 	// how many they were.
 	Apply(objects []Object) int
-	// Newer returns the copies that are newer than have names, and those that
-	// have does not name.
-	Newer(have map[string]Version) []Object
+	// Newer returns the copies that are newer than after, and the version of
+	// the store up to which the copies are complete: no object has a change at
+	// or below that version which the copies lack.
+	Newer(after Version) ([]Object, Version)
 }
 
 // An Owner runs the databases that a host owns, and answers its peers.
--- a/plan.go
+++ b/plan.go
@@ -67,14 +67,14 @@
 }
 
 // UnmarshalJSON reads a duration with a unit.
-func (d *Duration) UnmarshalJSON(data []byte) (err error) {
+func (d *Duration) UnmarshalJSON(data []byte) error {
 	var s string
 	if err := json.Unmarshal(data, &s); err != nil {
-		return fmt.Errorf("duration must be text with a unit, such as \"250ms\": %w", err)
+		return fmt.Errorf("duration must be text with a unit, such as \"250ms\"")
 	}
 	v, err := time.ParseDuration(s)
 	if err != nil {
-		return fmt.Errorf("parse duration: %w", err)
+		return fmt.Errorf("duration %q has no number with a unit, such as \"250ms\"", s)
 	}
 	*d = Duration(v)
 	return nil
