operator, gypsumyard: operators' API and commands

Cause: operators need to see a host, edit the lists and wait until an edit is in force. Change: HTTP service with health, status, drain, lists and in-force; commands check, plans, status and drain with documented exit codes.

--- /dev/null
+++ b/cmd/gypsumyard/main.go
@@ -0,0 +1,88 @@
+// Command gypsumyard is a database proxy with session consistency. Run it with
+// --help for its commands.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gypsumyard/gypsumyard/internal/operator"
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes. They are listed in the help text.
+const (
+	exitFailure        = 1
+	exitUsage          = 2
+	exitConflict       = 3
+	exitNotInForce     = 4
+	exitOutcomeUnknown = 5
+)
+
+const description = `Exit codes: 0 success, 1 failure, 2 wrong usage or settings,
+3 the entry was edited meanwhile, 4 a change was not in force in time,
+5 the outcome of an edit is unknown.`
+
+func main() {
+	os.Exit(run(os.Args))
+}
+
+// run executes one command line and returns the exit code.
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := newCommand().Run(ctx, args)
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "gypsumyard:", err)
+	return exitCode(err)
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "gypsumyard",
+		Usage:       "database proxy with session consistency",
+		Description: description,
+		Commands: []*cli.Command{
+			checkCommand(),
+			plansCommand(),
+			statusCommand(),
+			drainCommand(),
+		},
+		// Errors and exit codes are handled in run.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return usageError{err}
+		},
+	}
+}
+
+// A usageError tells that the command line or the settings are wrong.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+// errNotInForce tells that a change was accepted but not yet seen everywhere.
+var errNotInForce = errors.New("the change is accepted but not in force everywhere yet")
+
+func exitCode(err error) int {
+	var usage usageError
+	var answer *operator.AnswerError
+	switch {
+	case errors.As(err, &usage):
+		return exitUsage
+	case errors.Is(err, errNotInForce):
+		return exitNotInForce
+	case errors.As(err, &answer) && answer.Kind == "conflict":
+		return exitConflict
+	case errors.As(err, &answer) && answer.Kind == "outcome-unknown":
+		return exitOutcomeUnknown
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/cmd/gypsumyard/operate.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"text/tabwriter"
+
+	"github.com/gypsumyard/gypsumyard/internal/operator"
+	"github.com/urfave/cli/v3"
+)
+
+// hostFlags are those of all commands that call a running host.
+func hostFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{
+			Name:    "host",
+			Usage:   "operators' address of any host, `IP:PORT`",
+			Sources: cli.EnvVars("GYPSUMYARD_HOST"),
+			Value:   "127.0.0.1:6434",
+		},
+		&cli.StringFlag{
+			Name:    "token",
+			Usage:   "operators' `TOKEN` of the host",
+			Sources: cli.EnvVars("GYPSUMYARD_TOKEN"),
+		},
+	}
+}
+
+func client(c *cli.Command) (*operator.Client, error) {
+	addr, err := netip.ParseAddrPort(c.String("host"))
+	if err != nil {
+		return nil, usageError{fmt.Errorf("--host: %w", err)}
+	}
+	return operator.NewClient(addr, c.String("token")), nil
+}
+
+// noArguments rejects arguments that a command would ignore.
+func noArguments(c *cli.Command) error {
+	if c.Args().Present() {
+		return usageError{errors.New("the command takes no arguments")}
+	}
+	return nil
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show a host's view: members, databases with their owners, lists",
+		Flags: append(hostFlags(), &cli.BoolFlag{Name: "json", Usage: "print JSON"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := noArguments(c); err != nil {
+				return err
+			}
+			o, err := client(c)
+			if err != nil {
+				return err
+			}
+			s, err := o.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return printJSON(c, s)
+			}
+			return printStatus(c, s)
+		},
+	}
+}
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "drain",
+		Usage: "make a host finish all requests in flight, hand over its databases and end",
+		Flags: hostFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := noArguments(c); err != nil {
+				return err
+			}
+			o, err := client(c)
+			if err != nil {
+				return err
+			}
+			return o.Drain(ctx)
+		},
+	}
+}
+
+func printJSON(c *cli.Command, v any) error {
+	e := json.NewEncoder(c.Root().Writer)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func printStatus(c *cli.Command, s operator.Status) error {
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "host\t%s\t%s\tready=%v\tdraining=%v\tlists-complete-to=%d\n",
+		s.Host.Name, s.Host.FailureDomain, s.Ready, s.Draining, s.CompleteTo)
+	for _, h := range s.Members {
+		fmt.Fprintf(w, "member\t%s\t%s\t%s\t%s\n", h.Name, h.FailureDomain, h.State, h.Addr)
+	}
+	for _, d := range s.Databases {
+		fmt.Fprintf(w, "database\t%s\towner=%s\t%s\n", d.Name, d.Owner, d.Detail)
+	}
+	return w.Flush()
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -10,13 +10,14 @@
 // Settings are those of one host. Customers, plans and databases are not
 // settings: they live in the platform's store.
 type Settings struct {
-	Host     Host     `json:"host"`
-	Listen   Listen   `json:"listen"`
-	Platform Platform `json:"platform"`
-	Peers    Peers    `json:"peers"`
-	Callers  Callers  `json:"callers"`
-	Owner    Owner    `json:"owner"`
-	Log      Log      `json:"log"`
+	Host      Host      `json:"host"`
+	Listen    Listen    `json:"listen"`
+	Platform  Platform  `json:"platform"`
+	Peers     Peers     `json:"peers"`
+	Operators Operators `json:"operators"`
+	Callers   Callers   `json:"callers"`
+	Owner     Owner     `json:"owner"`
+	Log       Log       `json:"log"`
 }
 
 // Host names the host and its place.
@@ -51,6 +52,13 @@
 	HeartbeatInterval gypsumyard.Duration `json:"heartbeat-interval"`
 }
 
+// Operators tells who may operate the host.
+type Operators struct {
+	// Token must be given with each call but health and metrics. Empty lets
+	// everybody operate the host who reaches its address.
+	Token string `json:"token"`
+}
+
 // Callers limits what callers can make the host hold.
 type Callers struct {
 	BufferPerConnection Size                `json:"buffer-per-connection"`
--- /dev/null
+++ b/internal/operator/api.go
@@ -0,0 +1,50 @@
+package operator
+
+import (
+	"encoding/json"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
+)
+
+// Status is the answer to GET /status.
+type Status struct {
+	Host gypsumyard.Host `json:"host"`
+	// Ready tells that callers are admitted.
+	Ready    bool              `json:"ready"`
+	Draining bool              `json:"draining"`
+	Members  []gypsumyard.Host `json:"members"`
+	// CompleteTo is the version of the store up to which the lists are
+	// complete on this host.
+	CompleteTo gypsumyard.Version `json:"lists-complete-to"`
+	Databases  []DatabaseStatus   `json:"databases"`
+}
+
+// DatabaseStatus is what this host knows of one database.
+type DatabaseStatus struct {
+	Name  string `json:"name"`
+	Owner string `json:"owner"`
+	// Detail is present on the owner only.
+	Detail json.RawMessage `json:"detail,omitempty"`
+}
+
+// EntryAnswer is the answer to GET /lists/{list}/{entry}.
+type EntryAnswer struct {
+	Version uint64          `json:"version"`
+	Deleted bool            `json:"deleted,omitempty"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// InForceAnswer is the answer to GET /in-force.
+type InForceAnswer struct {
+	Everywhere bool                   `json:"everywhere"`
+	Hosts      []planlist.HostVersion `json:"hosts"`
+}
+
+// ErrorAnswer is the body of every answer that reports a failure.
+type ErrorAnswer struct {
+	Error string `json:"error"`
+	// Kind is one of conflict, not-found, unavailable, outcome-unknown,
+	// not-authorized and invalid.
+	Kind string `json:"kind"`
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,118 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
+)
+
+// An AnswerError is a failure that the host reported.
+type AnswerError struct {
+	Code int
+	ErrorAnswer
+}
+
+// Error returns the reported message.
+func (e *AnswerError) Error() string { return e.ErrorAnswer.Error }
+
+// A Client calls the operators' API of one host.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// clientTimeout bounds a call. An edit may take up to 20 s on the host.
+const clientTimeout = 30 * time.Second
+
+// NewClient returns a client of the host at addr.
+func NewClient(addr netip.AddrPort, token string) *Client {
+	return &Client{base: "http://" + addr.String(), token: token, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status returns the host's status.
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
+	return s, c.call(ctx, http.MethodGet, "/status", nil, &s)
+}
+
+// Drain makes the host finish its work and end.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.call(ctx, http.MethodPost, "/drain", nil, nil)
+}
+
+// Get returns an entry of a list as the store holds it.
+func (c *Client) Get(ctx context.Context, k planlist.Kind, name string) (e EntryAnswer, err error) {
+	return e, c.call(ctx, http.MethodGet, entryPath(k, name), nil, &e)
+}
+
+// Put replaces an entry if its version is expected.
+func (c *Client) Put(ctx context.Context, k planlist.Kind, name string, expected uint64, value []byte) (a planlist.Applied, err error) {
+	return a, c.call(ctx, http.MethodPut, entryPath(k, name)+expectation(expected), value, &a)
+}
+
+// Delete removes an entry if its version is expected.
+func (c *Client) Delete(ctx context.Context, k planlist.Kind, name string, expected uint64) (a planlist.Applied, err error) {
+	return a, c.call(ctx, http.MethodDelete, entryPath(k, name)+expectation(expected), nil, &a)
+}
+
+// InForce tells on which hosts of the region the object's version is in force.
+func (c *Client) InForce(ctx context.Context, object string, v gypsumyard.Version) (a InForceAnswer, err error) {
+	q := url.Values{"object": {object}, "version": {strconv.FormatUint(uint64(v), 10)}}
+	return a, c.call(ctx, http.MethodGet, "/in-force?"+q.Encode(), nil, &a)
+}
+
+func entryPath(k planlist.Kind, name string) string {
+	return "/lists/" + string(k) + "/" + url.PathEscape(name)
+}
+
+func expectation(expected uint64) string {
+	if expected == planlist.AnyVersion {
+		return ""
+	}
+	return "?expected=" + strconv.FormatUint(expected, 10)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, result any) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s %s: %w", method, path, err)
+		}
+	}()
+	r, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if c.token != "" {
+		r.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		e := &AnswerError{Code: response.StatusCode}
+		if json.Unmarshal(data, &e.ErrorAnswer) != nil {
+			e.ErrorAnswer = ErrorAnswer{Error: response.Status, Kind: "invalid"}
+		}
+		return e
+	}
+	if result == nil {
+		return nil
+	}
+	return json.Unmarshal(data, result)
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,315 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// maxBody bounds the body of a request. An entry is far smaller.
+	maxBody = 1 << 20
+	// readTimeout bounds the time a client may take to send its request.
+	readTimeout = 10 * time.Second
+	// editTimeout bounds an edit with all its retries.
+	editTimeout = 20 * time.Second
+)
+
+// A Service serves operators. It is found under the name "operator".
+type Service struct {
+	addr    netip.AddrPort
+	token   string
+	clock   gypsumyard.Clock
+	log     *logrus.Entry
+	metrics http.Handler
+	drain   func()
+
+	lists    *planlist.Service
+	members  gypsumyard.Membership
+	editor   *planlist.Editor
+	owner    describer
+	server   *http.Server
+	draining atomic.Bool
+	done     chan struct{}
+}
+
+// A describer describes the databases that this host owns.
+type describer interface {
+	Describe(database string) (any, bool)
+}
+
+// An Option changes a service.
+type Option func(*Service)
+
+// WithToken makes the service ask for the token in the Authorization header of
+// each request except for health and metrics.
+func WithToken(t string) Option { return func(s *Service) { s.token = t } }
+
+// WithClock sets the clock.
+func WithClock(c gypsumyard.Clock) Option { return func(s *Service) { s.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l *logrus.Entry) Option { return func(s *Service) { s.log = l } }
+
+// WithMetrics sets the handler of GET /metrics.
+func WithMetrics(h http.Handler) Option { return func(s *Service) { s.metrics = h } }
+
+// WithDrain sets what POST /drain begins. It is called once and must not
+// block.
+func WithDrain(f func()) Option { return func(s *Service) { s.drain = f } }
+
+// New returns a service that will listen on addr.
+func New(addr netip.AddrPort, options ...Option) *Service {
+	s := &Service{
+		addr:    addr,
+		clock:   clock.System(),
+		log:     logrus.NewEntry(logrus.StandardLogger()),
+		metrics: http.NotFoundHandler(),
+		drain:   func() {},
+		done:    make(chan struct{}),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Name returns "operator".
+func (s *Service) Name() string { return "operator" }
+
+// Needs returns the services that must run before.
+func (s *Service) Needs() []string { return []string{"platform", "lists", "members"} }
+
+// Start begins to listen.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) (err error) {
+	store, err := kernel.Lookup[gypsumyard.Store](k, "platform")
+	if err != nil {
+		return err
+	}
+	s.editor = planlist.NewEditor(store, s.clock)
+	if s.lists, err = kernel.Lookup[*planlist.Service](k, "lists"); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Lookup[gypsumyard.Membership](k, "members"); err != nil {
+		return err
+	}
+	// The owner is optional: a host without it still serves operators.
+	s.owner, _ = kernel.Lookup[describer](k, "owner")
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.addr))
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	s.server = &http.Server{Handler: s.routes(), ReadTimeout: readTimeout}
+	go func() {
+		defer close(s.done)
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			s.log.WithError(err).Error("operators are no longer served")
+		}
+	}()
+	return nil
+}
+
+// Stop ends the service.
+func (s *Service) Stop(context.Context) error { return s.server.Close() }
+
+// Done returns a channel that is closed when the service has ended.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// SetDraining makes health checks fail, so that the balancer sends no more
+// callers.
+func (s *Service) SetDraining() { s.draining.Store(true) }
+
+func (s *Service) routes() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /health", s.health)
+	m.Handle("GET /metrics", s.metrics)
+	m.HandleFunc("GET /status", s.authorized(s.status))
+	m.HandleFunc("POST /drain", s.authorized(s.beginDrain))
+	m.HandleFunc("GET /lists/{list}/{entry}", s.authorized(s.getEntry))
+	m.HandleFunc("PUT /lists/{list}/{entry}", s.authorized(s.putEntry))
+	m.HandleFunc("DELETE /lists/{list}/{entry}", s.authorized(s.deleteEntry))
+	m.HandleFunc("GET /in-force", s.authorized(s.inForce))
+	return m
+}
+
+func (s *Service) authorized(next http.HandlerFunc) http.HandlerFunc {
+	want := []byte("Bearer " + s.token)
+	return func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if s.token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			answer(w, http.StatusUnauthorized, ErrorAnswer{"the token is missing or wrong", "not-authorized"})
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Service) ready() bool {
+	select {
+	case <-s.lists.Ready():
+		return !s.draining.Load()
+	default:
+		return false
+	}
+}
+
+func (s *Service) health(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case s.draining.Load():
+		answer(w, http.StatusServiceUnavailable, ErrorAnswer{"draining", "unavailable"})
+	case !s.ready():
+		answer(w, http.StatusServiceUnavailable, ErrorAnswer{"the lists are not known yet", "unavailable"})
+	default:
+		answer(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (s *Service) status(w http.ResponseWriter, _ *http.Request) {
+	_, complete := s.lists.Newer(^gypsumyard.Version(0))
+	status := Status{
+		Host:       s.members.Self(),
+		Ready:      s.ready(),
+		Draining:   s.draining.Load(),
+		Members:    s.members.Hosts(),
+		CompleteTo: complete,
+	}
+	for _, d := range s.lists.Databases() {
+		status.Databases = append(status.Databases, s.describe(d.Name))
+	}
+	answer(w, http.StatusOK, status)
+}
+
+func (s *Service) describe(database string) DatabaseStatus {
+	status := DatabaseStatus{Name: database}
+	if h, ok := s.members.Owner(database); ok {
+		status.Owner = h.Name
+	}
+	if s.owner == nil {
+		return status
+	}
+	if detail, ok := s.owner.Describe(database); ok {
+		status.Detail, _ = json.Marshal(detail)
+	}
+	return status
+}
+
+func (s *Service) beginDrain(w http.ResponseWriter, _ *http.Request) {
+	if s.draining.CompareAndSwap(false, true) {
+		s.log.Info("drain requested by an operator")
+		s.drain()
+	}
+	answer(w, http.StatusAccepted, struct{}{})
+}
+
+func (s *Service) getEntry(w http.ResponseWriter, r *http.Request) {
+	kind, ok := kindOf(w, r)
+	if !ok {
+		return
+	}
+	e, err := s.editor.Get(r.Context(), kind, r.PathValue("entry"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, http.StatusOK, EntryAnswer{Version: e.Version, Deleted: e.Deleted, Value: e.Value})
+}
+
+func (s *Service) putEntry(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		answer(w, http.StatusRequestEntityTooLarge, ErrorAnswer{err.Error(), "invalid"})
+		return
+	}
+	s.edit(w, r, value)
+}
+
+func (s *Service) deleteEntry(w http.ResponseWriter, r *http.Request) { s.edit(w, r, nil) }
+
+func (s *Service) edit(w http.ResponseWriter, r *http.Request, value []byte) {
+	kind, ok := kindOf(w, r)
+	if !ok {
+		return
+	}
+	expected := planlist.AnyVersion
+	if v := r.URL.Query().Get("expected"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			answer(w, http.StatusBadRequest, ErrorAnswer{"expected must be a version", "invalid"})
+			return
+		}
+		expected = n
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), editTimeout)
+	defer cancel()
+	name := r.PathValue("entry")
+	applied, err := s.editor.Apply(ctx, planlist.Edit{Kind: kind, Name: name, Value: value, Expected: expected})
+	log := s.log.WithFields(logrus.Fields{"list": kind, "entry": name, "removed": value == nil})
+	if err != nil {
+		log.WithError(err).Warn("edit not applied")
+		fail(w, err)
+		return
+	}
+	log.WithFields(logrus.Fields{"version": applied.Version, "attempts": applied.Attempts}).Info("edit applied")
+	answer(w, http.StatusOK, applied)
+}
+
+func (s *Service) inForce(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil || version == 0 {
+		answer(w, http.StatusBadRequest, ErrorAnswer{"version must be a number above 0", "invalid"})
+		return
+	}
+	hosts := s.lists.InForce(r.Context(), r.URL.Query().Get("object"), gypsumyard.Version(version))
+	a := InForceAnswer{Everywhere: true, Hosts: hosts}
+	for _, h := range hosts {
+		a.Everywhere = a.Everywhere && h.InForce
+	}
+	answer(w, http.StatusOK, a)
+}
+
+func kindOf(w http.ResponseWriter, r *http.Request) (planlist.Kind, bool) {
+	kind, err := planlist.ParseKind(r.PathValue("list"))
+	if err != nil {
+		answer(w, http.StatusNotFound, ErrorAnswer{err.Error(), "not-found"})
+	}
+	return kind, err == nil
+}
+
+// fail answers with the status code that fits the error.
+func fail(w http.ResponseWriter, err error) {
+	var conflict *planlist.EntryConflictError
+	switch {
+	case errors.As(err, &conflict):
+		answer(w, http.StatusConflict, ErrorAnswer{err.Error(), "conflict"})
+	case errors.Is(err, gypsumyard.ErrNotFound):
+		answer(w, http.StatusNotFound, ErrorAnswer{err.Error(), "not-found"})
+	case errors.Is(err, gypsumyard.ErrOutcomeUnknown):
+		answer(w, http.StatusGatewayTimeout, ErrorAnswer{err.Error(), "outcome-unknown"})
+	case errors.Is(err, gypsumyard.ErrUnavailable), errors.Is(err, context.DeadlineExceeded):
+		answer(w, http.StatusServiceUnavailable, ErrorAnswer{err.Error(), "unavailable"})
+	default:
+		answer(w, http.StatusUnprocessableEntity, ErrorAnswer{err.Error(), "invalid"})
+	}
+}
+
+func answer(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	// A failed write means that the client is gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/internal/planlist/edit_test.go
+++ b/internal/planlist/edit_test.go
@@ -1,6 +1,7 @@
 package planlist
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -43,7 +44,7 @@
 // instantClock does not wait.
 type instantClock struct{ gypsumyard.Clock }
 
-func (c instantClock) NewTimer(time.Duration) gypsumyard.Timer { return c.Clock.NewTimer(0) }
+func (c instantClock) Sleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
 
 // Guards against one of two concurrent edits of different entries being lost.
 func TestConcurrentEditsOfDifferentEntries(t *testing.T) {
