history: checker of recorded runs

Cause: the invariants need a verdict over recorded client histories. Change: rules for lost, doubled, partial and refused writes, own writes, mixed transactions, foreign or incomplete answers, shares and reverted lists.

--- /dev/null
+++ b/internal/history/check.go
@@ -0,0 +1,179 @@
+package history
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// A Violation is one thing that must not happen and did.
+type Violation struct {
+	// Rule names what was violated.
+	Rule   string `json:"rule"`
+	Detail string `json:"detail"`
+}
+
+// String returns the rule and the detail.
+func (v Violation) String() string { return v.Rule + ": " + v.Detail }
+
+// The rules.
+const (
+	RuleLost       = "acknowledged-write-lost"
+	RuleDoubled    = "write-doubled"
+	RulePartial    = "transaction-partial"
+	RuleNotRun     = "not-run-but-ran"
+	RuleOwnWrites  = "own-write-not-read"
+	RuleMixed      = "transactions-mixed"
+	RuleAnswer     = "answer-of-another-request"
+	RuleIncomplete = "answer-incomplete"
+	RuleShare      = "share-exceeded"
+	RuleReverted   = "list-reverted"
+)
+
+// Check returns all violations in the history, none for a correct run.
+func Check(h *History) []Violation {
+	var all []Violation
+	for _, check := range []func(*History) []Violation{
+		checkWrites, checkReads, checkMixing, checkAnswers, checkShares, checkLists,
+	} {
+		all = append(all, check(h)...)
+	}
+	return all
+}
+
+func violation(rule, format string, args ...any) Violation {
+	return Violation{Rule: rule, Detail: fmt.Sprintf(format, args...)}
+}
+
+// checkWrites compares the rows found at the end with what clients were told.
+// A write of unknown outcome may be present, but once and whole.
+func checkWrites(h *History) (all []Violation) {
+	for _, w := range h.Writes {
+		found := h.Rows[w.Tag]
+		switch {
+		case w.Outcome == Acknowledged && found == 0:
+			all = append(all, violation(RuleLost, "write %s of session %s, acknowledged at %v", w.Tag, w.Session, w.Position))
+		case w.Outcome == NotRun && found > 0:
+			all = append(all, violation(RuleNotRun, "write %s of session %s left %d rows", w.Tag, w.Session, found))
+		case found > w.Rows:
+			all = append(all, violation(RuleDoubled, "write %s of session %s left %d rows, not %d", w.Tag, w.Session, found, w.Rows))
+		case found > 0 && found < w.Rows:
+			all = append(all, violation(RulePartial, "write %s of session %s left %d of %d rows", w.Tag, w.Session, found, w.Rows))
+		}
+	}
+	return all
+}
+
+// checkReads verifies that a read sees every write of its session that was
+// acknowledged before the read began.
+func checkReads(h *History) (all []Violation) {
+	writes := map[string][]Write{}
+	for _, w := range h.Writes {
+		if w.Outcome == Acknowledged {
+			writes[w.Session] = append(writes[w.Session], w)
+		}
+	}
+	for _, r := range h.Reads {
+		if r.Stale {
+			continue
+		}
+		for _, w := range writes[r.Session] {
+			if w.End.Before(r.Start) && w.Sequence > r.Seen {
+				all = append(all, violation(RuleOwnWrites, "session %s on host %s saw %d after write %d was acknowledged at %v",
+					r.Session, r.Host, r.Seen, w.Sequence, w.Position))
+				break
+			}
+		}
+	}
+	return all
+}
+
+// checkMixing verifies that no transaction of an instance ran statements of
+// two tags.
+func checkMixing(h *History) (all []Violation) {
+	type key struct {
+		instance    string
+		transaction uint64
+	}
+	tags := map[key]string{}
+	for _, r := range h.Runs {
+		if r.Tag == "" || r.Transaction == 0 {
+			continue
+		}
+		k := key{r.Instance, r.Transaction}
+		if tag, ok := tags[k]; ok && tag != r.Tag {
+			all = append(all, violation(RuleMixed, "transaction %d on %s ran statements of %s and %s", r.Transaction, r.Instance, tag, r.Tag))
+			continue
+		}
+		tags[k] = r.Tag
+	}
+	return all
+}
+
+func checkAnswers(h *History) (all []Violation) {
+	for _, a := range h.Answers {
+		if a.Got != a.Want {
+			all = append(all, violation(RuleAnswer, "session %s asked for %s and got %s", a.Session, a.Want, a.Got))
+		}
+		if a.GotRows != a.WantRows {
+			all = append(all, violation(RuleIncomplete, "session %s got %d of %d rows for %s", a.Session, a.GotRows, a.WantRows, a.Want))
+		}
+	}
+	return all
+}
+
+// checkShares verifies for each window that begins with a statement of the
+// customer that the slot time used in it stays within limit and burst.
+func checkShares(h *History) (all []Violation) {
+	for _, s := range h.Shares {
+		var runs []Run
+		for _, r := range h.Runs {
+			if r.Customer == s.Customer {
+				runs = append(runs, r)
+			}
+		}
+		if v, ok := worstWindow(runs, s.Limit*float64(h.Slots), h.Burst); !ok {
+			all = append(all, violation(RuleShare, "customer %s used %v beyond its limit of %.3f", s.Customer, v, s.Limit))
+		}
+	}
+	return all
+}
+
+// worstWindow returns by how much slot time a window exceeds rate and burst,
+// and whether none does. Slot time is charged when a statement ends.
+func worstWindow(runs []Run, rate float64, burst time.Duration) (excess time.Duration, ok bool) {
+	slices.SortFunc(runs, func(a, b Run) int { return a.End.Compare(b.End) })
+	// debt is what a bucket that drains at the rate holds: its highest level
+	// is the highest excess of any window.
+	var debt time.Duration
+	for i, r := range runs {
+		if i > 0 {
+			drained := time.Duration(rate * float64(r.End.Sub(runs[i-1].End)))
+			debt = max(0, debt-drained)
+		}
+		debt += r.End.Sub(r.Start)
+		excess = max(excess, debt-burst)
+	}
+	return excess, excess <= 0
+}
+
+// checkLists verifies that no host had an older version in force after a newer
+// one.
+func checkLists(h *History) (all []Violation) {
+	type key struct{ host, object string }
+	lists := slices.Clone(h.Lists)
+	slices.SortStableFunc(lists, func(a, b ListVersion) int {
+		return a.At.Compare(b.At)
+	})
+	latest := map[key]ListVersion{}
+	for _, l := range lists {
+		k := key{l.Host, l.Object}
+		if before := latest[k]; before.Version > l.Version {
+			all = append(all, violation(RuleReverted, "host %s had version %d of %s in force after version %d",
+				l.Host, l.Version, l.Object, before.Version))
+			continue
+		}
+		latest[k] = l
+	}
+	return all
+}
