--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,164 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// A Conn is one connection to an instance. It is used by one goroutine at a
+// time, apart from Cancel and Close.
+type Conn struct {
+	clock     gypsumyard.Clock
+	address   Address
+	net       net.Conn
+	front     *pgproto3.Frontend
+	processID uint32
+	secretKey []byte
+
+	// settings is the encoded form of the settings in force.
+	settings string
+	// dirty tells that a request may have changed the connection's state in a
+	// way that settings does not record.
+	dirty bool
+	// lastUsed is when the instance last answered.
+	lastUsed time.Time
+	// proven is shared by the connections of a pool.
+	proven *provenSettings
+	// cancelled tells that a CancelRequest was sent. It may take effect late,
+	// so the connection must not run another session's statements.
+	cancelled atomic.Bool
+	// aborted tells that a deadline was set from outside.
+	aborted   bool
+	closeOnce sync.Once
+	buf       []byte
+}
+
+// past is a deadline that ends all reads and writes at once.
+var past = time.Unix(1, 0)
+
+// abortWith ends reads and writes when ctx is done. The returned function
+// ends the link. A connection on which ctx has ended is not used again, since
+// the deadline may be set at any later moment.
+func (c *Conn) abortWith(ctx context.Context) (stop func()) {
+	_ = c.net.SetDeadline(time.Time{})
+	unlink := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(past) })
+	return func() {
+		if !unlink() {
+			c.aborted = true
+		}
+	}
+}
+
+// Close closes the connection. The instance rolls back what is open.
+func (c *Conn) Close() {
+	c.closeOnce.Do(func() { _ = c.net.Close() })
+}
+
+// Cancel asks the instance to cancel the statement that the connection runs.
+func (c *Conn) Cancel(ctx context.Context) error {
+	c.cancelled.Store(true)
+	return cancelStatement(ctx, c.address, c.processID, c.secretKey)
+}
+
+// Cancelled reports whether Cancel was called.
+func (c *Conn) Cancelled() bool { return c.cancelled.Load() }
+
+// LastUsed returns when the instance last answered on the connection.
+func (c *Conn) LastUsed() time.Time { return c.lastUsed }
+
+// quiet reports whether the peer has neither closed the connection nor sent
+// anything since the last answer. A connection that is not quiet cannot be
+// used again.
+func (c *Conn) quiet() bool {
+	if c.aborted || c.front.ReadBufferLen() > 0 {
+		return false
+	}
+	s, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// query runs one of this package's own statements and passes each message of
+// the answer to take. The time to the end of the answer is bounded by ctx.
+func (c *Conn) query(ctx context.Context, sql string, take func(pgproto3.BackendMessage)) (err error) {
+	stop := c.abortWith(ctx)
+	defer stop()
+	c.buf, err = (&pgproto3.Query{String: sql}).Encode(c.buf[:0])
+	if err != nil {
+		return err
+	}
+	if _, err := c.net.Write(c.buf); err != nil {
+		return abortCause(ctx, err)
+	}
+	for {
+		msg, err := c.front.Receive()
+		if err != nil {
+			return abortCause(ctx, err)
+		}
+		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
+			c.lastUsed = c.clock.Now()
+			return nil
+		}
+		take(msg)
+	}
+}
+
+// abortCause returns the cause of ctx if it ended the connection's wait.
+func abortCause(ctx context.Context, err error) error {
+	var t net.Error
+	if errors.As(err, &t) && t.Timeout() {
+		if cause := context.Cause(ctx); cause != nil {
+			return cause
+		}
+		return ErrSilent
+	}
+	return err
+}
+
+// Ping checks that the instance answers on the connection.
+func (c *Conn) Ping(ctx context.Context) error {
+	var r statusReader
+	return c.query(ctx, statusSQL, r.take)
+}
+
+// Status reads the instance's status over the connection. The connection is
+// not usable after an error other than a *ServerError.
+func (c *Conn) Status(ctx context.Context) (gypsumyard.InstanceStatus, error) {
+	var r statusReader
+	if err := c.query(ctx, statusSQL, r.take); err != nil {
+		return gypsumyard.InstanceStatus{}, err
+	}
+	return r.result()
+}
+
+// Rollback ends the open transaction.
+func (c *Conn) Rollback(ctx context.Context) error {
+	var failure error
+	err := c.query(ctx, "ROLLBACK", func(msg pgproto3.BackendMessage) {
+		if m, ok := msg.(*pgproto3.ErrorResponse); ok {
+			failure = serverError(m)
+		}
+	})
+	return errors.Join(err, failure)
+}
--- /dev/null
+++ b/internal/upstream/dial.go
@@ -0,0 +1,213 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"crypto/md5"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
+	// userTimeout bounds how long sent data may stay unacknowledged by the
+	// instance's host.
+	userTimeout = 5 * time.Second
+	// tcpUserTimeout is the number of the Linux socket option.
+	tcpUserTimeout = 0x12
+	dialTimeout    = time.Second
+)
+
+// An Address is how an instance is reached.
+type Address struct {
+	Addr     netip.AddrPort
+	Database string
+	User     string
+	Password string
+}
+
+// AddressOf returns the address of an instance of the database.
+func AddressOf(d gypsumyard.Database, u gypsumyard.Upstream) Address {
+	return Address{Addr: u.Addr, Database: d.Name, User: d.User, Password: d.Password}
+}
+
+func dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
+		},
+		Control: setUserTimeout,
+	}
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failure error
+	err := c.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
+// Dial opens a connection and logs in. A refusal by the instance is an
+// ErrRefused.
+func Dial(ctx context.Context, clock gypsumyard.Clock, a Address) (c *Conn, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("dial %s: %w", a.Addr, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	n, err := dialer().DialContext(ctx, "tcp", a.Addr.String())
+	if err != nil {
+		return nil, err
+	}
+	c = &Conn{clock: clock, address: a, net: n, front: pgproto3.NewFrontend(n, n)}
+	stop := c.abortWith(ctx)
+	err = c.logIn()
+	stop()
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.lastUsed = clock.Now()
+	return c, nil
+}
+
+// logIn runs the start-up phase up to the first ReadyForQuery.
+func (c *Conn) logIn() error {
+	c.front.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user":             c.address.User,
+			"database":         c.address.Database,
+			"application_name": "gypsumyard",
+		},
+	})
+	if err := c.front.Flush(); err != nil {
+		return err
+	}
+	var conversation *scram.ClientConversation
+	for {
+		msg, err := c.front.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.AuthenticationCleartextPassword:
+			c.front.Send(&pgproto3.PasswordMessage{Password: c.address.Password})
+		case *pgproto3.AuthenticationMD5Password:
+			c.front.Send(&pgproto3.PasswordMessage{Password: md5Password(c.address, m.Salt)})
+		case *pgproto3.AuthenticationSASL:
+			conversation, err = c.beginSCRAM()
+		case *pgproto3.AuthenticationSASLContinue:
+			err = c.continueSCRAM(conversation, m.Data)
+		case *pgproto3.AuthenticationSASLFinal:
+			err = finishSCRAM(conversation, m.Data)
+		case *pgproto3.BackendKeyData:
+			c.processID, c.secretKey = m.ProcessID, bytes.Clone(m.SecretKey)
+		case *pgproto3.ErrorResponse:
+			return refused(serverError(m))
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := c.front.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// scramMechanism is the only SASL mechanism that is offered without TLS.
+const scramMechanism = "SCRAM-SHA-256"
+
+func (c *Conn) beginSCRAM() (*scram.ClientConversation, error) {
+	client, err := scram.SHA256.NewClient(c.address.User, c.address.Password, "")
+	if err != nil {
+		return nil, fmt.Errorf("scram: %w", err)
+	}
+	conversation := client.NewConversation()
+	first, err := conversation.Step("")
+	if err != nil {
+		return nil, fmt.Errorf("scram: %w", err)
+	}
+	c.front.Send(&pgproto3.SASLInitialResponse{AuthMechanism: scramMechanism, Data: []byte(first)})
+	return conversation, nil
+}
+
+func (c *Conn) continueSCRAM(conversation *scram.ClientConversation, data []byte) error {
+	if conversation == nil {
+		return errors.New("scram: challenge before the start")
+	}
+	next, err := conversation.Step(string(data))
+	if err != nil {
+		return fmt.Errorf("scram: %w", err)
+	}
+	c.front.Send(&pgproto3.SASLResponse{Data: []byte(next)})
+	return nil
+}
+
+func finishSCRAM(conversation *scram.ClientConversation, data []byte) error {
+	if conversation == nil {
+		return errors.New("scram: end before the start")
+	}
+	if _, err := conversation.Step(string(data)); err != nil {
+		return fmt.Errorf("scram: %w", err)
+	}
+	return nil
+}
+
+// md5Password returns the answer to an MD5 challenge.
+func md5Password(a Address, salt [4]byte) string {
+	inner := md5.Sum([]byte(a.Password + a.User))
+	outer := md5.Sum(append([]byte(hex.EncodeToString(inner[:])), salt[:]...))
+	return "md5" + hex.EncodeToString(outer[:])
+}
+
+// cancelStatement asks the instance at a to cancel what the connection with
+// the given key runs. It returns when the instance has taken the request.
+func cancelStatement(ctx context.Context, a Address, processID uint32, secretKey []byte) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("cancel at %s: %w", a.Addr, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	n, err := dialer().DialContext(ctx, "tcp", a.Addr.String())
+	if err != nil {
+		return err
+	}
+	defer n.Close()
+	deadline, _ := ctx.Deadline()
+	if err := n.SetDeadline(deadline); err != nil {
+		return err
+	}
+	buf, err := (&pgproto3.CancelRequest{ProcessID: processID, SecretKey: secretKey}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := n.Write(buf); err != nil {
+		return err
+	}
+	// The instance closes the connection once it has passed on the request.
+	_, _ = n.Read(make([]byte, 1))
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/errors.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// SQLSTATEs that decide what became of a request.
+const (
+	stateReadOnly           = "25006"
+	stateTooManyConnections = "53300"
+	stateCannotConnectNow   = "57P03"
+)
+
+var (
+	// ErrRefused: the instance did not accept a connection, for example
+	// because it holds as many as it may. Nothing was sent over it.
+	ErrRefused = errors.New("connection refused by the instance")
+	// ErrClosed: the pool is closed.
+	ErrClosed = errors.New("pool closed")
+	// ErrSilent: nothing came within the bound.
+	ErrSilent = errors.New("connection silent")
+)
+
+// A ServerError is an ErrorResponse of an instance.
+type ServerError struct {
+	Severity string
+	State    string
+	Message  string
+}
+
+// Error returns the SQLSTATE and the message.
+func (e *ServerError) Error() string { return e.State + ": " + e.Message }
+
+func serverError(m *pgproto3.ErrorResponse) *ServerError {
+	severity := m.SeverityUnlocalized
+	if severity == "" {
+		severity = m.Severity
+	}
+	return &ServerError{Severity: severity, State: m.Code, Message: m.Message}
+}
+
+// ReadOnly reports whether the instance refused to write because it is not a
+// primary or the transaction is read-only.
+func (e *ServerError) ReadOnly() bool { return e.State == stateReadOnly }
+
+// ProvesNotRun reports whether an instance sends the error only instead of
+// running a statement.
+func (e *ServerError) ProvesNotRun() bool {
+	switch e.State {
+	case stateReadOnly, stateTooManyConnections, stateCannotConnectNow:
+		return true
+	}
+	return false
+}
+
+// fatal reports whether the instance closes the connection after the error.
+func (e *ServerError) fatal() bool { return e.Severity == "FATAL" || e.Severity == "PANIC" }
+
+// refused marks err as a refusal at connect.
+func refused(err error) error { return fmt.Errorf("%w: %w", ErrRefused, err) }
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,355 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	// bufferLimit is how much of an answer is kept before it goes to the
+	// sink. Until then a read can still be sent again.
+	bufferLimit = 32 << 10
+	// ownWriter is the size from which a batch is written by a goroutine of
+	// its own. A smaller one fits into the socket buffers, so that it cannot
+	// block while the instance waits for its answers to be read.
+	ownWriter = 32 << 10
+)
+
+// errCopyIn ends an exchange whose request asks the caller for data.
+var errCopyIn = gypsumyard.Errorf(gypsumyard.ClassNotSupported, "COPY FROM STDIN")
+
+// An Exchange is one request and what is sent around it in the same write.
+type Exchange struct {
+	// Messages are the request's frontend messages.
+	Messages []byte
+	// Reset brings the connection to the wanted settings first. It must be
+	// false inside a transaction.
+	Reset    bool
+	Settings []gypsumyard.Setting
+	// Pre and Post ask for the instance's status before and after the request.
+	Pre, Post bool
+	// Check judges the status before the request. If it returns false the
+	// answer is dropped. It may be nil.
+	Check func(gypsumyard.InstanceStatus) bool
+	// Hold keeps everything from the first CommandComplete on in
+	// Outcome.Answer, however long it gets.
+	Hold bool
+	// FirstBound limits the wait for the first answer of the batch, and
+	// SilentBound each later wait. The status before the request is answered
+	// at once by a working connection, however long the request runs.
+	FirstBound, SilentBound time.Duration
+}
+
+// An Outcome tells what became of an exchange.
+type Outcome struct {
+	Pre, Post *gypsumyard.InstanceStatus
+	// Answer is the part of the answer that has not gone to the sink.
+	Answer []byte
+	// Delivered tells that a part of the answer has gone to the sink.
+	Delivered bool
+	// Sent tells that a byte of the request may have reached the instance.
+	Sent bool
+	// NotRun tells that the instance's answer proves that the request did not
+	// run although it was sent.
+	NotRun bool
+	// Completed tells that a statement of the request has completed.
+	Completed bool
+	// Tag is the last command tag.
+	Tag string
+	// Failure is the first error of the request.
+	Failure *ServerError
+	// Setup is the error of a setting. The request was not sent.
+	Setup *ServerError
+	// Rejected tells that Check refused the status.
+	Rejected bool
+	// TxStatus is the transaction state after the request.
+	TxStatus byte
+}
+
+// The phases of an exchange, each ended by a ReadyForQuery.
+const (
+	phaseSetup = iota
+	phasePre
+	phaseRequest
+	phasePost
+)
+
+// run is the state of an exchange that is going on.
+type run struct {
+	conn    *Conn
+	ex      *Exchange
+	out     *Outcome
+	sink    io.Writer
+	phases  []int
+	status  statusReader
+	setup   error
+	holding bool
+	sinkErr error
+	bounded time.Time
+}
+
+// Run runs an exchange. After an error the connection is not usable; the
+// outcome tells what happened up to then. The sink is called only when the
+// answer outgrows the buffer.
+func (c *Conn) Run(ctx context.Context, ex *Exchange, sink io.Writer) (out Outcome, err error) {
+	found, err := scanRequest(ex.Messages)
+	if err != nil {
+		return out, err
+	}
+	stop := c.abortWith(ctx)
+	defer stop()
+	r := &run{conn: c, ex: ex, out: &out, sink: sink}
+	if err := r.prove(ctx); err != nil || out.Setup != nil {
+		return out, err
+	}
+	key := c.settings
+	if ex.Reset {
+		key = settingsKey(ex.Settings)
+	}
+	start := r.encode(key)
+	c.settings = key
+	c.dirty = found.leavesState || (c.dirty && !ex.Reset)
+	err = r.transfer(ctx, start)
+	if err == nil {
+		c.lastUsed = c.clock.Now()
+	}
+	return out, err
+}
+
+// prove applies settings that the instance has never accepted in a round trip
+// of their own.
+func (r *run) prove(ctx context.Context) error {
+	c := r.conn
+	key := settingsKey(r.ex.Settings)
+	if !r.ex.Reset || key == "" || c.proven.has(key) {
+		return nil
+	}
+	c.settings, c.dirty = "", true
+	for _, sql := range append([]string{discardSQL}, setStatements(r.ex.Settings)...) {
+		err := c.query(ctx, sql, func(msg pgproto3.BackendMessage) {
+			if m, ok := msg.(*pgproto3.ErrorResponse); ok && r.out.Setup == nil {
+				r.out.Setup = serverError(m)
+			}
+		})
+		if err != nil {
+			return fmt.Errorf("apply settings: %w", err)
+		}
+		if r.out.Setup != nil {
+			return nil
+		}
+	}
+	c.settings, c.dirty = key, false
+	c.proven.add(key)
+	return nil
+}
+
+// encode fills the connection's buffer with the batch and returns where the
+// request begins in it.
+func (r *run) encode(key string) (start int) {
+	c := r.conn
+	c.buf = c.buf[:0]
+	if r.ex.Reset && (c.dirty || c.settings != key) {
+		r.addQuery(discardSQL, phaseSetup)
+		for _, sql := range setStatements(r.ex.Settings) {
+			r.addQuery(sql, phaseSetup)
+		}
+	}
+	if r.ex.Pre {
+		r.addQuery(statusSQL, phasePre)
+	}
+	start = len(c.buf)
+	c.buf = append(c.buf, r.ex.Messages...)
+	r.phases = append(r.phases, phaseRequest)
+	if r.ex.Post {
+		r.addQuery(statusSQL, phasePost)
+	}
+	return start
+}
+
+func (r *run) addQuery(sql string, phase int) {
+	// A Query can always be encoded unless it is larger than a message may be.
+	r.conn.buf, _ = (&pgproto3.Query{String: sql}).Encode(r.conn.buf)
+	r.phases = append(r.phases, phase)
+}
+
+// transfer writes the batch and reads the answers.
+func (r *run) transfer(ctx context.Context, start int) error {
+	if len(r.conn.buf) < ownWriter {
+		if err := r.write(start); err != nil {
+			return abortCause(ctx, err)
+		}
+		return r.read(ctx)
+	}
+	r.out.Sent = true
+	written := make(chan error, 1)
+	go func() {
+		_, err := r.conn.net.Write(r.conn.buf)
+		written <- err
+	}()
+	err := r.read(ctx)
+	if err != nil {
+		r.conn.Close()
+	}
+	return errors.Join(err, <-written)
+}
+
+// write sends the batch. If not one byte of the request itself was taken, the
+// request cannot have run.
+func (r *run) write(start int) error {
+	n, err := r.conn.net.Write(r.conn.buf)
+	r.out.Sent = n > start
+	return err
+}
+
+// read reads the answers up to the last ReadyForQuery.
+func (r *run) read(ctx context.Context) error {
+	bound := r.ex.FirstBound
+	for len(r.phases) > 0 {
+		msg, err := r.receive(ctx, bound)
+		if err != nil {
+			return abortCause(ctx, err)
+		}
+		bound = r.ex.SilentBound
+		if err := r.take(msg); err != nil {
+			return err
+		}
+	}
+	return r.setup
+}
+
+// receive reads one message within the bound.
+func (r *run) receive(ctx context.Context, bound time.Duration) (pgproto3.BackendMessage, error) {
+	if r.conn.front.ReadBufferLen() == 0 {
+		if err := r.setBound(bound); err != nil {
+			return nil, err
+		}
+		if err := context.Cause(ctx); err != nil {
+			return nil, err
+		}
+	}
+	return r.conn.front.Receive()
+}
+
+// setBound moves the read deadline. Deadlines that would hardly differ are not
+// set again, which saves a timer update for each message.
+func (r *run) setBound(bound time.Duration) error {
+	if bound <= 0 {
+		return nil
+	}
+	until := time.Now().Add(bound)
+	if d := until.Sub(r.bounded); d >= 0 && d < bound/16 {
+		return nil
+	}
+	r.bounded = until
+	return r.conn.net.SetReadDeadline(until)
+}
+
+// take handles one message according to the phase.
+func (r *run) take(msg pgproto3.BackendMessage) error {
+	if m, ok := msg.(*pgproto3.ReadyForQuery); ok {
+		r.endPhase(m.TxStatus)
+		return nil
+	}
+	if m, ok := msg.(*pgproto3.ErrorResponse); ok {
+		if e := serverError(m); e.fatal() && r.phases[0] != phaseRequest {
+			// The instance answers in order, so it ended the connection
+			// before it came to the request.
+			r.out.NotRun = r.phases[0] != phasePost
+			return e
+		}
+	}
+	switch r.phases[0] {
+	case phaseSetup:
+		if m, ok := msg.(*pgproto3.ErrorResponse); ok {
+			r.setup = fmt.Errorf("apply settings: %w", serverError(m))
+		}
+	case phasePre, phasePost:
+		r.status.take(msg)
+	case phaseRequest:
+		return r.takeAnswer(msg)
+	}
+	return nil
+}
+
+// endPhase concludes the current phase.
+func (r *run) endPhase(txStatus byte) {
+	phase := r.phases[0]
+	r.phases = r.phases[1:]
+	switch phase {
+	case phasePre:
+		r.out.Pre = r.takeStatus()
+		r.check()
+	case phaseRequest:
+		r.out.TxStatus = txStatus
+	case phasePost:
+		r.out.Post = r.takeStatus()
+	}
+}
+
+func (r *run) takeStatus() *gypsumyard.InstanceStatus {
+	s, err := r.status.result()
+	r.status = statusReader{}
+	if err != nil {
+		return nil
+	}
+	return &s
+}
+
+func (r *run) check() {
+	if r.ex.Check != nil && (r.out.Pre == nil || !r.ex.Check(*r.out.Pre)) {
+		r.out.Rejected = true
+	}
+}
+
+// takeAnswer keeps or passes on one message of the request's answer.
+func (r *run) takeAnswer(msg pgproto3.BackendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.CommandComplete:
+		r.out.Completed = true
+		r.out.Tag = string(m.CommandTag)
+		r.holding = r.ex.Hold
+		if !keepsState(r.out.Tag) {
+			r.conn.dirty = true
+		}
+	case *pgproto3.ErrorResponse:
+		e := serverError(m)
+		if r.out.Failure == nil {
+			r.out.Failure = e
+		}
+		if e.fatal() {
+			return e
+		}
+	case *pgproto3.CopyInResponse, *pgproto3.CopyBothResponse:
+		return errCopyIn
+	case *pgproto3.NotificationResponse:
+		return nil
+	}
+	return r.keep(msg)
+}
+
+type encoder interface {
+	Encode(dst []byte) ([]byte, error)
+}
+
+func (r *run) keep(msg pgproto3.BackendMessage) (err error) {
+	if r.out.Rejected || r.sinkErr != nil {
+		return nil
+	}
+	r.out.Answer, err = msg.(encoder).Encode(r.out.Answer)
+	if err != nil {
+		return err
+	}
+	if r.holding || len(r.out.Answer) < bufferLimit {
+		return nil
+	}
+	r.out.Delivered = true
+	_, r.sinkErr = r.sink.Write(r.out.Answer)
+	r.out.Answer = r.out.Answer[:0]
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/status.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// All knowledge of how an instance reports its state and takes orders is in
+// this file.
+
+// statusSQL reads one status row.
+const statusSQL = "SELECT * FROM group_status()"
+
+// stateFenced is the SQLSTATE of an order that a later fence refuses.
+const stateFenced = "55000"
+
+func fenceSQL(term gypsumyard.Term, token gypsumyard.Token) string {
+	return fmt.Sprintf("SELECT * FROM group_fence(%d, %s)", term, literal(string(token)))
+}
+
+func promoteSQL(term gypsumyard.Term, token gypsumyard.Token) string {
+	return fmt.Sprintf("SELECT * FROM group_promote(%d, %s)", term, literal(string(token)))
+}
+
+func followSQL(term gypsumyard.Term, primary string) string {
+	return fmt.Sprintf("SELECT * FROM group_follow(%d, %s)", term, literal(primary))
+}
+
+// literal quotes s as an SQL string constant.
+func literal(s string) string {
+	return "'" + strings.ReplaceAll(s, "'", "''") + "'"
+}
+
+// statusReader collects the status row of one answer.
+type statusReader struct {
+	columns []string
+	status  *gypsumyard.InstanceStatus
+	err     error
+}
+
+// take looks at one message of the answer.
+func (r *statusReader) take(msg pgproto3.BackendMessage) {
+	switch m := msg.(type) {
+	case *pgproto3.RowDescription:
+		r.columns = r.columns[:0]
+		for _, f := range m.Fields {
+			r.columns = append(r.columns, string(f.Name))
+		}
+	case *pgproto3.DataRow:
+		s, err := parseStatus(r.columns, m.Values)
+		if err != nil {
+			r.err = err
+			return
+		}
+		r.status = &s
+	case *pgproto3.ErrorResponse:
+		r.err = serverError(m)
+	}
+}
+
+// result returns the status, or why there is none.
+func (r *statusReader) result() (gypsumyard.InstanceStatus, error) {
+	if r.err != nil {
+		return gypsumyard.InstanceStatus{}, r.err
+	}
+	if r.status == nil {
+		return gypsumyard.InstanceStatus{}, fmt.Errorf("the answer holds no status row")
+	}
+	return *r.status, nil
+}
+
+// parseStatus reads a row in text format. Unknown columns are ignored.
+func parseStatus(columns []string, values [][]byte) (s gypsumyard.InstanceStatus, err error) {
+	if len(columns) != len(values) {
+		return s, fmt.Errorf("status row has %d values for %d columns", len(values), len(columns))
+	}
+	for i, name := range columns {
+		if err := setColumn(&s, name, string(values[i])); err != nil {
+			return s, fmt.Errorf("status column %s: %w", name, err)
+		}
+	}
+	if s.Role == "" {
+		return s, fmt.Errorf("status row lacks the role")
+	}
+	return s, nil
+}
+
+func setColumn(s *gypsumyard.InstanceStatus, name, value string) (err error) {
+	var n int64
+	switch name {
+	case "role":
+		s.Role = gypsumyard.Role(value)
+	case "term":
+		n, err = parseInt(value)
+		s.Applied.Term = gypsumyard.Term(n)
+	case "log_offset":
+		n, err = parseInt(value)
+		s.Applied.Offset = gypsumyard.Offset(n)
+	case "fence":
+		n, err = parseInt(value)
+		s.Fence = gypsumyard.Term(n)
+	case "fence_token":
+		s.FenceToken = gypsumyard.Token(value)
+	case "history":
+		s.History, err = parseHistory(value)
+	case "stream_age_ms":
+		n, err = parseInt(value)
+		s.StreamAge = time.Duration(n) * time.Millisecond
+	case "leaving":
+		s.Leaving = value == "t" || value == "true"
+	case "connections":
+		n, err = parseInt(value)
+		s.Connections = int(n)
+	}
+	return err
+}
+
+// parseInt reads a number. NULL and empty are zero.
+func parseInt(s string) (int64, error) {
+	if s == "" {
+		return 0, nil
+	}
+	return strconv.ParseInt(s, 10, 64)
+}
+
+// parseHistory reads the form "1:1,3:11": term and start offset.
+func parseHistory(s string) (h gypsumyard.History, err error) {
+	if s == "" {
+		return nil, nil
+	}
+	for part := range strings.SplitSeq(s, ",") {
+		term, start, ok := strings.Cut(part, ":")
+		if !ok {
+			return nil, fmt.Errorf("parse history %q: want term:start", s)
+		}
+		t, err := strconv.ParseUint(term, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("parse history: %w", err)
+		}
+		o, err := strconv.ParseUint(start, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("parse history: %w", err)
+		}
+		h = append(h, gypsumyard.TermStart{Term: gypsumyard.Term(t), Start: gypsumyard.Offset(o)})
+	}
+	return h, nil
+}
