--- /dev/null
+++ b/internal/admit/doc.go
@@ -0,0 +1,3 @@
+// Package admit decides when and on which instance the requests of one
+// database run.
+package admit
--- /dev/null
+++ b/internal/admit/thin.go
@@ -0,0 +1,4 @@
+package admit
+
+// New returns an Admitter.
+func New(database string, options ...Option) *Admitter { return NewFCFS(database, options...) }
--- /dev/null
+++ b/internal/promote/options.go
@@ -0,0 +1,77 @@
+package promote
+
+import (
+	"crypto/rand"
+	"io"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/sirupsen/logrus"
+)
+
+type settings struct {
+	clock       gypsumyard.Clock
+	log         logrus.FieldLogger
+	database    string
+	seen        gypsumyard.Term
+	callTimeout time.Duration
+	calls       int
+	grace       time.Duration
+	attempts    int
+	backoff     time.Duration
+	catchUp     time.Duration
+	newToken    func() gypsumyard.Token
+}
+
+// An Option changes how a promotion or a Detector works.
+type Option func(*settings)
+
+// WithClock sets the clock. The default is the system clock.
+func WithClock(c gypsumyard.Clock) Option { return func(s *settings) { s.clock = c } }
+
+// WithLogger sets the logger. The default discards all lines.
+func WithLogger(l logrus.FieldLogger) Option { return func(s *settings) { s.log = l } }
+
+// WithDatabase sets the name that log lines and errors carry.
+func WithDatabase(name string) Option { return func(s *settings) { s.database = name } }
+
+// WithSeen tells the highest term that the caller has seen in any status. A
+// promotion that knows it does not read the status of the instances first.
+func WithSeen(t gypsumyard.Term) Option { return func(s *settings) { s.seen = t } }
+
+// WithCallTimeout bounds each call to an instance. The default is 200 ms.
+func WithCallTimeout(d time.Duration) Option { return func(s *settings) { s.callTimeout = d } }
+
+// WithAttempts sets how many terms a promotion tries. The default is 8.
+func WithAttempts(n int) Option { return func(s *settings) { s.attempts = n } }
+
+// WithCatchUp bounds how long a planned hand-over waits for a replica to hold
+// the whole log. The default is 3 s.
+func WithCatchUp(d time.Duration) Option { return func(s *settings) { s.catchUp = d } }
+
+// WithToken sets the source of tokens. Tokens must not repeat; the default
+// ones are random.
+func WithToken(f func() gypsumyard.Token) Option { return func(s *settings) { s.newToken = f } }
+
+func newSettings(options []Option) *settings {
+	discard := logrus.New()
+	discard.SetOutput(io.Discard)
+	s := &settings{
+		clock:       clock.System(),
+		log:         discard,
+		callTimeout: 200 * time.Millisecond,
+		calls:       3,
+		// An instance that answers this long after the majority still takes
+		// part in the choice. A round trip in one region takes about 2 ms.
+		grace:    10 * time.Millisecond,
+		attempts: 8,
+		backoff:  20 * time.Millisecond,
+		catchUp:  3 * time.Second,
+		newToken: func() gypsumyard.Token { return gypsumyard.Token(rand.Text()) },
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the instances that may serve a read.
+package route
