owner: first version

Reads with positions, confirmed writes, transactions, ownership and status polling. Compiles and passes the static checks; not run against instances.

--- /dev/null
+++ b/internal/owner/execute.go
@@ -0,0 +1,210 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
+)
+
+const (
+	// maxAttempts bounds how often one request is tried on instances.
+	maxAttempts = 5
+	// readFirstBound and writeFirstBound limit the wait for the status that is
+	// answered ahead of the request. A read can be sent again, so it gives up
+	// early; for a write giving up means that its outcome is unknown.
+	readFirstBound  = time.Second
+	writeFirstBound = 2 * time.Second
+)
+
+// A job is a request that is being executed.
+type job struct {
+	*gypsumyard.Request
+	batch upstream.Batch
+}
+
+// execute runs one request.
+func (g *group) execute(ctx context.Context, request *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	batch, err := upstream.ParseBatch(request.Messages)
+	if err != nil {
+		return gypsumyard.Result{}, err
+	}
+	r := &job{Request: request, batch: batch}
+	ctx, cancel := g.bind(ctx, r)
+	defer cancel()
+	if r.Transaction != "" {
+		return g.continueTransaction(ctx, r, sink)
+	}
+	waiting, release := g.whileOwned(ctx)
+	defer release()
+	switch r.Class {
+	case gypsumyard.StatementRead, gypsumyard.StatementBeginRead:
+		return g.read(ctx, waiting, r, sink)
+	default:
+		return g.write(ctx, waiting, r, sink)
+	}
+}
+
+// bind adds the request's deadline and the end of the group to ctx.
+func (g *group) bind(ctx context.Context, r *job) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unlink := context.AfterFunc(g.ctx, func() { cancel(errStopped) })
+	end := func() {
+		unlink()
+		cancel(nil)
+	}
+	if r.Deadline.IsZero() {
+		return ctx, end
+	}
+	ctx, stop := context.WithTimeoutCause(ctx, r.Deadline.Sub(g.clock.Now()), errDeadline)
+	return ctx, func() {
+		stop()
+		end()
+	}
+}
+
+// whileOwned returns a context for the waits before the request is sent. It
+// ends with the ownership of the database.
+func (g *group) whileOwned(ctx context.Context) (context.Context, func()) {
+	g.mu.Lock()
+	owned := g.owned
+	g.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	unlink := context.AfterFunc(owned, func() { cancel(context.Cause(owned)) })
+	return ctx, func() {
+		unlink()
+		cancel(nil)
+	}
+}
+
+// An attempt is one run of a request on an instance.
+type attempt struct {
+	grant  gypsumyard.Grant
+	member *member
+	conn   *upstream.Conn
+	began  time.Time
+}
+
+// admit waits for a slot at one of the targets. Inside a transaction the
+// instance is pinned.
+func (g *group) admit(ctx context.Context, r *job, pinned *member, targets []gypsumyard.Target) (a attempt, err error) {
+	ticket, err := g.ticket(r, targets)
+	if err != nil {
+		return a, err
+	}
+	a.grant, err = g.admitter.Acquire(ctx, ticket)
+	if err != nil {
+		return a, notRun(err)
+	}
+	g.metrics.queueWait.Record(a.grant.Waited)
+	a.began = g.clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.member = pinned
+	if pinned == nil {
+		a.member = g.find(a.grant.Target.Instance)
+	}
+	if a.member == nil {
+		g.admitter.Release(a.grant, 0)
+		return a, gypsumyard.Errorf(gypsumyard.ClassNotRun, "instance %s was removed", a.grant.Target.Instance)
+	}
+	a.member.running++
+	return a, nil
+}
+
+func (g *group) ticket(r *job, targets []gypsumyard.Target) (gypsumyard.Ticket, error) {
+	plan, err := g.service.plan(r.Customer)
+	if err != nil {
+		return gypsumyard.Ticket{}, err
+	}
+	mean, long, _ := g.shapes.expect(r.Shape)
+	return gypsumyard.Ticket{
+		Customer:      r.Customer,
+		Plan:          plan,
+		Priority:      r.Priority,
+		Long:          r.Long || long,
+		InTransaction: r.Transaction != "",
+		Expected:      mean,
+		Deadline:      r.Deadline,
+		Targets:       targets,
+	}, nil
+}
+
+// release gives back the slot and charges the time since the grant.
+func (g *group) release(r *job, a *attempt, ran bool) {
+	used := g.clock.Since(a.began)
+	g.admitter.Release(a.grant, used)
+	if ran {
+		g.shapes.learn(r.Shape, used)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.member.running--
+}
+
+// connect gets a connection to the granted instance.
+func (g *group) connect(ctx context.Context, r *job, a *attempt) (err error) {
+	a.conn, err = a.member.pool.Get(ctx, !r.Repeatable)
+	return err
+}
+
+// exchange runs the request on the attempt's connection and makes it known to
+// CancelStatement meanwhile.
+func (g *group) exchange(ctx context.Context, r *job, a *attempt, ex *upstream.Exchange, sink gypsumyard.ResponseSink) (upstream.Outcome, error) {
+	_, _, ex.SilentBound = g.shapes.expect(r.Shape)
+	ex.Batch, ex.Settings = r.batch, r.Settings
+	if r.Long {
+		ex.SilentBound = max(ex.SilentBound, unknownSilent)
+	}
+	g.mu.Lock()
+	g.running[r.Session] = a.conn
+	g.mu.Unlock()
+	out, err := a.conn.Run(ctx, ex, sink)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running[r.Session] == a.conn {
+		delete(g.running, r.Session)
+	}
+	if out.Pre != nil {
+		g.takeStatus(a.member, a.began, *out.Pre)
+		g.afterChange()
+	}
+	return out, err
+}
+
+// end gives back the connection after an exchange outside a transaction, and
+// the slot.
+func (g *group) end(r *job, a *attempt, out *upstream.Outcome, err error) {
+	switch {
+	case err == nil:
+		a.member.pool.Put(a.conn)
+	case out.Sent && !out.NotRun:
+		if errors.Is(err, upstream.ErrSilent) || isTimeout(err) {
+			a.member.pool.Suspect()
+		}
+		a.member.pool.Abort(a.conn)
+	default:
+		a.member.pool.Discard(a.conn)
+	}
+	g.release(r, a, err == nil)
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// deliver writes the rest of the answer.
+func deliver(sink io.Writer, answer []byte) error {
+	if len(answer) == 0 {
+		return nil
+	}
+	_, err := sink.Write(answer)
+	if err != nil {
+		return unknown(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/owner/failures.go
@@ -0,0 +1,43 @@
+package owner
+
+import (
+	"errors"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
+)
+
+var (
+	errNotConfirmed = errors.New("no majority of instances confirmed the write in time")
+	errReplaced     = errors.New("the primary was replaced before the write was confirmed")
+	errDeadline     = gypsumyard.Errorf(gypsumyard.ClassNotRun, "the deadline passed before the request ran")
+	errNoPrimary    = gypsumyard.Errorf(gypsumyard.ClassNotRun, "no primary within the allowed wait")
+	errNotOwner     = gypsumyard.Errorf(gypsumyard.ClassNotOwner, "this host does not own the database")
+	errStopped      = gypsumyard.Errorf(gypsumyard.ClassShutdown, "the host is shutting down")
+	// errNoTransaction carries the SQLSTATE for "no active transaction", since
+	// sending the request again cannot help.
+	errNoTransaction = &gypsumyard.Error{
+		Class:   gypsumyard.ClassNotRun,
+		State:   "25P01",
+		Message: "the transaction has ended: it was rolled back",
+	}
+)
+
+// notRun returns err as the error of a request that did not run.
+func notRun(err error) error {
+	var e *gypsumyard.Error
+	if errors.As(err, &e) && e.NotRun() {
+		return e
+	}
+	return gypsumyard.Errorf(gypsumyard.ClassNotRun, "not run: %w", err)
+}
+
+// unknown returns err as the error of a request that may have run.
+func unknown(err error) error {
+	return gypsumyard.Errorf(gypsumyard.ClassUnknown, "outcome unknown: %w", err)
+}
+
+// setupError returns the refusal of a setting. The request was not sent.
+func setupError(e *upstream.ServerError) error {
+	return &gypsumyard.Error{Class: gypsumyard.ClassNotRun, State: e.State, Message: "setting refused: " + e.Message, Err: e}
+}
--- /dev/null
+++ b/internal/owner/group.go
@@ -0,0 +1,323 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
+	"github.com/sirupsen/logrus"
+)
+
+// A group runs one database that this host owns, or has owned while work that
+// it began goes on.
+type group struct {
+	settings
+	service  *Service
+	name     string
+	log      logrus.FieldLogger
+	metrics  metrics
+	admitter gypsumyard.Admitter
+	router   gypsumyard.Router
+	promoter Promoter
+	shapes   shapes
+	// ctx ends all work of the group.
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	work      sync.WaitGroup
+	ending    sync.Once
+	decisions atomic.Uint64
+
+	mu       sync.Mutex
+	database gypsumyard.Database
+	members  []*member
+	waiters  []*waiter
+	samples  samples
+	// boundTerm is the term of the samples.
+	boundTerm gypsumyard.Term
+	// lastPrimary is the name of the last known primary.
+	lastPrimary string
+	// sampleAfter asks for polls that are sent after it.
+	sampleAfter time.Time
+	// urgent counts the requests that wait for a position.
+	urgent       int
+	transactions map[string]*transaction
+	running      map[gypsumyard.SessionID]*upstream.Conn
+	inFlight     int
+	// owned ends with the ownership of the database.
+	owned  context.Context
+	disown context.CancelCauseFunc
+}
+
+func newGroup(s *Service, d gypsumyard.Database) *group {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	g := &group{
+		settings:     s.settings,
+		service:      s,
+		name:         d.Name,
+		log:          s.log.WithField("database", d.Name),
+		metrics:      newMetrics(s.scope.Tagged(map[string]string{"database": d.Name})),
+		admitter:     s.admitter(d),
+		router:       s.router(d),
+		ctx:          ctx,
+		cancel:       cancel,
+		transactions: map[string]*transaction{},
+		running:      map[gypsumyard.SessionID]*upstream.Conn{},
+	}
+	if s.promoter != nil {
+		g.promoter = s.promoter(d)
+	}
+	g.owned, g.disown = context.WithCancelCause(ctx)
+	g.update(d)
+	g.work.Add(1)
+	go g.sweep()
+	if g.promoter != nil {
+		g.work.Add(1)
+		go g.supervise()
+	}
+	return g
+}
+
+// update takes over a changed entry of the database.
+func (g *group) update(d gypsumyard.Database) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.database = d
+	keep := map[gypsumyard.Upstream]*member{}
+	for _, m := range g.members {
+		keep[m.view.Upstream] = m
+	}
+	g.members = nil
+	for _, u := range d.Instances {
+		m := keep[u]
+		delete(keep, u)
+		if m == nil {
+			m = g.newMember(d, u)
+		}
+		m.pool.SetLimit(upstream.Limit(d))
+		g.members = append(g.members, m)
+	}
+	for _, m := range keep {
+		g.work.Add(1)
+		go g.retire(m)
+	}
+	g.setInstances()
+}
+
+func (g *group) newMember(d gypsumyard.Database, u gypsumyard.Upstream) *member {
+	ctx, cancel := context.WithCancel(g.ctx)
+	m := &member{
+		name:   u.Name,
+		poll:   g.instance(d, u),
+		order:  g.instance(d, u),
+		pool:   upstream.NewPool(g.clock, upstream.AddressOf(d, u), upstream.Limit(d), g.metrics.scope),
+		wake:   make(chan struct{}, 1),
+		cancel: cancel,
+	}
+	m.view.Upstream = u
+	g.work.Add(1)
+	go g.watch(ctx, m)
+	return m
+}
+
+// retire ends the connections to an instance. Those that hold transactions
+// are closed when they are given back.
+func (g *group) retire(m *member) {
+	defer g.work.Done()
+	m.cancel()
+	m.pool.Close()
+	_ = m.poll.Close()
+	_ = m.order.Close()
+}
+
+// setInstances tells the admitter the capacities. It is called with the lock
+// held.
+func (g *group) setInstances() {
+	var out []gypsumyard.InstanceCapacity
+	for _, m := range g.members {
+		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Available: m.usable()})
+	}
+	g.admitter.SetInstances(out)
+}
+
+// find returns the member of the given name. It is called with the lock held.
+func (g *group) find(name string) *member {
+	for _, m := range g.members {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// views returns the views of all instances. It is called with the lock held.
+func (g *group) views() []gypsumyard.InstanceView {
+	out := make([]gypsumyard.InstanceView, 0, len(g.members))
+	for _, m := range g.members {
+		v := m.view
+		v.Busy = float64(m.running) / float64(max(1, g.database.Slots))
+		out = append(out, v)
+	}
+	return out
+}
+
+// primary returns the instance that takes writes: the primary of the highest
+// term, not fenced by a majority, whose term has begun on a majority. It is
+// called with the lock held.
+func (g *group) primary() *member {
+	var best *member
+	for _, m := range g.members {
+		s := &m.view.Status
+		if m.usable() && s.Writable() && (best == nil || s.Term() > best.view.Status.Term()) {
+			best = m
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	term, fenced := best.view.Status.Term(), 0
+	for _, m := range g.members {
+		if m.view.Status.Term() > term {
+			return nil
+		}
+		if m.view.Status.Fence > term {
+			fenced++
+		}
+	}
+	h := best.view.Status.History
+	if fenced >= g.database.Majority() || len(h) == 0 || h[len(h)-1].Term != term {
+		return nil
+	}
+	if !g.confirmed(gypsumyard.Position{Term: term, Offset: h[len(h)-1].Start}, best.name) {
+		return nil
+	}
+	return best
+}
+
+// confirmed reports whether a majority holds the record at p in the term in
+// which it was written, given that the named primary does. An instance whose
+// log held p at any earlier moment without a later fence counts: a promotion
+// fences a majority, and so finds p on at least one of them. It is called with
+// the lock held.
+func (g *group) confirmed(p gypsumyard.Position, primary string) bool {
+	n := 1
+	for _, m := range g.members {
+		s := &m.view.Status
+		if m.name != primary && s.Term() == p.Term && s.Fence <= p.Term && s.Contains(p) {
+			n++
+		}
+	}
+	return n >= g.database.Majority()
+}
+
+// updateBound adds a sample if the primary and a majority have been seen
+// again. The majority proves that no later primary can have acknowledged a
+// write before the sample's time. It is called with the lock held.
+func (g *group) updateBound() {
+	p := g.primary()
+	if p == nil {
+		return
+	}
+	s := &p.view.Status
+	if s.Term() != g.boundTerm {
+		g.samples.forget(s)
+		g.boundTerm = s.Term()
+	}
+	if g.lastPrimary != p.name {
+		g.lastPrimary = p.name
+		g.log.WithFields(logrus.Fields{"instance": p.name, "term": s.Term(), "position": s.Applied.String()}).Info("primary found")
+	}
+	at := p.view.SampledAt
+	for g.seenSince(at, s.Term()) < g.database.Majority() {
+		at = g.seenBefore(at, s.Term())
+		if at.IsZero() {
+			return
+		}
+	}
+	g.samples.add(sample{at: at, position: s.Applied})
+}
+
+// seenSince counts the instances whose status was asked for at or after t and
+// that no later term has fenced.
+func (g *group) seenSince(t time.Time, term gypsumyard.Term) int {
+	n := 0
+	for _, m := range g.members {
+		if m.view.Status.Fence <= term && !m.view.SampledAt.IsZero() && !m.view.SampledAt.Before(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// seenBefore returns the latest time before t at which an instance that no
+// later term has fenced was asked.
+func (g *group) seenBefore(t time.Time, term gypsumyard.Term) time.Time {
+	var at time.Time
+	for _, m := range g.members {
+		s := m.view.SampledAt
+		if m.view.Status.Fence <= term && s.Before(t) && s.After(at) {
+			at = s
+		}
+	}
+	return at
+}
+
+// A waiter waits for a change of what the group knows.
+type waiter struct {
+	check func() bool
+	done  chan struct{}
+}
+
+// await waits until check, which is called with the lock held, returns true.
+// While it waits the instances are polled often.
+func (g *group) await(ctx context.Context, check func() bool) error {
+	g.mu.Lock()
+	if check() {
+		g.mu.Unlock()
+		return nil
+	}
+	w := &waiter{check: check, done: make(chan struct{})}
+	g.waiters = append(g.waiters, w)
+	g.urgent++
+	for _, m := range g.members {
+		m.poke()
+	}
+	g.mu.Unlock()
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.removeWaiter(w)
+	return context.Cause(ctx)
+}
+
+func (g *group) removeWaiter(w *waiter) {
+	for i, o := range g.waiters {
+		if o == w {
+			g.waiters = append(g.waiters[:i], g.waiters[i+1:]...)
+			g.urgent--
+			return
+		}
+	}
+}
+
+// afterChange releases the waiters whose condition holds. It is called with
+// the lock held.
+func (g *group) afterChange() {
+	rest := g.waiters[:0]
+	for _, w := range g.waiters {
+		if !w.check() {
+			rest = append(rest, w)
+			continue
+		}
+		g.urgent--
+		close(w.done)
+	}
+	clear(g.waiters[len(rest):])
+	g.waiters = rest
+}
--- /dev/null
+++ b/internal/owner/member.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
+)
+
+const (
+	// smoothing is the weight of a new sample in the averages of lag and
+	// distance.
+	smoothing = 0.2
+	// failuresUntilUnreachable counts one failure on the open connection and
+	// one on a fresh one.
+	failuresUntilUnreachable = 2
+)
+
+// A member is one instance of a group. Its view is guarded by the lock of the
+// group.
+type member struct {
+	name   string
+	poll   gypsumyard.Instance
+	order  gypsumyard.Instance
+	pool   *upstream.Pool
+	wake   chan struct{}
+	cancel context.CancelFunc
+
+	view     gypsumyard.InstanceView
+	lastSent time.Time
+	failures int
+	running  int
+	// followAt is when the instance was last told to follow the primary.
+	followAt time.Time
+}
+
+// poke makes the poller ask at once.
+func (m *member) poke() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// usable reports whether the instance may get new work.
+func (m *member) usable() bool { return m.view.Reachable && !m.view.Leaving }
+
+// watch polls the instance until ctx is done.
+func (g *group) watch(ctx context.Context, m *member) {
+	defer g.work.Done()
+	for ctx.Err() == nil {
+		sent := g.clock.Now()
+		g.noteSent(m, sent)
+		call, cancel := context.WithTimeout(ctx, g.pollTimeout)
+		status, err := m.poll.Status(call)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		g.observe(m, sent, status, err)
+		g.rest(ctx, m)
+	}
+}
+
+func (g *group) noteSent(m *member, sent time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.lastSent = sent
+}
+
+// rest waits until the next poll is due.
+func (g *group) rest(ctx context.Context, m *member) {
+	d := g.pause(m)
+	if d <= 0 {
+		return
+	}
+	t := g.clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-m.wake:
+	case <-ctx.Done():
+	}
+}
+
+func (g *group) pause(m *member) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case m.failures == 1:
+		// The connection may be broken while a fresh one works.
+		return 0
+	case m.failures > 0:
+		return g.pollEvery
+	case !g.sampleAfter.Before(m.lastSent):
+		return 0
+	case g.urgent > 0:
+		return g.pollUrgent
+	}
+	return g.pollEvery
+}
+
+// observe takes over the result of a poll.
+func (g *group) observe(m *member, sent time.Time, status gypsumyard.InstanceStatus, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := m.usable()
+	if err != nil {
+		m.failures++
+		if m.failures >= failuresUntilUnreachable && m.view.Reachable {
+			m.view.Reachable = false
+			g.log.WithField("instance", m.name).WithError(err).Warn("instance does not answer")
+		}
+	} else {
+		g.accept(m, sent, status)
+	}
+	if m.usable() != before {
+		g.setInstances()
+	}
+	g.afterChange()
+}
+
+// accept takes over the result of a poll. It is called with the lock held.
+func (g *group) accept(m *member, sent time.Time, status gypsumyard.InstanceStatus) {
+	m.failures = 0
+	m.view.Reachable = true
+	v := &m.view
+	half := g.clock.Since(sent) / 2
+	if v.SampledAt.IsZero() {
+		v.Distance = half
+	}
+	v.Distance = smooth(v.Distance, half)
+	g.takeStatus(m, sent, status)
+}
+
+// takeStatus takes over a status that was asked for at or after sent, unless a
+// later one is known. It is called with the lock held.
+func (g *group) takeStatus(m *member, sent time.Time, status gypsumyard.InstanceStatus) {
+	v := &m.view
+	if sent.Before(v.SampledAt) {
+		return
+	}
+	before := m.usable()
+	v.Status, v.SampledAt, v.Leaving = status, sent, status.Leaving
+	g.updateBound()
+	lag := time.Duration(0)
+	if status.Role == gypsumyard.RoleReplica {
+		lag = g.samples.lag(status, sent)
+	}
+	v.Lag = smooth(v.Lag, lag)
+	if m.usable() != before {
+		g.setInstances()
+	}
+}
+
+func smooth(old, sample time.Duration) time.Duration {
+	return old + time.Duration(smoothing*float64(sample-old))
+}
--- /dev/null
+++ b/internal/owner/naive.go
@@ -0,0 +1,145 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// firstCome admits requests in the order of their arrival. A request at the
+// head of the queue whose instances are all busy does not hold up those that
+// another instance can serve.
+type firstCome struct {
+	mu      sync.Mutex
+	free    map[string]int
+	slots   map[string]int
+	queue   []*queued
+	grantID uint64
+}
+
+type queued struct {
+	ticket gypsumyard.Ticket
+	grant  chan gypsumyard.Grant
+}
+
+// NewFirstComeAdmitter returns an admitter that knows no plans and serves
+// requests in the order of their arrival. It is the baseline for measurements.
+func NewFirstComeAdmitter() gypsumyard.Admitter {
+	return &firstCome{free: map[string]int{}, slots: map[string]int{}}
+}
+
+func (a *firstCome) Acquire(ctx context.Context, t gypsumyard.Ticket) (gypsumyard.Grant, error) {
+	start := time.Now()
+	a.mu.Lock()
+	q := &queued{ticket: t, grant: make(chan gypsumyard.Grant, 1)}
+	a.queue = append(a.queue, q)
+	a.serve()
+	a.mu.Unlock()
+	select {
+	case g := <-q.grant:
+		g.Waited = time.Since(start)
+		return g, nil
+	case <-ctx.Done():
+	}
+	a.remove(q)
+	select {
+	case g := <-q.grant:
+		a.Release(g, 0)
+	default:
+	}
+	return gypsumyard.Grant{}, context.Cause(ctx)
+}
+
+func (a *firstCome) remove(q *queued) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, o := range a.queue {
+		if o == q {
+			a.queue = append(a.queue[:i], a.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// serve gives free slots to the queue. It is called with the lock held.
+func (a *firstCome) serve() {
+	rest := a.queue[:0]
+	for _, q := range a.queue {
+		if !a.grant(q) {
+			rest = append(rest, q)
+		}
+	}
+	a.queue = rest
+}
+
+func (a *firstCome) grant(q *queued) bool {
+	for _, t := range q.ticket.Targets {
+		if a.free[t.Instance] <= 0 {
+			continue
+		}
+		a.free[t.Instance]--
+		a.grantID++
+		q.grant <- gypsumyard.Grant{ID: a.grantID, Customer: q.ticket.Customer, Target: t}
+		return true
+	}
+	return false
+}
+
+func (a *firstCome) Release(g gypsumyard.Grant, _ time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.free[g.Target.Instance]++
+	a.serve()
+}
+
+// SetInstances ignores availability: the owner offers no target that takes no
+// new work, and open transactions go on.
+func (a *firstCome) SetInstances(instances []gypsumyard.InstanceCapacity) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, i := range instances {
+		a.free[i.Name] += i.Slots - a.slots[i.Name]
+		a.slots[i.Name] = i.Slots
+	}
+	a.serve()
+}
+
+type primaryRouter struct{}
+
+// NewPrimaryRouter returns a router that sends every read to the primary. It
+// is the baseline for measurements.
+func NewPrimaryRouter() gypsumyard.Router { return primaryRouter{} }
+
+func (primaryRouter) Targets(r gypsumyard.ReadRequest, views []gypsumyard.InstanceView, _ time.Time) []gypsumyard.Target {
+	var out []gypsumyard.Target
+	for _, v := range views {
+		if v.Reachable && !v.Leaving && v.Status.Writable() && v.Status.Contains(r.Needed) {
+			out = append(out, gypsumyard.Target{Instance: v.Upstream.Name, Reason: "primary"})
+		}
+	}
+	return out
+}
+
+type coveringRouter struct{}
+
+// NewCoveringRouter returns a router that takes any replica that covers the
+// needed position, and the primary if there is none.
+func NewCoveringRouter() gypsumyard.Router { return coveringRouter{} }
+
+func (coveringRouter) Targets(r gypsumyard.ReadRequest, views []gypsumyard.InstanceView, now time.Time) []gypsumyard.Target {
+	var out []gypsumyard.Target
+	for _, v := range views {
+		if r.PrimaryOnly || !v.Reachable || v.Leaving || v.Status.Role != gypsumyard.RoleReplica {
+			continue
+		}
+		if v.Status.Contains(r.Needed) {
+			out = append(out, gypsumyard.Target{Instance: v.Upstream.Name, Cost: v.Distance, Reason: "replica covers the position"})
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	return primaryRouter{}.Targets(r, views, now)
+}
--- /dev/null
+++ b/internal/owner/needed.go
@@ -0,0 +1,115 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// needed returns the position that a read must see, and whether it is a bound
+// that the session has to keep.
+func (g *group) needed(ctx context.Context, r *job, arrival time.Time) (p gypsumyard.Position, bound bool, err error) {
+	switch {
+	case r.MaxStaleness > 0:
+		p, err = g.sampleSince(ctx, arrival.Add(-r.MaxStaleness))
+		return p, false, err
+	case r.PositionKnown:
+		return r.Position, false, nil
+	}
+	p, err = g.sampleSince(ctx, arrival)
+	if r.Position.Compare(p) > 0 {
+		p = r.Position
+	}
+	return p, true, err
+}
+
+// sampleSince returns a position that covers everything acknowledged before t.
+// All that wait share the polls.
+func (g *group) sampleSince(ctx context.Context, t time.Time) (p gypsumyard.Position, err error) {
+	err = g.await(ctx, func() bool {
+		s, ok := g.samples.first(t)
+		if !ok && t.After(g.sampleAfter) {
+			g.sampleAfter = t
+		}
+		p = s.position
+		return ok
+	})
+	return p, err
+}
+
+// survives returns the part of p that the log of the primary holds. An
+// acknowledged position always survives a promotion. A bound may name records
+// that were not acknowledged and that a promotion has cut off: the session
+// then needs what is left of that term. It is called with the lock held.
+func (g *group) survives(p gypsumyard.Position) gypsumyard.Position {
+	m := g.primary()
+	if m == nil || p.Term >= m.view.Status.Term() || m.view.Status.Contains(p) {
+		return p
+	}
+	var left gypsumyard.Position
+	h := m.view.Status.History
+	for i, t := range h {
+		if t.Term > p.Term {
+			break
+		}
+		left = gypsumyard.Position{Term: t.Term, Offset: m.view.Status.Applied.Offset}
+		if i+1 < len(h) {
+			left.Offset = h[i+1].Start - 1
+		}
+	}
+	return left
+}
+
+// readTargets waits until an instance covers the needed position and returns
+// those that do, without the excluded ones.
+func (g *group) readTargets(ctx context.Context, needed *gypsumyard.Position, excluded map[string]bool) (targets []gypsumyard.Target, err error) {
+	err = g.await(ctx, func() bool {
+		*needed = g.survives(*needed)
+		all := g.router.Targets(gypsumyard.ReadRequest{Needed: *needed}, g.views(), g.clock.Now())
+		targets = targets[:0]
+		for _, t := range all {
+			m := g.find(t.Instance)
+			if m != nil && m.usable() && !excluded[t.Instance] {
+				targets = append(targets, t)
+			}
+		}
+		if len(targets) == 0 && len(excluded) > 0 {
+			// Each view that was proven wrong has been replaced by what the
+			// check saw, so the instances may be asked again.
+			clear(excluded)
+		}
+		return len(targets) > 0
+	})
+	return targets, err
+}
+
+// awaitConfirmed waits until a majority holds the record at p. It fails when a
+// later primary is seen.
+func (g *group) awaitConfirmed(ctx context.Context, p gypsumyard.Position, primary string) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, g.settings.confirm, errNotConfirmed)
+	defer cancel()
+	replaced := false
+	start := g.clock.Now()
+	err := g.await(ctx, func() bool {
+		replaced = g.replaced(p.Term)
+		return replaced || g.confirmed(p, primary)
+	})
+	g.metrics.confirmWait.Record(g.clock.Since(start))
+	if err == nil && replaced {
+		return errReplaced
+	}
+	return err
+}
+
+// replaced reports whether a majority has left the term. It is called with the
+// lock held.
+func (g *group) replaced(term gypsumyard.Term) bool {
+	n := 0
+	for _, m := range g.members {
+		if m.view.Status.Term() > term || m.view.Status.Fence > term {
+			n++
+		}
+	}
+	return n >= g.database.Majority()
+}
--- /dev/null
+++ b/internal/owner/options.go
@@ -0,0 +1,109 @@
+package owner
+
+import (
+	"io"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+type settings struct {
+	clock       gypsumyard.Clock
+	log         logrus.FieldLogger
+	logEvery    uint64
+	scope       tally.Scope
+	admitter    func(gypsumyard.Database) gypsumyard.Admitter
+	router      func(gypsumyard.Database) gypsumyard.Router
+	promoter    func(gypsumyard.Database) Promoter
+	instance    func(gypsumyard.Database, gypsumyard.Upstream) gypsumyard.Instance
+	confirm     time.Duration
+	idleLimit   time.Duration
+	pollEvery   time.Duration
+	pollUrgent  time.Duration
+	pollTimeout time.Duration
+	takeover    time.Duration
+}
+
+// An Option changes how a Service works.
+type Option func(*settings)
+
+func defaults() settings {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := settings{
+		clock:       clock.System(),
+		log:         log,
+		logEvery:    1,
+		scope:       tally.NoopScope,
+		admitter:    func(d gypsumyard.Database) gypsumyard.Admitter { return NewFirstComeAdmitter() },
+		router:      func(gypsumyard.Database) gypsumyard.Router { return NewCoveringRouter() },
+		confirm:     5 * time.Second,
+		idleLimit:   60 * time.Second,
+		pollEvery:   50 * time.Millisecond,
+		pollUrgent:  2 * time.Millisecond,
+		pollTimeout: 200 * time.Millisecond,
+		takeover:    3 * time.Second,
+	}
+	s.instance = func(d gypsumyard.Database, u gypsumyard.Upstream) gypsumyard.Instance {
+		return upstream.NewControl(s.clock, d, u)
+	}
+	return s
+}
+
+// WithClock sets the clock. The default is the system clock.
+func WithClock(c gypsumyard.Clock) Option { return func(s *settings) { s.clock = c } }
+
+// WithLogger sets the logger. The default discards all lines.
+func WithLogger(l logrus.FieldLogger) Option { return func(s *settings) { s.log = l } }
+
+// WithLogEvery logs one of n routing decisions. Zero logs none. The default
+// is 1.
+func WithLogEvery(n int) Option { return func(s *settings) { s.logEvery = uint64(n) } }
+
+// WithMetrics sets the scope that receives the metrics. The default discards
+// them.
+func WithMetrics(scope tally.Scope) Option { return func(s *settings) { s.scope = scope } }
+
+// WithAdmitter sets how the admission of a database is built. An admitter
+// that also has the method Close() is closed with its database, and one that
+// has SetRateFactor(float64) is told of a takeover. The default is
+// NewFirstComeAdmitter.
+func WithAdmitter(f func(gypsumyard.Database) gypsumyard.Admitter) Option {
+	return func(s *settings) { s.admitter = f }
+}
+
+// WithRouter sets how the router of a database is built. The default is
+// NewCoveringRouter.
+func WithRouter(f func(gypsumyard.Database) gypsumyard.Router) Option {
+	return func(s *settings) { s.router = f }
+}
+
+// WithPromoter sets how primaries are replaced. Without it none is.
+func WithPromoter(f func(gypsumyard.Database) Promoter) Option {
+	return func(s *settings) { s.promoter = f }
+}
+
+// WithInstance sets how the control side of an instance is built. The default
+// is upstream.NewControl.
+func WithInstance(f func(gypsumyard.Database, gypsumyard.Upstream) gypsumyard.Instance) Option {
+	return func(s *settings) { s.instance = f }
+}
+
+// WithConfirmTimeout sets how long a write may wait for its confirmation
+// before its outcome counts as unknown. The default is 5 s.
+func WithConfirmTimeout(d time.Duration) Option { return func(s *settings) { s.confirm = d } }
+
+// WithIdleLimit sets how long a transaction may be idle before it is rolled
+// back. The default is 60 s.
+func WithIdleLimit(d time.Duration) Option { return func(s *settings) { s.idleLimit = d } }
+
+// WithPollInterval sets the pause between two status polls of an instance, at
+// rest and while requests wait for its position. The defaults are 50 ms and
+// 2 ms.
+func WithPollInterval(rest, urgent time.Duration) Option {
+	return func(s *settings) { s.pollEvery, s.pollUrgent = rest, urgent }
+}
--- /dev/null
+++ b/internal/owner/read.go
@@ -0,0 +1,156 @@
+package owner
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
+)
+
+// A readState is what a read carries from one attempt to the next.
+type readState struct {
+	request  *job
+	needed   gypsumyard.Position
+	bound    bool
+	excluded map[string]bool
+	sink     gypsumyard.ResponseSink
+}
+
+// read runs a read, or begins a read-only transaction, on an instance that
+// covers the needed position. The waits before the request is sent end with
+// waiting, the run itself with ctx.
+func (g *group) read(ctx, waiting context.Context, r *job, sink gypsumyard.ResponseSink) (res gypsumyard.Result, err error) {
+	s := &readState{request: r, excluded: map[string]bool{}, sink: sink}
+	s.needed, s.bound, err = g.needed(waiting, r, g.clock.Now())
+	if err != nil {
+		return res, notRun(err)
+	}
+	var again bool
+	for range maxAttempts {
+		res, again, err = g.tryRead(ctx, waiting, s)
+		if !again {
+			return res, err
+		}
+	}
+	return res, err
+}
+
+// tryRead makes one attempt. It reports whether another one may be made.
+func (g *group) tryRead(ctx, waiting context.Context, s *readState) (res gypsumyard.Result, again bool, err error) {
+	r := s.request
+	targets, err := g.readTargets(waiting, &s.needed, s.excluded)
+	if err != nil {
+		return res, false, notRun(err)
+	}
+	a, err := g.admit(waiting, r, nil, targets)
+	if err != nil {
+		return res, false, err
+	}
+	if err := g.connect(waiting, r, &a); err != nil {
+		g.release(r, &a, false)
+		s.excluded[a.member.name] = true
+		return res, waiting.Err() == nil, notRun(err)
+	}
+	out, err := g.exchange(ctx, r, &a, &upstream.Exchange{
+		Reset:      true,
+		Pre:        true,
+		Check:      func(st gypsumyard.InstanceStatus) bool { return st.Contains(s.needed) },
+		FirstBound: readFirstBound,
+	}, s.sink)
+	g.logRead(s, &a, &out)
+	return g.concludeRead(ctx, waiting, s, &a, &out, err)
+}
+
+func (g *group) logRead(s *readState, a *attempt, out *upstream.Outcome) {
+	var term gypsumyard.Term
+	counter := g.metrics.readsPrimary
+	if out.Pre != nil {
+		term = out.Pre.Term()
+		if out.Pre.Role == gypsumyard.RoleReplica {
+			counter = g.metrics.readsReplica
+		}
+	}
+	if out.Rejected {
+		counter = g.metrics.readsRejected
+	}
+	counter.Inc(1)
+	g.logDecision(s.request, a.grant, s.needed, term)
+}
+
+// concludeRead turns the outcome of an attempt into an answer or asks for
+// another attempt.
+func (g *group) concludeRead(ctx, waiting context.Context, s *readState, a *attempt, out *upstream.Outcome, err error) (res gypsumyard.Result, again bool, _ error) {
+	r := s.request
+	switch {
+	case err != nil:
+		g.end(r, a, out, err)
+		s.excluded[a.member.name] = true
+		again, err = g.judgeReadFailure(ctx, r, out, err)
+		return res, again, err
+	case out.Setup != nil:
+		g.end(r, a, out, errors.New("settings refused"))
+		return res, false, setupError(out.Setup)
+	case out.Rejected:
+		g.dropRejected(r, a, out)
+		s.excluded[a.member.name] = true
+		return res, true, gypsumyard.Errorf(gypsumyard.ClassNotRun, "no instance covers position %v", s.needed)
+	case onReplicaReadOnly(out):
+		g.end(r, a, out, nil)
+		res, err = g.write(ctx, waiting, r, s.sink)
+		return res, false, err
+	}
+	res.Instance = a.member.name
+	if s.bound {
+		res.Position = s.needed
+	}
+	return g.finishRead(s, a, out, res)
+}
+
+// finishRead delivers the answer. A transaction that was left open keeps the
+// connection.
+func (g *group) finishRead(s *readState, a *attempt, out *upstream.Outcome, res gypsumyard.Result) (gypsumyard.Result, bool, error) {
+	res.TxStatus = out.TxStatus
+	if out.TxStatus == 'I' {
+		g.end(s.request, a, out, nil)
+		return res, false, deliver(s.sink, out.Answer)
+	}
+	replica := out.Pre != nil && out.Pre.Role == gypsumyard.RoleReplica
+	g.pin(s.request, a, replica, &res)
+	g.release(s.request, a, true)
+	return res, false, deliver(s.sink, out.Answer)
+}
+
+// judgeReadFailure decides whether a read whose connection failed may be sent
+// again, and else how it ended.
+func (g *group) judgeReadFailure(ctx context.Context, r *job, out *upstream.Outcome, err error) (again bool, _ error) {
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	if !out.Sent || out.NotRun {
+		return ctx.Err() == nil, notRun(err)
+	}
+	if gypsumyard.ClassOf(err) == gypsumyard.ClassNotSupported {
+		return false, err
+	}
+	again = !out.Delivered && r.Repeatable && ctx.Err() == nil
+	return again, unknown(err)
+}
+
+// dropRejected gives back the connection of a rejected read. A transaction
+// that the request has begun is rolled back.
+func (g *group) dropRejected(r *job, a *attempt, out *upstream.Outcome) {
+	if out.TxStatus == 'I' {
+		g.end(r, a, out, nil)
+		return
+	}
+	a.member.pool.Discard(a.conn)
+	g.release(r, a, false)
+}
+
+// onReplicaReadOnly reports whether a replica refused the request because it
+// writes.
+func onReplicaReadOnly(out *upstream.Outcome) bool {
+	return out.Failure != nil && out.Failure.ReadOnly() && !out.Completed && !out.Delivered &&
+		out.TxStatus == 'I' && out.Pre != nil && out.Pre.Role == gypsumyard.RoleReplica
+}
--- /dev/null
+++ b/internal/owner/service.go
@@ -0,0 +1,242 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "owner"
+
+// A Service runs the databases that this host owns.
+type Service struct {
+	settings
+	kernel  *kernel.Kernel
+	lists   gypsumyard.Lists
+	members gypsumyard.Membership
+	self    string
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	work    sync.WaitGroup
+	done    chan struct{}
+
+	mu     sync.Mutex
+	groups map[string]*group
+	// released holds when a previous owner told that it has finished with a
+	// database that this host does not own yet.
+	released map[string]time.Time
+	// stale tells that this host was paused and has not seen the membership
+	// since.
+	stale    bool
+	stopping bool
+}
+
+var (
+	_ gypsumyard.Owner = (*Service)(nil)
+	_ kernel.Service   = (*Service)(nil)
+)
+
+// New returns the service.
+func New(options ...Option) *Service {
+	s := &Service{
+		settings: defaults(),
+		done:     make(chan struct{}),
+		groups:   map[string]*group{},
+		released: map[string]time.Time{},
+	}
+	for _, o := range options {
+		o(&s.settings)
+	}
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
+	return s
+}
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return Name }
+
+// Needs lists the services that this one uses from the start. The service
+// "peer" needs this one, so it is looked up when it is used.
+func (s *Service) Needs() []string { return []string{"lists", "members"} }
+
+// Done returns a channel that is closed when the service has ended.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Start begins to run the databases that this host owns.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) (err error) {
+	s.kernel = k
+	s.lists, err = kernel.Lookup[gypsumyard.Lists](k, "lists")
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	s.members, err = kernel.Lookup[gypsumyard.Membership](k, "members")
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	s.self = s.members.Self().Name
+	s.work.Add(2)
+	go s.follow()
+	go s.watchPauses()
+	return nil
+}
+
+// Stop refuses new requests and waits until those in flight and the open
+// transactions have ended. What is left when ctx is done is cut off.
+func (s *Service) Stop(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	groups := s.all()
+	s.mu.Unlock()
+	for _, g := range groups {
+		g.lose()
+	}
+	err := s.awaitDrained(ctx, groups)
+	s.cancel(errStopped)
+	for _, g := range groups {
+		g.close()
+	}
+	s.work.Wait()
+	close(s.done)
+	return err
+}
+
+// drainCheck is the pause between two looks whether the groups are empty.
+const drainCheck = 20 * time.Millisecond
+
+func (s *Service) awaitDrained(ctx context.Context, groups []*group) error {
+	for _, g := range groups {
+		for !g.empty() {
+			if err := s.clock.Sleep(ctx, drainCheck); err != nil {
+				return fmt.Errorf("owner: database %s still has work: %w", g.name, err)
+			}
+		}
+	}
+	return nil
+}
+
+// all returns the groups. It is called with the lock held.
+func (s *Service) all() []*group {
+	var out []*group
+	for _, g := range s.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// Execute runs the request if this host owns its database, or holds its
+// transaction. See gypsumyard.Executor.
+func (s *Service) Execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	g, err := s.enter(r)
+	if err != nil {
+		return gypsumyard.Result{}, err
+	}
+	defer g.leaveGroup()
+	return g.execute(ctx, r, sink)
+}
+
+// enter finds the group that runs the request and counts it in.
+func (s *Service) enter(r *gypsumyard.Request) (*group, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.groups[r.Database]
+	if r.Transaction != "" {
+		return s.enterTransaction(g, r)
+	}
+	switch {
+	case s.stopping || s.stale:
+		return nil, errNotOwner
+	case g == nil && s.owns(r.Database):
+		// The view has changed a moment ago.
+		g = s.gain(r.Database)
+	}
+	if g == nil || !g.enterGroup(true) {
+		return nil, errNotOwner
+	}
+	return g, nil
+}
+
+func (s *Service) enterTransaction(g *group, r *gypsumyard.Request) (*group, error) {
+	if r.Owner != "" && r.Owner != s.self {
+		return nil, errNotOwner
+	}
+	if g == nil || !g.enterGroup(false) {
+		return nil, errNoTransaction
+	}
+	return g, nil
+}
+
+// Abandon rolls back the open transaction of a session that has ended.
+func (s *Service) Abandon(ctx context.Context, r *gypsumyard.Request) error {
+	g := s.group(r.Database)
+	if g == nil || r.Transaction == "" {
+		return nil
+	}
+	return g.abandonTransaction(ctx, r)
+}
+
+// CancelStatement asks the instance to cancel what the session runs.
+func (s *Service) CancelStatement(ctx context.Context, r *gypsumyard.Request) error {
+	g := s.group(r.Database)
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	c := g.running[r.Session]
+	g.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	return c.Cancel(ctx)
+}
+
+// ProbeInstance reads the status of an instance over a fresh connection.
+func (s *Service) ProbeInstance(ctx context.Context, database, instance string) (st gypsumyard.InstanceStatus, err error) {
+	d, ok := s.lists.Database(database)
+	if !ok {
+		return st, fmt.Errorf("owner: probe %s of %s: %w", instance, database, gypsumyard.ErrNotFound)
+	}
+	for _, u := range d.Instances {
+		if u.Name != instance {
+			continue
+		}
+		i := s.instance(d, u)
+		st, err = i.Status(ctx)
+		return st, errors.Join(err, i.Close())
+	}
+	return st, fmt.Errorf("owner: probe %s of %s: %w", instance, database, gypsumyard.ErrNotFound)
+}
+
+// AcceptRelease tells that the previous owner has finished its work.
+func (s *Service) AcceptRelease(database, from string) {
+	s.log.WithField("database", database).WithField("from", from).Info("previous owner has released the database")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g := s.groups[database]; g != nil {
+		g.fullRate()
+		return
+	}
+	s.released[database] = s.clock.Now()
+}
+
+func (s *Service) group(database string) *group {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.groups[database]
+}
+
+func (s *Service) plan(customer string) (gypsumyard.Plan, error) {
+	c, ok := s.lists.Customer(customer)
+	if !ok {
+		return gypsumyard.Plan{}, gypsumyard.Errorf(gypsumyard.ClassAuth, "unknown customer %q", customer)
+	}
+	p, ok := s.lists.Plan(c.Plan)
+	if !ok {
+		return p, gypsumyard.Errorf(gypsumyard.ClassPlan, "customer %q holds no known plan", customer)
+	}
+	return p, nil
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -26,14 +26,17 @@
 
 // An Exchange is one request and what is sent around it in the same write.
 type Exchange struct {
-	// Messages are the request's frontend messages.
-	Messages []byte
+	// Batch holds the request's messages.
+	Batch Batch
 	// Reset brings the connection to the wanted settings first. It must be
 	// false inside a transaction.
 	Reset    bool
 	Settings []gypsumyard.Setting
 	// Pre and Post ask for the instance's status before and after the request.
 	Pre, Post bool
+	// Probe asks for an answer that the instance gives at once in any state of
+	// a transaction and that does not count as a query of it.
+	Probe bool
 	// Check judges the status before the request. If it returns false the
 	// answer is dropped. It may be nil.
 	Check func(gypsumyard.InstanceStatus) bool
@@ -98,10 +101,6 @@
 // outcome tells what happened up to then. The sink is called only when the
 // answer outgrows the buffer.
 func (c *Conn) Run(ctx context.Context, ex *Exchange, sink io.Writer) (out Outcome, err error) {
-	found, err := scanRequest(ex.Messages)
-	if err != nil {
-		return out, err
-	}
 	stop := c.abortWith(ctx)
 	defer stop()
 	r := &run{conn: c, ex: ex, out: &out, sink: sink}
@@ -114,7 +113,7 @@
 	}
 	start := r.encode(key)
 	c.settings = key
-	c.dirty = found.leavesState || (c.dirty && !ex.Reset)
+	c.dirty = ex.Batch.leavesState || (c.dirty && !ex.Reset)
 	err = r.transfer(ctx, start)
 	if err == nil {
 		c.lastUsed = c.clock.Now()
@@ -160,11 +159,14 @@
 			r.addQuery(sql, phaseSetup)
 		}
 	}
+	if r.ex.Probe {
+		r.addQuery("", phaseSetup)
+	}
 	if r.ex.Pre {
 		r.addQuery(statusSQL, phasePre)
 	}
 	start = len(c.buf)
-	c.buf = append(c.buf, r.ex.Messages...)
+	c.buf = append(c.buf, r.ex.Batch.messages...)
 	r.phases = append(r.phases, phaseRequest)
 	if r.ex.Post {
 		r.addQuery(statusSQL, phasePost)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -11,8 +11,9 @@
 // headerLen is the type byte and the length of a message.
 const headerLen = 5
 
-// A scan is what one pass over a request's messages finds.
-type scan struct {
+// A Batch is the messages of one request, checked to be one unit.
+type Batch struct {
+	messages []byte
 	// leavesState tells that the request may change the connection beyond
 	// what its command tags show: a named statement, or a function that sets
 	// parameters or takes session locks.
@@ -23,9 +24,10 @@
 // their command tag does not show it.
 var sessionWords = [][]byte{[]byte("set_config"), []byte("advisory"), []byte("temp")}
 
-// scanRequest checks that the messages are one unit: exactly one Query or one
-// batch that ends with Sync.
-func scanRequest(messages []byte) (s scan, err error) {
+// ParseBatch checks that the messages are one unit: exactly one Query, or
+// extended messages that end with Sync. It keeps the slice.
+func ParseBatch(messages []byte) (s Batch, err error) {
+	s.messages = messages
 	rest := messages
 	for len(rest) > 0 {
 		if len(rest) < headerLen {
