emulate: database group with SQL, replication and control

Cause: the proxy's parts need instances with terms and log positions to run against.

Change: internal/emulate/sqlparse parses a small dialect, engine holds tables, transactions, the log and the fence, group serves them over PostgreSQL protocol 3 with connection and slot caps and with faults.

--- /dev/null
+++ b/internal/emulate/engine/engine.go
@@ -0,0 +1,289 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/sqlparse"
+)
+
+// A Change is one effect of a transaction.
+type Change struct {
+	Table string
+	Row   RowID
+	// Values is the row after the change, nil if it was deleted.
+	Values []Value
+	// Create is the definition of a new table.
+	Create *Schema
+	// Drop tells that the table was removed.
+	Drop bool
+}
+
+// A Record is one committed transaction in the log, or the start of a term,
+// which has no changes.
+type Record struct {
+	Position gypsumyard.Position
+	Time     time.Time
+	Changes  []Change
+}
+
+// An Engine is the database of one instance.
+type Engine struct {
+	database string
+	clock    gypsumyard.Clock
+	nextTx   atomic.Uint64
+
+	mu      sync.Mutex
+	tables  map[string]*table
+	nextRow RowID
+	locks   map[string]*Tx
+	log     []*Record
+	history gypsumyard.History
+	changed chan struct{}
+
+	role       gypsumyard.Role
+	fence      gypsumyard.Term
+	token      gypsumyard.Token
+	source     string
+	generation uint64
+	leaving    bool
+	// epoch counts how often records were dropped.
+	epoch atomic.Uint64
+	// paused is closed at the end of a pause, nil outside one.
+	paused chan struct{}
+}
+
+// New returns the database of an instance that is the primary of term 1 or a
+// replica of source.
+func New(database string, role gypsumyard.Role, source string, clock gypsumyard.Clock) *Engine {
+	e := &Engine{database: database, clock: clock, role: role, source: source, changed: make(chan struct{})}
+	e.reset(nil)
+	e.append(&Record{Position: gypsumyard.Position{Term: 1, Offset: 1}, Time: clock.Now()})
+	return e
+}
+
+// reset rebuilds the tables from a log.
+func (e *Engine) reset(log []*Record) {
+	e.tables = map[string]*table{}
+	e.locks = map[string]*Tx{}
+	e.log, e.history = nil, nil
+	for _, r := range log {
+		e.append(r)
+	}
+}
+
+// append applies a record. The caller holds e.mu.
+func (e *Engine) append(r *Record) {
+	for _, c := range r.Changes {
+		e.apply(c)
+	}
+	if len(e.history) == 0 || e.history[len(e.history)-1].Term < r.Position.Term {
+		e.history = append(e.history, gypsumyard.TermStart{Term: r.Position.Term, Start: r.Position.Offset})
+	}
+	e.log = append(e.log, r)
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+func (e *Engine) apply(c Change) {
+	switch {
+	case c.Create != nil:
+		e.tables[c.Table] = newTable(c.Create)
+		return
+	case c.Drop:
+		delete(e.tables, c.Table)
+		return
+	}
+	t, ok := e.tables[c.Table]
+	if !ok {
+		// The table was dropped by a transaction that committed first.
+		return
+	}
+	e.nextRow = max(e.nextRow, c.Row)
+	if c.Values == nil {
+		t.remove(c.Row)
+		return
+	}
+	t.put(c.Row, c.Values)
+}
+
+func (e *Engine) applied() gypsumyard.Position { return e.log[len(e.log)-1].Position }
+
+// writable reports whether the instance accepts writes. The caller holds e.mu.
+func (e *Engine) writable() bool {
+	return e.role == gypsumyard.RolePrimary && e.fence <= e.applied().Term
+}
+
+// Status returns the state of the instance without StreamAge and Connections,
+// which the engine does not know.
+func (e *Engine) Status() gypsumyard.InstanceStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.status()
+}
+
+func (e *Engine) status() gypsumyard.InstanceStatus {
+	return gypsumyard.InstanceStatus{
+		Role:       e.role,
+		Applied:    e.applied(),
+		Fence:      e.fence,
+		FenceToken: e.token,
+		History:    append(gypsumyard.History(nil), e.history...),
+		Leaving:    e.leaving,
+	}
+}
+
+// Fence makes the instance refuse writes and replication of any lower term.
+// A fence that a Follow order set has no token, and the first Fence of its
+// term gives it one.
+func (e *Engine) Fence(term gypsumyard.Term, token gypsumyard.Token) (gypsumyard.InstanceStatus, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	adopt := term == e.fence && e.token == ""
+	same := term == e.fence && e.token == token
+	if term <= e.fence && !adopt && !same {
+		return e.status(), e.fenced("fence", term)
+	}
+	e.fence, e.token = term, token
+	return e.status(), nil
+}
+
+func (e *Engine) fenced(order string, term gypsumyard.Term) error {
+	return sqlparse.Errorf(codeFenced, "%s for term %d refused: fenced for term %d", order, term, e.fence)
+}
+
+// Promote makes the instance the primary of the term for which it is fenced
+// with the token.
+func (e *Engine) Promote(term gypsumyard.Term, token gypsumyard.Token) (gypsumyard.InstanceStatus, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.fence != term || e.token != token {
+		return e.status(), e.fenced("promotion", term)
+	}
+	last := e.applied()
+	if e.role == gypsumyard.RolePrimary && last.Term == term {
+		return e.status(), nil
+	}
+	if last.Term >= term {
+		return e.status(), sqlparse.Errorf(codeFenced, "promotion for term %d refused: the log is at term %d", term, last.Term)
+	}
+	e.role, e.source = gypsumyard.RolePrimary, ""
+	e.generation++
+	e.append(&Record{Position: gypsumyard.Position{Term: term, Offset: last.Offset + 1}, Time: e.clock.Now()})
+	return e.status(), nil
+}
+
+// Follow makes the instance a replica of source in term. It raises the fence
+// to term, so that no replication of a lower term is taken afterwards.
+func (e *Engine) Follow(term gypsumyard.Term, source string) (gypsumyard.InstanceStatus, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := e.applied()
+	if term < e.fence || term < last.Term {
+		return e.status(), e.fenced("following", term)
+	}
+	if e.role == gypsumyard.RolePrimary && last.Term == term {
+		return e.status(), sqlparse.Errorf(codeFenced, "following in term %d refused: the instance is its primary", term)
+	}
+	if term > e.fence {
+		e.fence, e.token = term, ""
+	}
+	if e.role == gypsumyard.RoleReplica && e.source == source {
+		return e.status(), nil
+	}
+	e.role, e.source = gypsumyard.RoleReplica, source
+	e.generation++
+	return e.status(), nil
+}
+
+// Epoch returns a number that changes when records are dropped. A connection
+// that outlives such a change would see the log go back.
+func (e *Engine) Epoch() uint64 { return e.epoch.Load() }
+
+// Pause holds up commits and replication until Resume.
+func (e *Engine) Pause() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.paused == nil {
+		e.paused = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (e *Engine) Resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.paused != nil {
+		close(e.paused)
+		e.paused = nil
+	}
+}
+
+// awaitResume waits for the end of a pause. The caller holds e.mu.
+func (e *Engine) awaitResume(ctx context.Context) error {
+	for e.paused != nil {
+		paused := e.paused
+		e.mu.Unlock()
+		select {
+		case <-paused:
+		case <-ctx.Done():
+		}
+		e.mu.Lock()
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// SetLeaving sets what the instance reports of its imminent shutdown.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Log returns the records of the log. They must not be changed.
+func (e *Engine) Log() []*Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.log[:len(e.log):len(e.log)]
+}
+
+// Rows returns the committed rows of a table in order of insertion, or nil if
+// there is no such table.
+func (e *Engine) Rows(name string) (rows [][]Value) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t, ok := e.tables[name]
+	if !ok {
+		return nil
+	}
+	for _, id := range t.order {
+		if r, ok := t.rows[id]; ok {
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
+// Changed returns a channel that is closed at the next change of the log.
+func (e *Engine) Changed() <-chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.changed
+}
+
+// FormatHistory returns the form "1:1,3:11" of a history.
+func FormatHistory(h gypsumyard.History) string {
+	var parts []string
+	for _, t := range h {
+		parts = append(parts, fmt.Sprintf("%d:%d", t.Term, t.Start))
+	}
+	return strings.Join(parts, ",")
+}
--- /dev/null
+++ b/internal/emulate/group/group.go
@@ -0,0 +1,128 @@
+package group
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/engine"
+)
+
+// A Group is a running database group.
+type Group struct {
+	name      string
+	config    config
+	instances []*Instance
+	journal   *journal
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+	done      chan struct{}
+	close     sync.Once
+}
+
+// New starts the instances of a database, named NAME-1 and so on, on loopback
+// ports chosen by the system. NAME-1 is the primary of term 1.
+func New(name string, options ...Option) (g *Group, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start database group %s: %w", name, err)
+		}
+	}()
+	c := defaults()
+	for _, o := range options {
+		o(&c)
+	}
+	if c.instances < 1 || c.slots < 1 || c.connections < 1 {
+		return nil, fmt.Errorf("instances, slots and connections must be positive")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g = &Group{name: name, config: c, journal: newJournal(c.journal), cancel: cancel, done: make(chan struct{})}
+	for i := range c.instances {
+		in := g.newInstance(i)
+		if err := in.listen(); err != nil {
+			g.Close()
+			return nil, err
+		}
+		g.instances = append(g.instances, in)
+	}
+	for _, in := range g.instances {
+		g.work.Go(func() { in.replicate(ctx) })
+	}
+	return g, nil
+}
+
+func (g *Group) newInstance(i int) *Instance {
+	role, source := gypsumyard.RoleReplica, g.instanceName(0)
+	if i == 0 {
+		role, source = gypsumyard.RolePrimary, ""
+	}
+	domain := ""
+	if n := len(g.config.domains); n > 0 {
+		domain = g.config.domains[i%n]
+	}
+	e := engine.New(g.name, role, source, g.config.clock)
+	return newInstance(g, g.instanceName(i), domain, e)
+}
+
+func (g *Group) instanceName(i int) string { return fmt.Sprintf("%s-%d", g.name, i+1) }
+
+// Name returns the database's name.
+func (g *Group) Name() string { return g.name }
+
+// Instances returns the instances in the order of their names.
+func (g *Group) Instances() []*Instance { return g.instances }
+
+// Instance returns the instance of a name, also without the group's prefix, or
+// nil if there is none.
+func (g *Group) Instance(name string) *Instance {
+	for _, in := range g.instances {
+		if in.name == name || strings.TrimPrefix(in.name, g.name+"-") == name {
+			return in
+		}
+	}
+	return nil
+}
+
+// Primary returns the running instance that accepts writes, or nil.
+func (g *Group) Primary() *Instance {
+	for _, in := range g.instances {
+		st := in.engine.Status()
+		if in.Running() && st.Writable() {
+			return in
+		}
+	}
+	return nil
+}
+
+// Database returns the group's entry of the catalog.
+func (g *Group) Database(region string) gypsumyard.Database {
+	d := gypsumyard.Database{
+		Name:        g.name,
+		Region:      region,
+		Slots:       g.config.slots,
+		Connections: g.config.connections,
+		User:        g.config.user,
+		Password:    g.config.password,
+	}
+	for _, in := range g.instances {
+		d.Instances = append(d.Instances, in.Upstream())
+	}
+	return d
+}
+
+// Done returns a channel that is closed when Close has ended everything.
+func (g *Group) Done() <-chan struct{} { return g.done }
+
+// Close ends the instances and waits for their goroutines.
+func (g *Group) Close() {
+	g.close.Do(func() {
+		g.cancel()
+		for _, in := range g.instances {
+			in.Kill()
+		}
+		g.work.Wait()
+		close(g.done)
+	})
+}
--- /dev/null
+++ b/internal/emulate/group/group_test.go
@@ -0,0 +1,197 @@
+package group_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/matryer/is"
+)
+
+func start(t *testing.T, options ...group.Option) *group.Group {
+	t.Helper()
+	options = append([]group.Option{group.WithOpenDelay(0)}, options...)
+	g, err := group.New("appraisal", options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g
+}
+
+func bounded(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func dial(ctx context.Context, in *group.Instance) (*pgx.Conn, error) {
+	url := fmt.Sprintf("postgres://gypsumyard:secret@%s/appraisal?sslmode=disable", in.Upstream().Addr)
+	return pgx.Connect(ctx, url)
+}
+
+func connect(t *testing.T, in *group.Instance) *pgx.Conn {
+	t.Helper()
+	c, err := dial(bounded(t), in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(context.Background()) })
+	return c
+}
+
+func exec(t *testing.T, c *pgx.Conn, sql string, args ...any) {
+	t.Helper()
+	if _, err := c.Exec(bounded(t), sql, args...); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+}
+
+// code returns the SQLSTATE of an error.
+func code(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	if err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within 5 s", what)
+}
+
+const createRugs = "create table if not exists rugs (id int8 primary key, knots int4 not null default 0, note text, seen timestamptz, fine bool, price float8, sheet int2)"
+
+// Guards against values that change on their way, in both formats and both
+// protocols.
+func TestValuesRoundTrip(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeCacheStatement, pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol} {
+		t.Run(mode.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := connect(t, start(t).Primary())
+			exec(t, c, createRugs)
+			seen := time.Date(2026, 3, 4, 5, 6, 7, 891000, time.UTC)
+			exec(t, c, "insert into rugs values ($1, $2, $3, $4, $5, $6, $7)", mode, int64(1)<<40, int32(-7), "Kazak's \"dye\"", seen, true, 2.5, int16(3))
+			var id int64
+			var knots int32
+			var note string
+			var at time.Time
+			var fine bool
+			var price float64
+			var sheet int16
+			row := c.QueryRow(bounded(t), "select * from rugs where id = $1 and knots < $2", mode, int64(1)<<40, 0)
+			is.NoErr(row.Scan(&id, &knots, &note, &at, &fine, &price, &sheet))
+			is.Equal(id, int64(1)<<40)
+			is.Equal(knots, int32(-7))
+			is.Equal(note, "Kazak's \"dye\"")
+			is.True(at.Equal(seen))
+			is.True(fine)
+			is.Equal(price, 2.5)
+			is.Equal(sheet, int16(3))
+		})
+	}
+}
+
+// Guards against wrong answers of the SQL engine.
+func TestStatements(t *testing.T) {
+	c := connect(t, start(t).Primary())
+	exec(t, c, createRugs)
+	exec(t, c, "insert into rugs (id, knots, note) select i, i * 10, 'n' || i from generate_series(1, 5) as i")
+	for _, tt := range []struct{ sql, want string }{
+		{"select count(*), max(knots), min(id), sum(knots) from rugs where id > 1", "[4 50 2 140]"},
+		{"select id, note from rugs where knots >= 20 and id <> 3 order by id desc limit 2", "[5 n5][4 n4]"},
+		{"update rugs set knots = knots + 1, note = null where id = 2 returning knots, note", "[21 <nil>]"},
+		{"insert into rugs (id) values (1), (9) on conflict do nothing returning id", "[9]"},
+		{"delete from rugs where id >= 4 returning id", "[4][5][9]"},
+		{"select id from rugs where note is null or id in (1, 7) order by knots", "[1][2]"},
+		{"select 1, 'a', true, null, pg_sleep(0.001)", "[1 a true <nil> ]"},
+		{"select count(*) from generate_series(3, 1)", "[0]"},
+		{"select avg(knots), max(id) + 1 from rugs where id = 77", "[<nil> <nil>]"},
+		{"update rugs set id = id + 1 where id = 3 returning id", "[4]"},
+	} {
+		rows, err := c.Query(bounded(t), tt.sql)
+		if err != nil {
+			t.Fatalf("%s: %v", tt.sql, err)
+		}
+		got := ""
+		for rows.Next() {
+			v, err := rows.Values()
+			if err != nil {
+				t.Fatalf("%s: %v", tt.sql, err)
+			}
+			got += fmt.Sprint(v)
+		}
+		if rows.Err() != nil || got != tt.want {
+			t.Errorf("%s: got %s, %v; want %s", tt.sql, got, rows.Err(), tt.want)
+		}
+	}
+}
+
+// Guards against wrong SQLSTATEs and against work that survives an error.
+func TestErrorsAbortTheTransaction(t *testing.T) {
+	is := is.New(t)
+	c := connect(t, start(t).Primary())
+	exec(t, c, createRugs)
+	exec(t, c, "begin; insert into rugs (id) values (1)")
+	_, err := c.Exec(bounded(t), "insert into rugs (id) values (1)")
+	is.Equal(code(err), "23505")
+	is.Equal(c.PgConn().TxStatus(), byte('E'))
+	_, err = c.Exec(bounded(t), "select 1")
+	is.Equal(code(err), "25P02")
+	tag, err := c.Exec(bounded(t), "commit")
+	is.NoErr(err)
+	is.Equal(tag.String(), "ROLLBACK")
+	_, err = c.Exec(bounded(t), "insert into rugs (id) values (2); select no_such from rugs")
+	is.Equal(code(err), "42703")
+	_, err = c.Exec(bounded(t), "selec 1")
+	is.Equal(code(err), "42601")
+	_, err = c.Exec(bounded(t), "savepoint a")
+	is.Equal(code(err), "0A000")
+	_, err = c.Exec(bounded(t), "begin read only; delete from rugs")
+	is.Equal(code(err), "25006")
+	exec(t, c, "rollback")
+	var n int
+	is.NoErr(c.QueryRow(bounded(t), "select count(*) from rugs").Scan(&n))
+	is.Equal(n, 0)
+}
+
+// Guards against lost updates: the second writer must wait for the first and
+// build on its result.
+func TestTwoWritersToOneRow(t *testing.T) {
+	is := is.New(t)
+	g := start(t, group.WithSlots(1))
+	a, b := connect(t, g.Primary()), connect(t, g.Primary())
+	exec(t, a, createRugs)
+	exec(t, a, "insert into rugs (id, knots) values (1, 10)")
+	exec(t, a, "begin")
+	exec(t, a, "update rugs set knots = knots + 1 where id = 1")
+	second := make(chan error, 1)
+	go func() {
+		_, err := b.Exec(context.Background(), "update rugs set knots = knots + 1 where id = 1")
+		second <- err
+	}()
+	select {
+	case err := <-second:
+		t.Fatalf("the second writer did not wait: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	exec(t, a, "commit")
+	is.NoErr(<-second)
+	var knots int
+	is.NoErr(a.QueryRow(bounded(t), "select knots from rugs where id = 1").Scan(&knots))
+	is.Equal(knots, 12)
+}
--- /dev/null
+++ b/internal/emulate/group/journal.go
@@ -0,0 +1,80 @@
+package group
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// defaultJournal is how many entries a journal keeps: a few minutes of load.
+const defaultJournal = 500_000
+
+// An Entry tells of one statement that an instance ran. Control functions and
+// session statements have none.
+type Entry struct {
+	Number      int64     `json:"number"`
+	Instance    string    `json:"instance"`
+	Session     uint32    `json:"session"`
+	Transaction uint64    `json:"transaction"`
+	Statement   string    `json:"statement"`
+	Params      []string  `json:"params,omitempty"`
+	Start       time.Time `json:"start"`
+	End         time.Time `json:"end"`
+	// Seen is the position that the statement saw.
+	Seen gypsumyard.Position `json:"seen"`
+	// Committed tells that the statement's transaction was committed on the
+	// instance. A promotion may have dropped it afterwards.
+	Committed bool `json:"committed"`
+	// Position is that of the transaction's record, zero if it wrote nothing.
+	Position gypsumyard.Position `json:"position"`
+	// Error is the SQLSTATE of a failed statement.
+	Error string `json:"error,omitempty"`
+}
+
+// A journal records what the instances of a group ran.
+type journal struct {
+	mu      sync.Mutex
+	limit   int
+	next    int64
+	entries []*Entry
+}
+
+func newJournal(limit int) *journal { return &journal{limit: limit} }
+
+// add records an entry. The oldest half is dropped when the journal is full.
+func (j *journal) add(e *Entry) {
+	if j.limit == 0 {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.next++
+	e.Number = j.next
+	if len(j.entries) >= j.limit {
+		j.entries = slices.Clone(j.entries[len(j.entries)/2+1:])
+	}
+	j.entries = append(j.entries, e)
+}
+
+// commit marks the entries of a transaction.
+func (j *journal) commit(entries []*Entry, p gypsumyard.Position) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, e := range entries {
+		e.Committed, e.Position = true, p
+	}
+}
+
+// Journal returns the entries with a number above after.
+func (g *Group) Journal(after int64) (list []Entry) {
+	g.journal.mu.Lock()
+	defer g.journal.mu.Unlock()
+	for _, e := range g.journal.entries {
+		if e.Number > after {
+			list = append(list, *e)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/emulate/group/session.go
@@ -0,0 +1,391 @@
+package group
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/engine"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/sqlparse"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// A session serves one client connection. All its methods but cancelStatement
+// run on the connection's goroutine.
+type session struct {
+	instance *Instance
+	link     *link
+	backend  *pgproto3.Backend
+	types    *pgtype.Map
+	pid      uint32
+	secret   uint32
+	epoch    uint64
+	user     string
+	settings settings
+
+	// tx is the open transaction. explicit tells that BEGIN opened it, failed
+	// that an error ended it before its COMMIT or ROLLBACK.
+	tx       *engine.Tx
+	explicit bool
+	failed   bool
+	entries  []*Entry
+
+	statements map[string]*prepared
+	portals    map[string]*portal
+	hasSlot    bool
+
+	mu     sync.Mutex
+	cancel context.CancelCauseFunc
+}
+
+// fatalError ends a session after its error was sent.
+type fatalError struct{ err *sqlparse.Error }
+
+func (e fatalError) Error() string { return e.err.Error() }
+func (e fatalError) Unwrap() error { return e.err }
+
+var errCanceled = sqlparse.Errorf("57014", "canceling statement due to user request")
+
+func newSession(in *Instance, k *link) *session {
+	return &session{
+		instance:   in,
+		link:       k,
+		backend:    pgproto3.NewBackend(k, k),
+		types:      pgtype.NewMap(),
+		settings:   newSettings(),
+		statements: map[string]*prepared{},
+		portals:    map[string]*portal{},
+	}
+}
+
+func (s *session) secretKey() []byte { return binary.BigEndian.AppendUint32(nil, s.secret) }
+
+// startup performs the opening exchange and reports whether the session is
+// open.
+func (s *session) startup() bool {
+	m, err := s.startupMessage()
+	if err != nil || m == nil {
+		return false
+	}
+	s.user = m.Parameters["user"]
+	if err := s.open(m); err != nil {
+		s.sendError(err, "FATAL")
+		_ = s.backend.Flush()
+		return false
+	}
+	return true
+}
+
+// startupMessage answers requests for encryption and runs cancel requests, for
+// which it returns nil.
+func (s *session) startupMessage() (*pgproto3.StartupMessage, error) {
+	for {
+		m, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := s.link.Write([]byte("N")); err != nil {
+				return nil, err
+			}
+		case *pgproto3.CancelRequest:
+			s.instance.cancelStatement(m.ProcessID, m.SecretKey)
+			return nil, nil
+		case *pgproto3.StartupMessage:
+			return m, nil
+		}
+	}
+}
+
+func (s *session) open(m *pgproto3.StartupMessage) error {
+	if !s.instance.register(s) {
+		return sqlparse.Errorf("53300", "sorry, too many clients already: too many connections")
+	}
+	if err := s.instance.clock.Sleep(s.link.ctx, s.instance.group.config.openDelay); err != nil {
+		return err
+	}
+	if err := s.authenticate(); err != nil {
+		return err
+	}
+	if name := m.Parameters["database"]; name != "" && name != s.instance.group.name {
+		return sqlparse.Errorf("3D000", "database %q does not exist", name)
+	}
+	for name, v := range m.Parameters {
+		if name != "user" && name != "database" && name != "options" && name != "replication" {
+			s.settings.setDefault(name, v)
+		}
+	}
+	s.instance.count("open")
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, name := range reported {
+		v, _ := s.Setting(name)
+		s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: v})
+	}
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secretKey()})
+	return s.ready()
+}
+
+func (s *session) authenticate() error {
+	c := s.instance.group.config
+	if c.password == "" {
+		return nil
+	}
+	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	if err := s.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return err
+	}
+	m, err := s.backend.Receive()
+	if err != nil {
+		return err
+	}
+	p, ok := m.(*pgproto3.PasswordMessage)
+	if !ok || s.user != c.user || p.Password != c.password {
+		return sqlparse.Errorf("28P01", "password authentication failed for user %q", s.user)
+	}
+	return nil
+}
+
+// loop serves messages until the connection ends.
+func (s *session) loop() {
+	for {
+		m, err := s.backend.Receive()
+		if err == nil {
+			err = s.handle(m)
+		}
+		if err != nil {
+			s.lastWords(err)
+			return
+		}
+	}
+}
+
+// lastWords tells the client why the session ends, if it can be told.
+func (s *session) lastWords(err error) {
+	var fatal fatalError
+	switch {
+	case errors.Is(context.Cause(s.link.ctx), errTerminated):
+		fatal = fatalError{sqlparse.Errorf("57P01", "%s", errTerminated)}
+	case !errors.As(err, &fatal):
+		return
+	}
+	m := &pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: fatal.err.Code, Message: fatal.err.Message}
+	if b, err := m.Encode(nil); err == nil {
+		s.link.finish(b)
+	}
+}
+
+// end rolls back and gives the connection's resources back.
+func (s *session) end() {
+	s.rollback()
+	s.releaseSlot()
+	if s.pid != 0 {
+		s.instance.unregister(s)
+	}
+}
+
+func (s *session) handle(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		return s.simpleQuery(m.String)
+	case *pgproto3.Terminate:
+		return io.EOF
+	case *pgproto3.Flush:
+		return s.backend.Flush()
+	case *pgproto3.Sync:
+		return s.sync(nil)
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		if err := s.extended(m); err != nil {
+			return s.skipToSync(err)
+		}
+		return nil
+	}
+	return fatalError{sqlparse.Errorf("08P01", "unexpected message %T", m)}
+}
+
+// ready tells the client that the session awaits its next query.
+func (s *session) ready() error {
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.txStatus()})
+	return s.backend.Flush()
+}
+
+func (s *session) txStatus() byte {
+	switch {
+	case s.failed:
+		return 'E'
+	case s.explicit:
+		return 'T'
+	}
+	return 'I'
+}
+
+func (s *session) sendError(err error, severity string) {
+	e := sqlError(err)
+	s.backend.Send(&pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                e.Code,
+		Message:             e.Message,
+	})
+}
+
+func sqlError(err error) *sqlparse.Error {
+	var e *sqlparse.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return sqlparse.Errorf("XX000", "%v", err)
+}
+
+// lost reports whether the connection cannot go on.
+func (s *session) lost() bool { return s.link.ctx.Err() != nil }
+
+// fail ends the transaction because of an error.
+func (s *session) fail() {
+	s.rollbackWork()
+	s.failed = s.explicit
+}
+
+// begin opens a transaction if none is open.
+func (s *session) begin() {
+	if s.tx == nil {
+		s.tx = s.instance.engine.Begin()
+		s.settings.begin()
+	}
+}
+
+// commit ends the transaction and keeps its work.
+func (s *session) commit() (p gypsumyard.Position, err error) {
+	tx := s.tx
+	s.tx, s.explicit, s.failed = nil, false, false
+	if tx == nil {
+		return p, nil
+	}
+	p, err = tx.Commit(s.link.ctx)
+	s.settings.end(err == nil)
+	if err == nil {
+		record := p
+		if !tx.Wrote() {
+			record = gypsumyard.Position{}
+		}
+		s.instance.group.journal.commit(s.entries, record)
+	}
+	s.entries = nil
+	s.portals = map[string]*portal{}
+	return p, err
+}
+
+// rollback ends the transaction and drops its work.
+func (s *session) rollback() {
+	s.rollbackWork()
+	s.explicit, s.failed = false, false
+}
+
+func (s *session) rollbackWork() {
+	if s.tx == nil {
+		return
+	}
+	s.tx.Rollback()
+	s.tx, s.entries = nil, nil
+	s.settings.end(false)
+	s.portals = map[string]*portal{}
+}
+
+// statementContext returns the context of one statement. Cancel requests end
+// it.
+func (s *session) statementContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(s.link.ctx)
+	s.mu.Lock()
+	s.cancel = cancel
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		s.cancel = nil
+		s.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+func (s *session) cancelStatement() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel(errCanceled)
+	}
+}
+
+func (s *session) takeSlot(ctx context.Context) error {
+	if err := s.instance.slots.Acquire(ctx, 1); err != nil {
+		return context.Cause(ctx)
+	}
+	s.hasSlot = true
+	return nil
+}
+
+func (s *session) releaseSlot() {
+	if s.hasSlot {
+		s.instance.slots.Release(1)
+		s.hasSlot = false
+	}
+}
+
+// checkEpoch ends the session if the log went back after its start.
+func (s *session) checkEpoch() error {
+	if s.instance.engine.Epoch() == s.epoch {
+		return nil
+	}
+	return fatalError{sqlparse.Errorf("57P01", "%s", errTerminated)}
+}
+
+// Setting returns a session parameter.
+func (s *session) Setting(name string) (string, bool) {
+	if name == "transaction_read_only" {
+		st := s.instance.engine.Status()
+		if s.tx != nil && s.tx.ReadOnly || !st.Writable() {
+			return "on", true
+		}
+		return "off", true
+	}
+	return s.settings.get(name)
+}
+
+// SetSetting changes a session parameter.
+func (s *session) SetSetting(name, value string, local bool) { s.settings.set(name, value, local) }
+
+// User returns the user that the client named.
+func (s *session) User() string { return s.user }
+
+// PID returns the number that cancel requests name.
+func (s *session) PID() uint32 { return s.pid }
+
+// Now returns the instance's time.
+func (s *session) Now() time.Time { return s.instance.clock.Now() }
+
+// Sleep waits for pg_sleep.
+func (s *session) Sleep(ctx context.Context, d time.Duration) error {
+	return s.instance.clock.Sleep(ctx, d)
+}
+
+// Observe fills in the status fields that the engine does not know.
+func (s *session) Observe(st *gypsumyard.InstanceStatus) { s.instance.observe(st) }
+
+// Unblock gives the slot back while the statement waits for a lock. Otherwise
+// the waiters could hold all slots that the lock's holder needs to go on.
+func (s *session) Unblock() func(context.Context) error {
+	had := s.hasSlot
+	s.releaseSlot()
+	return func(ctx context.Context) error {
+		if !had {
+			return nil
+		}
+		return s.takeSlot(ctx)
+	}
+}
