--- /dev/null
+++ b/internal/owner/harness_test.go
@@ -0,0 +1,221 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// view is a Lists and a Membership that tests change at will.
+type view struct {
+	gypsumyard.Lists
+	name    string
+	mu      sync.Mutex
+	db      gypsumyard.Database
+	owner   string
+	changes chan struct{}
+	done    chan struct{}
+}
+
+func (v *view) Name() string                                { return v.name }
+func (v *view) Needs() []string                             { return nil }
+func (v *view) Start(context.Context, *kernel.Kernel) error { return nil }
+func (v *view) Stop(context.Context) error                  { return nil }
+func (v *view) Done() <-chan struct{}                       { return v.done }
+func (v *view) Self() gypsumyard.Host                       { return gypsumyard.Host{Name: "host-1"} }
+func (v *view) Hosts() []gypsumyard.Host                    { return []gypsumyard.Host{v.Self()} }
+func (v *view) Databases() []gypsumyard.Database            { return []gypsumyard.Database{v.db} }
+func (v *view) Database(string) (gypsumyard.Database, bool) { return v.db, true }
+func (v *view) Plan(string) (gypsumyard.Plan, bool)         { return gypsumyard.Plan{Limit: 1, Share: 1}, true }
+func (v *view) Customer(n string) (gypsumyard.Customer, bool) {
+	return gypsumyard.Customer{Name: n}, true
+}
+
+func (v *view) Owner(string) (gypsumyard.Host, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return gypsumyard.Host{Name: v.owner}, true
+}
+
+func (v *view) Changes() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changes
+}
+
+func (v *view) setOwner(name string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.owner = name
+	close(v.changes)
+	v.changes = make(chan struct{})
+}
+
+// peers records releases.
+type peers struct {
+	view
+	gypsumyard.Peers
+	released chan string
+}
+
+func (p *peers) Name() string { return p.name }
+
+func (p *peers) ReleaseDatabase(_ context.Context, to gypsumyard.Host, database string) error {
+	p.released <- to.Name + " " + database
+	return nil
+}
+
+// A fixture is a service that owns an emulated database.
+type fixture struct {
+	t       testing.TB
+	group   *group.Group
+	service *owner.Service
+	members *view
+	peers   *peers
+}
+
+func start(t testing.TB, emulator []group.Option, options ...owner.Option) *fixture {
+	t.Helper()
+	g, err := group.New("appraisal", append([]group.Option{group.WithOpenDelay(time.Millisecond), group.WithJournal(1 << 16)}, emulator...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	f := &fixture{t: t, group: g}
+	newView := func(name string) *view {
+		return &view{name: name, db: g.Database("north"), owner: "host-1", changes: make(chan struct{}), done: closed()}
+	}
+	f.members = newView("members")
+	f.peers = &peers{view: view{name: "peer", done: closed()}, released: make(chan string, 8)}
+	f.service = owner.New(options...)
+	k, err := kernel.New(newView("lists"), f.members, f.service, f.peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = f.service.Stop(ctx)
+	})
+	f.must("setup", gypsumyard.StatementWrite, "create table rugs (id int8 primary key, knots int8)")
+	return f
+}
+
+func closed() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// An answer is a decoded response.
+type answer struct {
+	result gypsumyard.Result
+	err    error
+	raw    []byte
+}
+
+func (a *answer) Write(b []byte) (int, error) {
+	a.raw = append(a.raw, b...)
+	return len(b), nil
+}
+
+// text lists rows, command tags and errors.
+func (a *answer) text() string {
+	var out []string
+	front := pgproto3.NewFrontend(strings.NewReader(string(a.raw)), nil)
+	for {
+		msg, err := front.Receive()
+		if err != nil {
+			return strings.Join(out, ";")
+		}
+		switch m := msg.(type) {
+		case *pgproto3.DataRow:
+			var values []string
+			for _, v := range m.Values {
+				values = append(values, string(v))
+			}
+			out = append(out, strings.Join(values, ","))
+		case *pgproto3.CommandComplete:
+			out = append(out, string(m.CommandTag))
+		case *pgproto3.ErrorResponse:
+			out = append(out, m.Code)
+		}
+	}
+}
+
+func request(session string, class gypsumyard.StatementClass, sql string) *gypsumyard.Request {
+	b, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(err)
+	}
+	return &gypsumyard.Request{
+		Session:    gypsumyard.SessionID(session),
+		Customer:   "loom",
+		Database:   "appraisal",
+		Class:      class,
+		Messages:   b,
+		Repeatable: true,
+	}
+}
+
+func (f *fixture) run(r *gypsumyard.Request) *answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	a := &answer{}
+	a.result, a.err = f.service.Execute(ctx, r, a)
+	return a
+}
+
+func (f *fixture) exec(session string, class gypsumyard.StatementClass, sql string) *answer {
+	return f.run(request(session, class, sql))
+}
+
+func (f *fixture) must(session string, class gypsumyard.StatementClass, sql string) *answer {
+	f.t.Helper()
+	a := f.exec(session, class, sql)
+	if a.err != nil {
+		f.t.Fatalf("%s: %v", sql, a.err)
+	}
+	return a
+}
+
+// in runs a statement in the transaction that the answer has left open.
+func (f *fixture) in(tx *answer, session string, class gypsumyard.StatementClass, sql string) *answer {
+	r := request(session, class, sql)
+	r.Transaction, r.Owner = tx.result.Transaction, tx.result.Owner
+	return f.run(r)
+}
+
+// committed counts how often the emulator committed the statement.
+func (f *fixture) committed(sql string) (n int) {
+	for _, e := range f.group.Journal(0) {
+		if e.Committed && strings.EqualFold(e.Statement, sql) {
+			n++
+		}
+	}
+	return n
+}
+
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within 5 s", what)
+}
+
+func insert(id int) string { return fmt.Sprintf("insert into rugs values (%d, 1)", id) }
