caller: serve callers over PostgreSQL protocol 3

Cause: entry hosts need the way from a caller to the Executor.

Change: sqltext splits and classifies statements; caller authenticates callers with SCRAM, keeps session state and turns simple queries and extended batches into requests. Prepared statements are parsed unnamed in each batch, so that no upstream connection keeps them.

--- /dev/null
+++ b/internal/caller/parameters.go
@@ -0,0 +1,245 @@
+package caller
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/sqltext"
+)
+
+// The parameters that the proxy handles, in the spelling of SET.
+const (
+	paramPosition     = "gypsumyard.position"
+	paramMaxStaleness = "gypsumyard.max_staleness"
+	paramRepeatable   = "gypsumyard.repeatable"
+	paramPriority     = "gypsumyard.priority"
+	paramSession      = "gypsumyard.session"
+)
+
+// showProxy returns the value of a parameter of the proxy.
+func (x *session) showProxy(name string) (string, *gypsumyard.Error) {
+	switch name {
+	case paramPosition:
+		return x.positionToken(), nil
+	case paramMaxStaleness:
+		return x.maxStaleness.String(), nil
+	case paramRepeatable:
+		return onOff(x.repeatable), nil
+	case paramPriority:
+		return onOff(x.priority), nil
+	case paramSession:
+		return string(x.id), nil
+	}
+	return "", refusal(stateUnknownParameter, "unrecognized configuration parameter %q", name)
+}
+
+// setProxy changes a parameter of the proxy. It takes effect at once, also
+// within a transaction.
+func (x *session) setProxy(name, value string, reset bool) *gypsumyard.Error {
+	switch name {
+	case paramPosition, paramSession:
+		return refusal(stateReadOnlyParameter, "parameter %q can be set at connection start only", name)
+	case paramMaxStaleness:
+		if reset {
+			x.maxStaleness = time.Duration(x.login.MaxStaleness)
+			return nil
+		}
+		d, err := parseStaleness(value)
+		if err != nil {
+			return refusal(stateInvalidValue, "invalid value for parameter %q: %q", name, value)
+		}
+		x.maxStaleness = d
+		return nil
+	case paramRepeatable:
+		return setBool(&x.repeatable, name, value, reset, true)
+	case paramPriority:
+		return setBool(&x.priority, name, value, reset, false)
+	}
+	return refusal(stateUnknownParameter, "unrecognized configuration parameter %q", name)
+}
+
+func parseStaleness(value string) (time.Duration, error) {
+	value = strings.TrimSpace(value)
+	if value == "0" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(value)
+	if err == nil && d < 0 {
+		err = fmt.Errorf("negative duration %q", value)
+	}
+	return d, err
+}
+
+func setBool(to *bool, name, value string, reset, initial bool) *gypsumyard.Error {
+	switch strings.ToLower(strings.TrimSpace(value)) {
+	case "on", "true", "yes", "1":
+		*to = true
+	case "off", "false", "no", "0":
+		*to = false
+	default:
+		if !reset {
+			return refusal(stateInvalidValue, "parameter %q requires a Boolean value", name)
+		}
+	}
+	if reset {
+		*to = initial
+	}
+	return nil
+}
+
+func onOff(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
+
+// applyStartup takes over the parameters of the startup message.
+func (x *session) applyStartup(parameters map[string]string) error {
+	x.maxStaleness = time.Duration(x.login.MaxStaleness)
+	for name, value := range parameters {
+		name = strings.ToLower(name)
+		switch {
+		case name == "user" || name == "database" || name == "options" || strings.HasPrefix(name, "_pq_."):
+			continue
+		case name == "replication":
+			if v := strings.ToLower(value); v != "false" && v != "off" && v != "no" && v != "0" {
+				return gypsumyard.Errorf(gypsumyard.ClassNotSupported, "replication connections are not supported")
+			}
+			continue
+		}
+		if err := x.startSetting(name, value); err != nil {
+			return err
+		}
+	}
+	options, err := parseOptions(parameters["options"])
+	if err != nil {
+		return err
+	}
+	for _, o := range options {
+		if err := x.startSetting(o.Name, o.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (x *session) startSetting(name, value string) error {
+	if strings.HasPrefix(name, sqltext.ProxyPrefix) {
+		return x.startProxy(strings.ReplaceAll(name, "-", "_"), value)
+	}
+	if reason := sqltext.RefusedSetting(name, value); reason != "" {
+		return gypsumyard.Errorf(gypsumyard.ClassNotSupported, "%s", reason)
+	}
+	if !validName(name) {
+		return refusal(stateUnknownParameter, "unrecognized configuration parameter %q", name)
+	}
+	if len(x.settings) >= x.server.limits.Settings || len(name)+len(value) > maxSettingBytes {
+		return refusal(stateTooMuch, "too many settings in one session")
+	}
+	x.settings[name] = value
+	return nil
+}
+
+func validName(name string) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '_' && c != '.' {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func (x *session) startProxy(name, value string) error {
+	switch name {
+	case paramPosition:
+		return x.startPosition(value)
+	case paramSession:
+		// The caller's own name for the session goes to the log only: the
+		// identifier has to be unique.
+		x.server.log.WithField("session", x.id).WithField("name", value).Info("caller names its session")
+		return nil
+	}
+	if e := x.setProxy(name, value, false); e != nil {
+		return e
+	}
+	return nil
+}
+
+// startPosition reads the form that positionToken returns.
+func (x *session) startPosition(value string) error {
+	if value == "" {
+		return nil
+	}
+	database, position, ok := cutLast(value, ":")
+	if !ok {
+		return refusal(stateInvalidValue, "invalid value for parameter %q: want database:term/offset", paramPosition)
+	}
+	if database != x.database {
+		return refusal(stateInvalidValue, "parameter %q is of database %q, not of %q", paramPosition, database, x.database)
+	}
+	p, err := gypsumyard.ParsePosition(position)
+	if err != nil {
+		return refusal(stateInvalidValue, "invalid value for parameter %q: %v", paramPosition, err)
+	}
+	x.position = p
+	x.positionKnown = true
+	return nil
+}
+
+// parseOptions reads the options "-c name=value" and "--name=value". A
+// backslash keeps the meaning of a blank from the next character.
+func parseOptions(options string) ([]gypsumyard.Setting, error) {
+	var list []gypsumyard.Setting
+	words := splitOptions(options)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			word = words[i]
+		case strings.HasPrefix(word, "-c"):
+			word = word[2:]
+		case strings.HasPrefix(word, "--"):
+			word = word[2:]
+		default:
+			return nil, refusal(stateSyntax, "invalid command-line option %q", word)
+		}
+		name, value, ok := strings.Cut(word, "=")
+		if !ok {
+			return nil, refusal(stateSyntax, "command-line option %q requires a value", word)
+		}
+		name = strings.ToLower(strings.ReplaceAll(name, "-", "_"))
+		list = append(list, gypsumyard.Setting{Name: name, Value: value})
+	}
+	return list, nil
+}
+
+func splitOptions(s string) []string {
+	var words []string
+	var word strings.Builder
+	inWord := false
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '\\' && i+1 < len(s):
+			i++
+			word.WriteByte(s[i])
+			inWord = true
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r':
+			if inWord {
+				words = append(words, word.String())
+			}
+			word.Reset()
+			inWord = false
+		default:
+			word.WriteByte(c)
+			inWord = true
+		}
+	}
+	if inWord {
+		words = append(words, word.String())
+	}
+	return words
+}
--- /dev/null
+++ b/internal/caller/raw_test.go
@@ -0,0 +1,292 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+)
+
+// raw is a caller that speaks the protocol message by message.
+type raw struct {
+	t testing.TB
+	*pgconn.HijackedConn
+}
+
+func dial(t testing.TB, f *fixture, more string) *raw {
+	t.Helper()
+	c, err := pgconn.Connect(t.Context(), f.url(more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := c.Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { h.Conn.Close() })
+	return &raw{t, h}
+}
+
+func (r *raw) send(messages ...pgproto3.FrontendMessage) {
+	r.t.Helper()
+	for _, m := range messages {
+		r.Frontend.Send(m)
+	}
+	if err := r.Frontend.Flush(); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// script returns the answer up to ReadyForQuery, or to the end of the
+// connection, in a short form.
+func (r *raw) script() string {
+	r.t.Helper()
+	var words []string
+	for {
+		r.Conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		m, err := r.Frontend.Receive()
+		if err != nil {
+			return strings.Join(append(words, "end"), " ")
+		}
+		word := short(m)
+		words = append(words, word)
+		if strings.HasPrefix(word, "Z:") {
+			return strings.Join(words, " ")
+		}
+	}
+}
+
+func short(m pgproto3.BackendMessage) string {
+	switch m := m.(type) {
+	case *pgproto3.ReadyForQuery:
+		return "Z:" + string(m.TxStatus)
+	case *pgproto3.ErrorResponse:
+		return "E:" + m.Code
+	case *pgproto3.NoticeResponse:
+		return "N:" + m.Code
+	case *pgproto3.CommandComplete:
+		return "C:" + strings.ReplaceAll(string(m.CommandTag), " ", "_")
+	case *pgproto3.ParameterStatus:
+		return "S:" + m.Name + "=" + m.Value
+	case *pgproto3.DataRow:
+		return "D:" + strings.ReplaceAll(string(m.Values[0]), " ", "_")
+	}
+	name := fmt.Sprintf("%T", m)
+	return strings.TrimPrefix(name, "*pgproto3.")
+}
+
+// check sends the messages and compares the answer.
+func (r *raw) check(want string, messages ...pgproto3.FrontendMessage) {
+	r.t.Helper()
+	r.send(messages...)
+	if got := r.script(); got != want {
+		r.t.Errorf("answer to %T:\n got %s\nwant %s", messages[0], got, want)
+	}
+}
+
+func (r *raw) query(sql, want string) {
+	r.t.Helper()
+	r.send(&pgproto3.Query{String: sql})
+	if got := r.script(); got != want {
+		r.t.Errorf("answer to %q:\n got %s\nwant %s", sql, got, want)
+	}
+}
+
+func parse(name, sql string) *pgproto3.Parse { return &pgproto3.Parse{Name: name, Query: sql} }
+func bind(name string) *pgproto3.Bind        { return &pgproto3.Bind{PreparedStatement: name} }
+func run() *pgproto3.Execute                 { return &pgproto3.Execute{} }
+
+var sync_ = &pgproto3.Sync{}
+
+// Guards against named statements that reach an upstream, that are lost between
+// batches or kept after a refusal, and against answers out of order.
+func TestPreparedStatements(t *testing.T) {
+	f := start(t)
+	r := dial(t, f, "")
+	r.check("ParseComplete Z:I", parse("a", "select 1"), sync_)
+	r.check("ParseComplete ParseComplete Z:I", parse("b", "select 2"), parse("", "select 3"), sync_)
+	r.check("BindComplete D:select_1 C:SELECT BindComplete D:select_3 C:SELECT BindComplete D:select_2 C:SELECT Z:I",
+		bind("a"), run(), bind(""), run(), bind("b"), run(), sync_)
+	r.check("ParameterDescription RowDescription Z:I", &pgproto3.Describe{ObjectType: 'S', Name: "b"}, sync_)
+	r.check("E:42P05 Z:I", parse("a", "select 9"), bind("a"), run(), sync_)
+	r.check("E:42601 Z:I", parse("c", "syntax"), sync_)
+	r.check("E:26000 Z:I", bind("c"), run(), sync_)
+	r.check("E:42601 Z:I", parse("c", "select 1; select 2"), sync_)
+	r.check("CloseComplete Z:I", &pgproto3.Close{ObjectType: 'S', Name: "a"}, sync_)
+	r.check("E:26000 Z:I", bind("a"), sync_)
+	r.query("select 5", "RowDescription D:select_5 C:SELECT Z:I")
+	r.check("E:26000 Z:I", bind(""), run(), sync_)
+	r.query("deallocate b", "C:DEALLOCATE Z:I")
+	r.check("E:26000 Z:I", bind("b"), sync_)
+	r.check("E:34000 Z:I", run(), sync_)
+}
+
+// Guards against settings that survive a rollback or reach an upstream
+// connection for longer than a transaction.
+func TestSettings(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	r := dial(t, f, "")
+	settings := func() string {
+		r.query("select 0", "RowDescription D:select_0 C:SELECT Z:I")
+		return fmt.Sprint(f.executor.last().Settings)
+	}
+	r.query("set search_path = Rugs, public", "C:SET Z:I")
+	is.Equal(settings(), "[{search_path rugs, public}]")
+	r.query("set timezone = 'bad'", "E:22023 Z:I")
+	r.query("set time zone 'UTC'", "C:SET S:TimeZone=UTC Z:I")
+	is.Equal(settings(), "[{search_path rugs, public} {timezone UTC}]")
+	r.query("begin; set work_mem = '1MB'; savepoint s; set work_mem = '2MB'; rollback to s; commit", "C:BEGIN C:SET C:SAVEPOINT C:SET C:ROLLBACK C:COMMIT S:gypsumyard.position="+testDatabase+":1/1 Z:I")
+	is.Equal(settings(), "[{search_path rugs, public} {timezone UTC} {work_mem 1MB}]")
+	r.query("begin; set work_mem = '9MB'", "C:BEGIN C:SET Z:T")
+	r.query("rollback", "C:ROLLBACK Z:I")
+	r.query("reset search_path", "C:RESET Z:I")
+	is.Equal(settings(), "[{timezone UTC} {work_mem 1MB}]")
+	r.check("ParseComplete BindComplete C:SET Z:I", parse("", "set work_mem to 7"), bind(""), run(), sync_)
+	is.Equal(settings(), "[{timezone UTC} {work_mem 7}]")
+	for _, q := range f.executor.requests {
+		if s := string(q.Messages); strings.Contains(strings.ToLower(s), "set ") && !strings.Contains(s, "SET LOCAL") {
+			t.Errorf("request sets a parameter beyond its transaction: %q", s)
+		}
+	}
+	r.query("discard all", "S:TimeZone=UTC C:DISCARD_ALL Z:I")
+	is.Equal(settings(), "[]")
+	r.query("set statement_timeout = '2s'", "C:SET Z:I")
+	settings()
+	is.True(time.Until(f.executor.last().Deadline) > time.Second)
+}
+
+// Guards against wrong values of the proxy's own parameters in requests.
+func TestProxyParameters(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	r := dial(t, f, "&gypsumyard.position="+testDatabase+":3/14&gypsumyard.max-staleness=5s&options=-c%20gypsumyard.priority%3Don%20-cwork_mem%3D3MB")
+	r.query("select 1", "RowDescription D:select_1 C:SELECT Z:I")
+	q := f.executor.last()
+	is.Equal(q.Position, gypsumyard.Position{Term: 3, Offset: 14})
+	is.True(q.PositionKnown && q.Priority && q.Repeatable)
+	is.Equal(q.MaxStaleness, 5*time.Second)
+	is.Equal(q.Settings, []gypsumyard.Setting{{Name: "work_mem", Value: "3MB"}})
+	r.query("set gypsumyard.max_staleness = '1m'; set gypsumyard.repeatable = off", "C:SET C:SET Z:I")
+	r.query("show gypsumyard.max_staleness", "RowDescription D:1m0s C:SHOW Z:I")
+	r.query("set gypsumyard.max_staleness = 'soon'", "E:22023 Z:I")
+	r.query("insert into t values (1)", "C:INSERT_0_1 Z:I")
+	is.True(!f.executor.last().Repeatable)
+	r.query("/* gypsumyard: long, max-staleness=3s */ select 2", "RowDescription D:/*_gypsumyard:_long,_max-staleness=3s_*/_select_2 C:SELECT Z:I")
+	is.True(f.executor.last().Long && f.executor.last().MaxStaleness == 3*time.Second)
+	r.query("/* gypsumyard: not-repeatible */ select 2", "E:22023 Z:I")
+	r.check("ParseComplete BindComplete RowDescription D:"+testDatabase+":3/14 C:SHOW Z:I",
+		parse("", "show gypsumyard.position"), bind(""), &pgproto3.Describe{ObjectType: 'P'}, run(), sync_)
+	_, err := pgconn.Connect(t.Context(), f.url("&gypsumyard.position=other:3/14"))
+	is.Equal(stateOf(err), "22023")
+	r2 := dial(t, f, "")
+	r2.query("select 1", "RowDescription D:select_1 C:SELECT Z:I")
+	is.True(!f.executor.last().PositionKnown)
+}
+
+func stateOf(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return fmt.Sprint(err)
+}
+
+// Guards against work of one transaction that is committed in part: a refusal
+// by the proxy has to fail the transaction like one by the upstream.
+func TestRefusals(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	r := dial(t, f, "")
+	r.query("listen orders", "E:0A000 Z:I")
+	r.query("insert into t values (1); begin", "E:0A000 Z:I")
+	r.query("insert into t values (1); set work_mem = 1", "E:0A000 Z:I")
+	r.check("E:0A000 Z:I", parse("", "insert into t values (1)"), bind(""), run(), parse("", "listen a"), bind(""), run(), sync_)
+	is.Equal(f.executor.count(), 0)
+	r.query("begin", "C:BEGIN Z:T")
+	r.query("copy t from stdin", "E:0A000 Z:E")
+	r.query("show gypsumyard.priority", "E:25P02 Z:E")
+	r.query("select 1", "E:25P02 Z:E")
+	r.query("commit", "C:ROLLBACK S:gypsumyard.position="+testDatabase+":1/1 Z:I")
+	r.query("rollback", "N:25P01 C:ROLLBACK Z:I")
+	r.query("", "EmptyQueryResponse Z:I")
+	r.check("E:0A000 Z:I", &pgproto3.FunctionCall{})
+}
+
+// Guards against a caller that takes a lost transaction for an open one, or
+// a commit of unknown outcome for a refused one.
+func TestLostTransaction(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	r := dial(t, f, "")
+	lose := gypsumyard.Errorf(gypsumyard.ClassUnknown, "owner is gone")
+	r.query("begin", "C:BEGIN Z:T")
+	is.Equal(f.executor.last().Transaction, "")
+	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
+	r.query("insert into t values (1)", "E:GY002 Z:E")
+	is.Equal(f.executor.last().Owner, "host-2")
+	is.Equal(len(f.executor.abandoned), 1)
+	n := f.executor.count()
+	r.query("select 1", "E:25P02 Z:E")
+	r.check("ParseComplete BindComplete C:ROLLBACK Z:I", parse("", "commit"), bind(""), run(), sync_)
+	is.Equal(f.executor.count(), n)
+	f.executor.setHook(nil)
+	r.query("begin", "C:BEGIN Z:T")
+	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
+	r.query("commit", "E:GY002 Z:I")
+	busy := &gypsumyard.Error{Class: gypsumyard.ClassLoad, Message: "queue is full", RetryAfter: 250 * time.Millisecond}
+	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return busy })
+	r.send(&pgproto3.Query{String: "select 1"})
+	m, err := r.Frontend.Receive()
+	is.NoErr(err)
+	is.Equal(m.(*pgproto3.ErrorResponse).Hint, "retry-after=250ms")
+	is.Equal(m.(*pgproto3.ErrorResponse).Code, "53300")
+}
+
+// Guards against a transaction left open by a caller that is gone.
+func TestAbandon(t *testing.T) {
+	f := start(t)
+	r := dial(t, f, "")
+	r.query("begin", "C:BEGIN Z:T")
+	r.Conn.Close()
+	eventually(t, func() bool {
+		f.executor.mu.Lock()
+		defer f.executor.mu.Unlock()
+		return len(f.executor.abandoned) == 1
+	})
+}
+
+func eventually(t testing.TB, ok func() bool) {
+	t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("condition did not become true within 5 s")
+}
+
+// Guards against wrong splitting of batches with transaction control.
+func TestPipelinedTransaction(t *testing.T) {
+	f := start(t)
+	r := dial(t, f, "")
+	r.check("ParseComplete BindComplete C:BEGIN ParseComplete BindComplete C:INSERT_0_1 ParseComplete BindComplete C:COMMIT S:gypsumyard.position="+testDatabase+":1/2 Z:I",
+		parse("", "begin"), bind(""), run(), parse("", "insert into t"), bind(""), run(), parse("", "commit"), bind(""), run(), sync_)
+	r.send(parse("p", "select 7"), &pgproto3.Describe{ObjectType: 'S', Name: "p"}, &pgproto3.Flush{})
+	for _, want := range []string{"ParseComplete", "ParameterDescription", "RowDescription"} {
+		m, err := r.Frontend.Receive()
+		if err != nil || short(m) != want {
+			t.Fatalf("after Flush: got %v, %v, want %s", m, err, want)
+		}
+	}
+	r.check("BindComplete D:select_7 C:SELECT Z:I", bind("p"), run(), sync_)
+	r.check("E:0A000 Z:I", bind("p"), run(), &pgproto3.Flush{}, bind("p"), sync_)
+}
--- /dev/null
+++ b/internal/caller/settings.go
@@ -0,0 +1,155 @@
+package caller
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/sqltext"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// maxSettingBytes bounds the value of one setting.
+const maxSettingBytes = 8 * kib
+
+// settings are the parameters that a session has set, by name in lower case.
+type settings map[string]string
+
+// list returns the settings ordered by name.
+func (s settings) list() []gypsumyard.Setting {
+	if len(s) == 0 {
+		return nil
+	}
+	list := make([]gypsumyard.Setting, 0, len(s))
+	for _, name := range slices.Sorted(maps.Keys(s)) {
+		list = append(list, gypsumyard.Setting{Name: name, Value: s[name]})
+	}
+	return list
+}
+
+// room reports whether the statement's setting may be kept.
+func (s settings) room(st *sqltext.Statement, limits *Limits) bool {
+	_, replaced := s[st.Name]
+	return len(st.Value)+len(st.Name) <= maxSettingBytes && (replaced || st.Default || len(s) < limits.Settings)
+}
+
+func (s settings) apply(c change) {
+	if c.reset {
+		delete(s, c.name)
+		return
+	}
+	s[c.name] = c.value
+}
+
+type changeKind uint8
+
+const (
+	changeSet changeKind = iota
+	changeSavepoint
+)
+
+// A change is a setting made within a transaction, or a savepoint to which
+// settings may be rolled back.
+type change struct {
+	kind  changeKind
+	name  string
+	value string
+	reset bool
+}
+
+// savepoint follows SAVEPOINT, RELEASE and ROLLBACK TO.
+func (t *transaction) savepoint(s *sqltext.Statement) {
+	if s.Kind == sqltext.KindSavepoint {
+		t.changes = append(t.changes, change{kind: changeSavepoint, name: s.Name})
+		return
+	}
+	for i := len(t.changes) - 1; i >= 0; i-- {
+		if c := t.changes[i]; c.kind != changeSavepoint || c.name != s.Name {
+			continue
+		}
+		if s.Kind == sqltext.KindRollbackTo {
+			t.changes = t.changes[:i+1]
+			return
+		}
+		kept := slices.DeleteFunc(t.changes[i:], func(c change) bool { return c.kind == changeSavepoint })
+		t.changes = t.changes[:i+len(kept)]
+		return
+	}
+}
+
+// keepChanges makes the settings of a committed transaction those of the
+// session.
+func (x *session) keepChanges(changes []change) {
+	for _, c := range changes {
+		if c.kind == changeSet {
+			x.settings.apply(c)
+		}
+	}
+}
+
+// reportedSettings are the parameters whose values callers are told, in the
+// spelling of the reports, with their values in a new session.
+var reportedSettings = map[string][2]string{
+	"client_encoding":               {"client_encoding", "UTF8"},
+	"application_name":              {"application_name", ""},
+	"datestyle":                     {"DateStyle", "ISO, MDY"},
+	"intervalstyle":                 {"IntervalStyle", "postgres"},
+	"timezone":                      {"TimeZone", "UTC"},
+	"default_transaction_read_only": {"default_transaction_read_only", "off"},
+}
+
+func (x *session) settingOr(name, or string) string {
+	if v, ok := x.settings[name]; ok {
+		return v
+	}
+	return or
+}
+
+// reportSetting tells the caller the value of a parameter, if it is one that
+// is reported.
+func (x *session) reportSetting(name string) {
+	if r, ok := reportedSettings[name]; ok {
+		x.send(&pgproto3.ParameterStatus{Name: r[0], Value: x.settingOr(name, r[1])})
+	}
+}
+
+// changedReports returns the reported parameters that the transaction has
+// changed. The commit undoes SET LOCAL at the upstream, whose reports of that
+// are wrong for the session.
+func (x *session) changedReports() map[string]bool {
+	var hide map[string]bool
+	for _, c := range x.tx.changes {
+		if r, ok := reportedSettings[c.name]; ok && c.kind == changeSet {
+			if hide == nil {
+				hide = map[string]bool{}
+			}
+			hide[r[0]] = true
+		}
+	}
+	return hide
+}
+
+// parseTimeout reads a value of statement_timeout: milliseconds, or a number
+// with a unit.
+func parseTimeout(value string) (time.Duration, error) {
+	value = strings.TrimSpace(value)
+	digits := strings.TrimRight(value, "abcdefghijklmnopqrstuvwxyz ")
+	unit := strings.TrimSpace(value[len(digits):])
+	n, err := strconv.ParseFloat(digits, 64)
+	if err != nil {
+		return 0, fmt.Errorf("invalid timeout %q", value)
+	}
+	units := map[string]time.Duration{
+		"": time.Millisecond, "us": time.Microsecond, "ms": time.Millisecond, "s": time.Second,
+		"min": time.Minute, "h": time.Hour, "d": 24 * time.Hour,
+	}
+	d, ok := units[unit]
+	if !ok || n < 0 || n*float64(d) > float64(1<<62) {
+		return 0, fmt.Errorf("invalid timeout %q", value)
+	}
+	return time.Duration(n * float64(d)), nil
+}
--- /dev/null
+++ b/internal/caller/startup.go
@@ -0,0 +1,236 @@
+package caller
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// The request codes of startup packets.
+const (
+	codeCancel = 80877102
+	codeSSL    = 80877103
+	codeGSS    = 80877104
+
+	protocolMajor = 3
+	// maxNegotiations bounds the SSLRequest and GSSENCRequest packets of one
+	// connection.
+	maxNegotiations = 2
+)
+
+// receiveStartup answers the requests for encryption and returns the startup
+// message. After a cancel request it returns errTerminate.
+func (x *session) receiveStartup() (*pgproto3.StartupMessage, error) {
+	for range maxNegotiations + 1 {
+		body, err := x.frames.readStartup()
+		if err != nil {
+			return nil, err
+		}
+		x.frames.release()
+		switch code := binary.BigEndian.Uint32(body); code {
+		case codeSSL, codeGSS:
+			x.out = append(x.out, 'N')
+			if err := x.flush(); err != nil {
+				return nil, err
+			}
+		case codeCancel:
+			if len(body) > 8 {
+				x.server.cancelStatement(binary.BigEndian.Uint32(body[4:]), body[8:])
+			}
+			return nil, errTerminate
+		default:
+			return decodeStartup(code, body[4:])
+		}
+	}
+	return nil, gypsumyard.Errorf(gypsumyard.ClassProtocol, "too many requests for encryption")
+}
+
+// decodeStartup reads the parameters of a startup message of any minor version
+// of protocol 3.
+func decodeStartup(version uint32, body []byte) (*pgproto3.StartupMessage, error) {
+	if version>>16 != protocolMajor {
+		return nil, gypsumyard.Errorf(gypsumyard.ClassNotSupported, "protocol version %d.%d is not supported", version>>16, version&0xffff)
+	}
+	m := &pgproto3.StartupMessage{ProtocolVersion: version, Parameters: map[string]string{}}
+	malformed := gypsumyard.Errorf(gypsumyard.ClassProtocol, "malformed startup message")
+	for {
+		if len(body) == 0 {
+			return nil, malformed
+		}
+		if body[0] == 0 {
+			break
+		}
+		var name, value string
+		var ok1, ok2 bool
+		name, body, ok1 = cutZero(body)
+		value, body, ok2 = cutZero(body)
+		if !ok1 || !ok2 {
+			return nil, malformed
+		}
+		m.Parameters[name] = value
+	}
+	if len(body) != 1 {
+		return nil, malformed
+	}
+	return m, nil
+}
+
+func cutZero(b []byte) (string, []byte, bool) {
+	i := slices.Index(b, 0)
+	if i < 0 {
+		return "", nil, false
+	}
+	return string(b[:i]), b[i+1:], true
+}
+
+// negotiate tells a caller of a newer minor version, or with options of the
+// protocol, what this server speaks.
+func (x *session) negotiate(m *pgproto3.StartupMessage) {
+	var unknown []string
+	for name := range m.Parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			unknown = append(unknown, name)
+		}
+	}
+	if m.ProtocolVersion == pgproto3.ProtocolVersion30 && len(unknown) == 0 {
+		return
+	}
+	slices.Sort(unknown)
+	x.send(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknown})
+}
+
+// start runs the startup.
+func (x *session) start() error {
+	m, err := x.receiveStartup()
+	if err != nil {
+		return err
+	}
+	if err := x.server.ready(); err != nil {
+		return err
+	}
+	x.negotiate(m)
+	user := m.Parameters["user"]
+	if user == "" {
+		return gypsumyard.Errorf(gypsumyard.ClassAuth, "no user name given in the startup message")
+	}
+	if err := x.authenticate(user); err != nil {
+		return err
+	}
+	x.database = m.Parameters["database"]
+	if x.database == "" {
+		x.database = user
+	}
+	if err := x.authorize(); err != nil {
+		return err
+	}
+	return x.applyStartup(m.Parameters)
+}
+
+// ready reports as an error that the lists are not known or that the host
+// drains.
+func (s *Server) ready() error {
+	select {
+	case <-s.draining:
+		return gypsumyard.Errorf(gypsumyard.ClassShutdown, "the host is shutting down")
+	default:
+	}
+	select {
+	case <-s.lists.Ready():
+		return nil
+	default:
+		return &gypsumyard.Error{Class: gypsumyard.ClassNotRun, State: "57P03", Message: "the host does not know the plan lists yet"}
+	}
+}
+
+// authorize checks that the login and the database are still granted. It runs
+// before each request outside a transaction, so that a change of the lists
+// takes effect on open sessions.
+func (x *session) authorize() error {
+	customer, ok := x.server.lists.Customer(x.customer)
+	if !ok {
+		return gypsumyard.Errorf(gypsumyard.ClassAuth, "customer %q does not exist", x.customer)
+	}
+	login, ok := customer.Login(x.login.Name)
+	if !ok || login.Verifier != x.login.Verifier {
+		return gypsumyard.Errorf(gypsumyard.ClassAuth, "login %q of customer %q has changed", x.login.Name, x.customer)
+	}
+	x.login = login
+	_, exists := x.server.lists.Database(x.database)
+	if !exists || !slices.Contains(customer.Databases, x.database) {
+		return &gypsumyard.Error{
+			Class:   gypsumyard.ClassAuth,
+			State:   "3D000",
+			Message: fmt.Sprintf("database %q does not exist or is not granted to customer %q", x.database, x.customer),
+		}
+	}
+	return nil
+}
+
+// openSession counts the session against the customer's plan.
+func (s *Server) openSession(customerName string) error {
+	customer, _ := s.lists.Customer(customerName)
+	plan, ok := s.lists.Plan(customer.Plan)
+	if !ok {
+		return gypsumyard.Errorf(gypsumyard.ClassPlan, "plan %q of customer %q does not exist", customer.Plan, customerName)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.customers[customerName] >= plan.MaxSessions {
+		return gypsumyard.Errorf(gypsumyard.ClassLoad, "too many sessions: plan %q allows %d on one host", plan.Name, plan.MaxSessions)
+	}
+	s.customers[customerName]++
+	s.metrics.opened.Inc(1)
+	s.updateSessions()
+	return nil
+}
+
+func (s *Server) closeSession(customer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.customers[customer]--
+	if s.customers[customer] == 0 {
+		delete(s.customers, customer)
+	}
+	s.updateSessions()
+}
+
+// updateSessions is called with mu held.
+func (s *Server) updateSessions() {
+	total := 0
+	for _, n := range s.customers {
+		total += n
+	}
+	s.metrics.sessions.Update(float64(total))
+}
+
+// greet sends what a caller is told before its first request.
+func (x *session) greet() {
+	x.send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", x.server.version},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", x.settingOr("client_encoding", "UTF8")},
+		{"application_name", x.settingOr("application_name", "")},
+		{"is_superuser", "off"},
+		{"session_authorization", x.login.Name + "@" + x.customer},
+		{"DateStyle", x.settingOr("datestyle", "ISO, MDY")},
+		{"IntervalStyle", x.settingOr("intervalstyle", "postgres")},
+		{"TimeZone", x.settingOr("timezone", "UTC")},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+		{"default_transaction_read_only", x.settingOr("default_transaction_read_only", "off")},
+		{"in_hot_standby", "off"},
+		{"gypsumyard.session", string(x.id)},
+	} {
+		x.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	if x.positionKnown {
+		x.reportPosition()
+	}
+	secret := binary.BigEndian.AppendUint32(nil, x.key.secret)
+	x.send(&pgproto3.BackendKeyData{ProcessID: x.key.process, SecretKey: secret})
+}
--- /dev/null
+++ b/internal/sqltext/lexer.go
@@ -0,0 +1,303 @@
+package sqltext
+
+import "strings"
+
+type tokenKind uint8
+
+const (
+	tokenEnd tokenKind = iota
+	// tokenWord is an unquoted identifier or key word, in lower case.
+	tokenWord
+	// tokenQuoted is a quoted identifier, without its quotes.
+	tokenQuoted
+	tokenString
+	tokenNumber
+	// tokenParam is a parameter such as $1.
+	tokenParam
+	// tokenPunct is one character of an operator or of punctuation.
+	tokenPunct
+)
+
+type token struct {
+	kind tokenKind
+	// text is the token's value: key words in lower case, strings and quoted
+	// identifiers without quotes and escapes.
+	text string
+	// start and end delimit the token in the source.
+	start, end int
+}
+
+func (t token) is(words ...string) bool {
+	if t.kind != tokenWord {
+		return false
+	}
+	for _, w := range words {
+		if t.text == w {
+			return true
+		}
+	}
+	return false
+}
+
+func (t token) punct(c string) bool { return t.kind == tokenPunct && t.text == c }
+
+// A lexer cuts SQL text into tokens and collects the comments.
+type lexer struct {
+	src      string
+	pos      int
+	comments []string
+	// broken is set when a string, a quoted identifier or a comment does not
+	// end, or at a zero byte.
+	broken bool
+}
+
+func (l *lexer) at(i int) byte {
+	if i < len(l.src) {
+		return l.src[i]
+	}
+	return 0
+}
+
+func isSpace(c byte) bool {
+	return c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v'
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+func isIdentStart(c byte) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_' || c >= 0x80
+}
+
+func isIdentPart(c byte) bool { return isIdentStart(c) || isDigit(c) || c == '$' }
+
+// skipBlank skips white space and comments.
+func (l *lexer) skipBlank() {
+	for l.pos < len(l.src) {
+		switch c := l.src[l.pos]; {
+		case isSpace(c):
+			l.pos++
+		case c == '-' && l.at(l.pos+1) == '-':
+			l.lineComment()
+		case c == '/' && l.at(l.pos+1) == '*':
+			l.blockComment()
+		default:
+			return
+		}
+	}
+}
+
+func (l *lexer) lineComment() {
+	rest := l.src[l.pos+2:]
+	if i := strings.IndexAny(rest, "\r\n"); i >= 0 {
+		rest = rest[:i]
+	}
+	l.comments = append(l.comments, rest)
+	l.pos += 2 + len(rest)
+}
+
+// blockComment reads a comment; block comments nest.
+func (l *lexer) blockComment() {
+	start := l.pos + 2
+	l.pos = start
+	for depth := 1; depth > 0; {
+		switch {
+		case l.pos >= len(l.src):
+			l.broken = true
+			return
+		case l.src[l.pos] == '/' && l.at(l.pos+1) == '*':
+			depth++
+			l.pos += 2
+		case l.src[l.pos] == '*' && l.at(l.pos+1) == '/':
+			depth--
+			l.pos += 2
+		default:
+			l.pos++
+		}
+	}
+	l.comments = append(l.comments, l.src[start:l.pos-2])
+}
+
+// next returns the next token, or one of kind tokenEnd.
+func (l *lexer) next() token {
+	l.skipBlank()
+	t := token{start: l.pos}
+	if l.pos < len(l.src) {
+		t.kind, t.text = l.scan(l.src[l.pos])
+	}
+	t.end = l.pos
+	return t
+}
+
+func (l *lexer) scan(c byte) (tokenKind, string) {
+	n := l.at(l.pos + 1)
+	switch {
+	case c == 0:
+		l.broken = true
+		l.pos++
+		return tokenPunct, "\x00"
+	case c == '\'':
+		return l.quoted(false)
+	case c == '"':
+		return tokenQuoted, l.delimited('"')
+	case (c == 'e' || c == 'E') && n == '\'':
+		l.pos++
+		return l.quoted(true)
+	case strings.IndexByte("bBxXnN", c) >= 0 && n == '\'':
+		l.pos++
+		return l.quoted(false)
+	case (c == 'u' || c == 'U') && n == '&' && (l.at(l.pos+2) == '\'' || l.at(l.pos+2) == '"'):
+		return l.unicode()
+	case isIdentStart(c):
+		return tokenWord, strings.ToLower(l.while(isIdentPart))
+	case isDigit(c) || c == '.' && isDigit(n):
+		return tokenNumber, l.number()
+	case c == '$' && isDigit(n):
+		l.pos++
+		return tokenParam, "$" + l.while(isDigit)
+	case c == '$':
+		if tag, ok := l.dollarTag(); ok {
+			return tokenString, l.dollarQuoted(tag)
+		}
+	}
+	l.pos++
+	return tokenPunct, l.src[l.pos-1 : l.pos]
+}
+
+func (l *lexer) while(f func(byte) bool) string {
+	start := l.pos
+	for l.pos < len(l.src) && f(l.src[l.pos]) {
+		l.pos++
+	}
+	return l.src[start:l.pos]
+}
+
+func (l *lexer) number() string {
+	start := l.pos
+	for l.pos < len(l.src) {
+		c := l.src[l.pos]
+		exponent := (c == '+' || c == '-') && l.pos > start && (l.src[l.pos-1]|0x20) == 'e' && isDigit(l.at(l.pos+1))
+		hex := l.pos > start && strings.HasPrefix(strings.ToLower(l.src[start:l.pos]), "0x")
+		if !isIdentPart(c) && c != '.' && (!exponent || hex) {
+			break
+		}
+		l.pos++
+	}
+	return l.src[start:l.pos]
+}
+
+// delimited reads a text in which the delimiter is written twice to stand for
+// itself. Backslashes have no meaning.
+func (l *lexer) delimited(delim byte) string {
+	l.pos++
+	var b strings.Builder
+	for l.pos < len(l.src) {
+		c := l.src[l.pos]
+		l.pos++
+		if c == delim {
+			if l.at(l.pos) != delim {
+				return b.String()
+			}
+			l.pos++
+		}
+		b.WriteByte(c)
+	}
+	l.broken = true
+	return b.String()
+}
+
+// quoted reads a string constant with its continuations on later lines.
+func (l *lexer) quoted(escapes bool) (tokenKind, string) {
+	var text string
+	for {
+		if escapes {
+			text += l.escaped()
+		} else {
+			text += l.delimited('\'')
+		}
+		if !l.continues() {
+			return tokenString, text
+		}
+	}
+}
+
+// escaped reads one part of a string constant with backslash escapes. Escapes
+// keep the character after the backslash; no classified value depends on more.
+func (l *lexer) escaped() string {
+	l.pos++
+	var b strings.Builder
+	for l.pos < len(l.src) {
+		c := l.src[l.pos]
+		l.pos++
+		switch {
+		case c == '\\' && l.pos < len(l.src):
+			b.WriteByte(l.src[l.pos])
+			l.pos++
+		case c == '\'' && l.at(l.pos) != '\'':
+			return b.String()
+		case c == '\'':
+			b.WriteByte(c)
+			l.pos++
+		default:
+			b.WriteByte(c)
+		}
+	}
+	l.broken = true
+	return b.String()
+}
+
+// continues moves to the next part of a string constant, if white space with a
+// line break and a quote follow. Such a part is read like the first one.
+func (l *lexer) continues() bool {
+	newline := false
+	for i := l.pos; i < len(l.src); i++ {
+		switch c := l.src[i]; {
+		case c == '\n' || c == '\r':
+			newline = true
+		case isSpace(c):
+		case newline && c == '-' && l.at(i+1) == '-':
+			for i+1 < len(l.src) && l.src[i+1] != '\n' && l.src[i+1] != '\r' {
+				i++
+			}
+		case newline && c == '\'':
+			l.pos = i
+			return true
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// unicode reads U&'...' or U&"...". The escapes are kept as they are, which
+// makes an identifier with escapes unknown to the classifier.
+func (l *lexer) unicode() (tokenKind, string) {
+	l.pos += 2
+	if l.src[l.pos] == '"' {
+		return tokenQuoted, "U&" + l.delimited('"')
+	}
+	return l.quoted(false)
+}
+
+// dollarTag returns the delimiter of a dollar-quoted string that starts here.
+func (l *lexer) dollarTag() (string, bool) {
+	i := l.pos + 1
+	for i < len(l.src) && isIdentPart(l.src[i]) && l.src[i] != '$' {
+		i++
+	}
+	if l.at(i) != '$' || isDigit(l.at(l.pos+1)) {
+		return "", false
+	}
+	return l.src[l.pos : i+1], true
+}
+
+func (l *lexer) dollarQuoted(tag string) string {
+	l.pos += len(tag)
+	body, _, found := strings.Cut(l.src[l.pos:], tag)
+	l.pos += len(body)
+	if found {
+		l.pos += len(tag)
+	} else {
+		l.broken = true
+	}
+	return body
+}
