--- /dev/null
+++ b/internal/host/doc.go
@@ -0,0 +1,2 @@
+// Package host assembles the services of one host from its settings.
+package host
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,246 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/admit"
+	"github.com/gypsumyard/gypsumyard/internal/caller"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/config"
+	"github.com/gypsumyard/gypsumyard/internal/dispatch"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/member"
+	"github.com/gypsumyard/gypsumyard/internal/operator"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/gypsumyard/gypsumyard/internal/peer"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
+	"github.com/gypsumyard/gypsumyard/internal/platform"
+	"github.com/gypsumyard/gypsumyard/internal/route"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+// metricsInterval is the time between two reports of the metrics to the
+// registry that scrapers read.
+const metricsInterval = time.Second
+
+// A Host is one process of the system, or one of several in a process.
+type Host struct {
+	settings config.Settings
+	clock    gypsumyard.Clock
+	log      *logrus.Logger
+	admitter func(gypsumyard.Database, tally.Scope) gypsumyard.Admitter
+	router   func(gypsumyard.Database) gypsumyard.Router
+
+	registry *prometheus.Registry
+	scope    tally.Scope
+	metrics  io.Closer
+
+	kernel   *kernel.Kernel
+	members  *member.Service
+	lists    *planlist.Service
+	owner    *owner.Service
+	caller   *caller.Server
+	operator *operator.Service
+
+	drain     sync.Once
+	drainDone chan struct{}
+	done      chan struct{}
+}
+
+// An Option changes a host.
+type Option func(*Host)
+
+// WithClock sets the clock.
+func WithClock(c gypsumyard.Clock) Option { return func(h *Host) { h.clock = c } }
+
+// WithLogger replaces the logger that the settings describe.
+func WithLogger(l *logrus.Logger) Option { return func(h *Host) { h.log = l } }
+
+// WithAdmitter replaces the admission, for measurements against a baseline.
+func WithAdmitter(f func(gypsumyard.Database, tally.Scope) gypsumyard.Admitter) Option {
+	return func(h *Host) { h.admitter = f }
+}
+
+// WithRouter replaces the routing of reads, for measurements against a
+// baseline.
+func WithRouter(f func(gypsumyard.Database) gypsumyard.Router) Option {
+	return func(h *Host) { h.router = f }
+}
+
+// New assembles a host.
+func New(s config.Settings, options ...Option) (h *Host, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("host %s: %w", s.Host.Name, err)
+		}
+	}()
+	h = &Host{
+		settings:  s,
+		clock:     clock.System(),
+		registry:  prometheus.NewRegistry(),
+		drainDone: make(chan struct{}),
+		done:      make(chan struct{}),
+	}
+	h.admitter = func(d gypsumyard.Database, m tally.Scope) gypsumyard.Admitter {
+		return admit.New(d.Name, admit.WithClock(h.clock), admit.WithLogger(h.entry("admit")), admit.WithMetrics(m))
+	}
+	h.router = func(gypsumyard.Database) gypsumyard.Router { return route.New() }
+	for _, o := range options {
+		o(h)
+	}
+	if h.log == nil {
+		h.log = newLogger(s.Log)
+	}
+	h.startMetrics()
+	h.kernel, err = kernel.New(h.services()...)
+	return h, err
+}
+
+func newLogger(s config.Log) *logrus.Logger {
+	l := logrus.New()
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		l.SetLevel(level)
+	}
+	if s.Format == "json" {
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	}
+	return l
+}
+
+func (h *Host) startMetrics() {
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: h.registry, Gatherer: h.registry})
+	h.scope, h.metrics = tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "gypsumyard",
+		CachedReporter:  reporter,
+		Separator:       tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, metricsInterval)
+}
+
+// entry returns a logger whose lines name the host and the service.
+func (h *Host) entry(service string) *logrus.Entry {
+	return h.log.WithFields(logrus.Fields{"host": h.settings.Host.Name, "service": service})
+}
+
+func (h *Host) services() []kernel.Service {
+	s := h.settings
+	self := gypsumyard.Host{
+		Name:          s.Host.Name,
+		Addr:          s.Listen.Peers,
+		Region:        s.Host.Region,
+		FailureDomain: s.Host.FailureDomain,
+		State:         gypsumyard.HostLive,
+	}
+	store := platform.NewService(s.Platform.Address,
+		platform.WithClock(h.clock),
+		platform.WithBudget(s.Platform.CallsPerSecond, s.Platform.CallBurst),
+		platform.WithTimeout(time.Duration(s.Platform.CallTimeout)))
+	h.members = member.New(self, member.WithClock(h.clock), member.WithLogger(h.entry("members")),
+		member.WithMetrics(h.scope), member.WithSeeds(s.Peers.Seeds...))
+	h.lists = planlist.New(planlist.WithClock(h.clock), planlist.WithLogger(h.entry("lists")), planlist.WithMetrics(h.scope))
+	peers := peer.New(self, []byte(s.Peers.Secret), peer.WithClock(h.clock), peer.WithLogger(h.entry("peer")), peer.WithMetrics(h.scope))
+	h.owner = owner.New(h.ownerOptions()...)
+	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.entry("dispatch")), dispatch.WithMetrics(h.scope))
+	h.caller = caller.New(s.Listen.Callers, caller.WithClock(h.clock), caller.WithLogger(h.entry("caller")),
+		caller.WithMetrics(h.scope), caller.WithMockSecret([]byte(s.Peers.Secret)), caller.WithLimits(caller.Limits{
+			ConnectionBuffer: int(s.Callers.BufferPerConnection),
+			TotalBuffer:      int(s.Callers.BufferTotal),
+			Startup:          time.Duration(s.Callers.StartupTimeout),
+			DrainIdle:        time.Duration(s.Callers.DrainIdle),
+		}))
+	h.operator = operator.New(s.Listen.Operators, operator.WithClock(h.clock), operator.WithLogger(h.entry("operator")),
+		operator.WithToken(s.Operators.Token), operator.WithDrain(func() { go h.Drain(context.Background()) }),
+		operator.WithMetrics(promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{})))
+	return []kernel.Service{store, peers, h.members, h.lists, h.owner, dispatcher, h.caller, h.operator}
+}
+
+func (h *Host) ownerOptions() []owner.Option {
+	s := h.settings.Owner
+	options := []owner.Option{
+		owner.WithClock(h.clock),
+		owner.WithLogger(h.entry("owner")),
+		owner.WithMetrics(h.scope),
+		owner.WithConfirmTimeout(time.Duration(s.ConfirmTimeout)),
+		owner.WithIdleLimit(time.Duration(s.IdleTransaction)),
+		owner.WithPollInterval(time.Duration(s.PollInterval), urgentPollInterval),
+		owner.WithAdmitter(func(d gypsumyard.Database) gypsumyard.Admitter {
+			return h.admitter(d, h.scope.Tagged(map[string]string{"database": d.Name}))
+		}),
+		owner.WithRouter(h.router),
+	}
+	if s.Promote {
+		options = append(options, owner.WithPromoter(h.newPromoter))
+	}
+	return options
+}
+
+// urgentPollInterval is the time between two polls while requests wait for a
+// position.
+const urgentPollInterval = 2 * time.Millisecond
+
+// Start starts all services.
+func (h *Host) Start(ctx context.Context) error {
+	return h.kernel.Start(ctx)
+}
+
+// Ready returns a channel that is closed when callers are admitted.
+func (h *Host) Ready() <-chan struct{} { return h.lists.Ready() }
+
+// Settings returns the host's settings.
+func (h *Host) Settings() config.Settings { return h.settings }
+
+// Lists returns the host's copy of the lists.
+func (h *Host) Lists() *planlist.Service { return h.lists }
+
+// Members returns the host's view of the other hosts.
+func (h *Host) Members() gypsumyard.Membership { return h.members }
+
+// MetricsHandler returns the handler that scrapers read.
+func (h *Host) MetricsHandler() http.Handler {
+	return promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{})
+}
+
+// Gather returns the current metrics.
+func (h *Host) Gather() prometheus.Gatherer { return h.registry }
+
+// Drain finishes all requests in flight, hands over the databases and stops
+// the host. It returns when that is done or ctx is done.
+func (h *Host) Drain(ctx context.Context) (err error) {
+	h.drain.Do(func() {
+		defer close(h.drainDone)
+		h.entry("host").Info("drain begins")
+		h.operator.SetDraining()
+		h.members.Announce(gypsumyard.HostLeaving)
+		err = errors.Join(h.caller.Drain(ctx), h.owner.Stop(ctx))
+		h.members.Announce(gypsumyard.HostDead)
+		err = errors.Join(err, h.Stop(ctx))
+	})
+	<-h.drainDone
+	return err
+}
+
+// Stop ends all services at once.
+func (h *Host) Stop(ctx context.Context) error {
+	err := h.kernel.Stop(ctx)
+	select {
+	case <-h.done:
+	default:
+		close(h.done)
+		err = errors.Join(err, h.metrics.Close())
+	}
+	return err
+}
+
+// Done returns a channel that is closed when the host has stopped.
+func (h *Host) Done() <-chan struct{} { return h.done }
