emulate/store: emulator of the platform's service

Cause: lists, ownership and edits need the object API and the host list to run against, with their failures.

Change: HTTP/JSON objects with versions, conditional updates, long-poll watches, a lagging host list, rates, call counts, and the faults outage, slowness and lost answers.

--- /dev/null
+++ b/internal/emulate/store/server.go
@@ -0,0 +1,196 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"golang.org/x/time/rate"
+)
+
+// Limits of the platform's service.
+const (
+	// MaxValue is the size of the largest value, in bytes.
+	MaxValue = 1 << 20
+	// DefaultWrites and DefaultReads are calls a second.
+	DefaultWrites = 300
+	DefaultReads  = 2000
+	// DefaultDelay is how long an answer takes.
+	DefaultDelay = 2 * time.Millisecond
+	// maxWatch bounds the wait of one watch.
+	maxWatch = time.Minute
+)
+
+// An Option changes how a server is built.
+type Option func(*Server)
+
+// WithRates sets how many writes and reads a second are served. Calls beyond
+// are refused with 429.
+func WithRates(writes, reads int) Option {
+	return func(s *Server) {
+		s.writes = rate.NewLimiter(rate.Limit(writes), writes)
+		s.reads = rate.NewLimiter(rate.Limit(reads), reads)
+	}
+}
+
+// WithDelay sets how long an answer takes.
+func WithDelay(d time.Duration) Option { return func(s *Server) { s.delay = d } }
+
+// WithHostLag sets how long changes of the host list take to show.
+func WithHostLag(d time.Duration) Option { return func(s *Server) { s.hosts.lag = d } }
+
+// WithClock sets the clock.
+func WithClock(k gypsumyard.Clock) Option { return func(s *Server) { s.clock = k } }
+
+// A Server is a running emulation of the platform's service.
+type Server struct {
+	clock    gypsumyard.Clock
+	objects  *objects
+	hosts    hosts
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+	listener net.Listener
+	http     *http.Server
+	cancel   context.CancelFunc
+	done     chan struct{}
+
+	mu     sync.Mutex
+	delay  time.Duration
+	calls  map[string]int64
+	outage bool
+	// outageBegan is closed when an outage begins.
+	outageBegan chan struct{}
+	lose        int
+}
+
+// New starts the service on a loopback port chosen by the system.
+func New(options ...Option) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("start object store: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{
+		clock:       clock.System(),
+		objects:     newObjects(),
+		hosts:       hosts{shown: map[string]gypsumyard.Host{}},
+		listener:    l,
+		cancel:      cancel,
+		done:        make(chan struct{}),
+		delay:       DefaultDelay,
+		calls:       map[string]int64{},
+		outageBegan: make(chan struct{}),
+	}
+	WithRates(DefaultWrites, DefaultReads)(s)
+	for _, o := range options {
+		o(s)
+	}
+	s.http = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: 10 * time.Second,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	go func() {
+		defer close(s.done)
+		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			cancel()
+		}
+	}()
+	return s, nil
+}
+
+// Addr returns the address of the service.
+func (s *Server) Addr() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Done returns a channel that is closed when the service has ended.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Close ends the service and its open calls.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.http.Close()
+	<-s.done
+}
+
+// Get returns an object without counting a call.
+func (s *Server) Get(name string) (gypsumyard.Object, bool) { return s.objects.get(name) }
+
+// Put sets an object whatever its version is, without counting a call.
+func (s *Server) Put(name string, value []byte) gypsumyard.Version {
+	for {
+		old, _ := s.objects.get(name)
+		if v, err := s.objects.update(name, old.Version, value, false); err == nil {
+			return v
+		}
+	}
+}
+
+// Calls returns how many calls came in by kind: get, list, put, delete, watch
+// and hosts, and of them refused by the rate limit and by an outage.
+func (s *Server) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// SetOutage makes all calls fail with 503, or ends that. It ends the waiting
+// watches.
+func (s *Server) SetOutage(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case down && !s.outage:
+		close(s.outageBegan)
+	case !down && s.outage:
+		s.outageBegan = make(chan struct{})
+	}
+	s.outage = down
+}
+
+// SetDelay sets how long an answer takes.
+func (s *Server) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// LoseAnswers makes the next n updates take effect without an answer: the
+// connection is closed instead. A negative n loses all until LoseAnswers(0).
+func (s *Server) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = n
+}
+
+// loseAnswer reports whether the answer to the present update is lost.
+func (s *Server) loseAnswer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lose > 0 {
+		s.lose--
+		return true
+	}
+	return s.lose < 0
+}
+
+func (s *Server) count(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[kind]++
+}
+
+// state returns the answer's delay and the channel that tells of an outage,
+// closed if there is one.
+func (s *Server) state() (time.Duration, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.delay, s.outageBegan
+}
