--- a/internal/emulate/engine/engine.go
+++ b/internal/emulate/engine/engine.go
@@ -14,22 +14,22 @@
 
 // A Change is one effect of a transaction.
 type Change struct {
-	Table string
-	Row   RowID
+	Table string `json:"table"`
+	Row   RowID  `json:"row"`
 	// Values is the row after the change, nil if it was deleted.
-	Values []Value
+	Values []Value `json:"values"`
 	// Create is the definition of a new table.
-	Create *Schema
+	Create *Schema `json:"create,omitempty"`
 	// Drop tells that the table was removed.
-	Drop bool
+	Drop bool `json:"drop,omitempty"`
 }
 
 // A Record is one committed transaction in the log, or the start of a term,
 // which has no changes.
 type Record struct {
-	Position gypsumyard.Position
-	Time     time.Time
-	Changes  []Change
+	Position gypsumyard.Position `json:"position"`
+	Time     time.Time           `json:"time"`
+	Changes  []Change            `json:"changes"`
 }
 
 // An Engine is the database of one instance.
