owner: permits for open transactions, failure scenarios

Cause: with as many open transactions as connections, requests held all slots while they waited for connections, and the transactions waited for slots: 24 sessions on 2 slots stopped for good. The end of a transaction also cancelled the wait for its own confirmation.

Change: a BEGIN needs a permit before a slot; connections minus slots of them exist, a customer holds at most its plan's limit of them. The wait for confirmation no longer depends on the transaction.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -86,11 +86,24 @@
 	member *member
 	conn   *upstream.Conn
 	began  time.Time
+	// permit is that of the transaction which the request begins.
+	permit *permit
 }
 
 // admit waits for a slot at one of the targets. Inside a transaction the
 // instance is pinned.
 func (g *group) admit(ctx context.Context, r *job, pinned *member, targets []gypsumyard.Target) (a attempt, err error) {
+	if pinned == nil {
+		a.permit, targets, err = g.reserve(ctx, r, targets)
+		if err != nil {
+			return a, err
+		}
+	}
+	defer func() {
+		if err != nil && a.permit != nil {
+			a.permit.release()
+		}
+	}()
 	ticket, err := g.ticket(r, targets)
 	if err != nil {
 		return a, err
@@ -140,6 +153,9 @@
 	if ran {
 		g.shapes.learn(r.Shape, used)
 	}
+	if a.permit != nil {
+		a.permit.release()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a.member.running--
--- /dev/null
+++ b/internal/owner/failure_test.go
@@ -0,0 +1,201 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/matryer/is"
+)
+
+func withPromoter() owner.Option {
+	return owner.WithPromoter(func(gypsumyard.Database) owner.Promoter { return owner.NewTimeoutPromoter(clock.System()) })
+}
+
+// Guards against a session that does not see its own write on a replica that
+// trails the primary.
+func TestReadYourWrites(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithLag(30*time.Millisecond, 20*time.Millisecond)})
+	for i := range 20 {
+		w := f.must("s", gypsumyard.StatementWrite, insert(i))
+		r := request("s", gypsumyard.StatementRead, fmt.Sprintf("select id from rugs where id = %d", i))
+		r.Position, r.PositionKnown = w.result.Position, i%2 == 0
+		is.Equal(f.run(r).text(), fmt.Sprintf("%d;SELECT 1", i))
+		other := request("other", gypsumyard.StatementRead, fmt.Sprintf("select id from rugs where id = %d", i))
+		a := f.run(other)
+		is.Equal(a.text(), fmt.Sprintf("%d;SELECT 1", i))
+		is.True(a.result.Position.Compare(w.result.Position) >= 0)
+	}
+}
+
+// Guards against a success that a promotion could take back: with both
+// replicas cut off, no write may be acknowledged.
+func TestAcknowledgementNeedsMajority(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, owner.WithConfirmTimeout(200*time.Millisecond))
+	f.group.Instances()[1].Isolate(true)
+	f.group.Instances()[2].Isolate(true)
+	w := f.exec("s", gypsumyard.StatementWrite, insert(1))
+	is.Equal(gypsumyard.ClassOf(w.err), gypsumyard.ClassUnknown)
+	is.True(!strings.Contains(w.text(), "INSERT"))
+	is.NoErr(f.group.Instances()[1].Heal())
+	eventually(t, "write after heal", func() bool {
+		return f.exec("s", gypsumyard.StatementWrite, insert(2)).err == nil
+	})
+}
+
+// Guards against lost acknowledged writes, and against writes that run twice,
+// while the primary is killed.
+func TestPrimaryKilled(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withPromoter())
+	var mu sync.Mutex
+	outcome := map[int]gypsumyard.ErrorClass{}
+	var wg sync.WaitGroup
+	stop := make(chan struct{})
+	for c := range 4 {
+		wg.Go(func() {
+			for i := c; ; i += 4 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				class := gypsumyard.ErrorClass("")
+				if a := f.exec(fmt.Sprint("s", c), gypsumyard.StatementWrite, insert(i)); a.err != nil {
+					class = gypsumyard.ClassOf(a.err)
+				}
+				mu.Lock()
+				outcome[i] = class
+				mu.Unlock()
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	killed := f.group.Primary()
+	killed.Kill()
+	at := time.Now()
+	eventually(t, "new primary", func() bool { return f.group.Primary() != nil })
+	is.True(time.Since(at) < 2*time.Second)
+	time.Sleep(200 * time.Millisecond)
+	is.NoErr(killed.Restart())
+	time.Sleep(300 * time.Millisecond)
+	close(stop)
+	wg.Wait()
+	rows := map[string]int{}
+	for _, r := range f.group.Primary().Rows("rugs") {
+		rows[fmt.Sprint(r[0])]++
+	}
+	acked := 0
+	for i, class := range outcome {
+		switch class {
+		case "":
+			acked++
+			is.Equal(rows[fmt.Sprint(i)], 1)
+		case gypsumyard.ClassUnknown:
+		default:
+			is.Equal(rows[fmt.Sprint(i)], 0)
+		}
+	}
+	is.True(acked > 50)
+	p := f.group.Primary()
+	eventually(t, "former primary follows", func() bool {
+		s := killed.Status()
+		return s.Contains(p.Status().Applied)
+	})
+}
+
+// Guards against a COMMIT that is reported as success or as not run when the
+// primary dies before it is confirmed.
+func TestPrimaryKilledInCommit(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithLag(time.Second, 0)}, withPromoter())
+	tx := f.must("s", gypsumyard.StatementBegin, "begin")
+	is.NoErr(f.in(tx, "s", gypsumyard.StatementWrite, insert(1)).err)
+	time.AfterFunc(100*time.Millisecond, f.group.Primary().Kill)
+	c := f.in(tx, "s", gypsumyard.StatementCommit, "commit")
+	is.Equal(gypsumyard.ClassOf(c.err), gypsumyard.ClassUnknown)
+	is.Equal(c.text(), "")
+}
+
+// Guards against a not-repeatable request that is sent again after a
+// connection went silent.
+func TestNotRepeatableRunsOnce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	for i := range 5 {
+		f.must("s", gypsumyard.StatementWrite, insert(i))
+	}
+	f.group.Primary().Silence()
+	time.Sleep(1100 * time.Millisecond)
+	order := request("s", gypsumyard.StatementWrite, insert(100))
+	order.Repeatable = false
+	is.NoErr(f.run(order).err)
+	is.Equal(f.committed(insert(100)), 1)
+	for i := range 3 {
+		f.group.Primary().Silence()
+		r := request("s", gypsumyard.StatementWrite, insert(200+i))
+		r.Repeatable = false
+		a := f.run(r)
+		is.True(a.err == nil || gypsumyard.ClassOf(a.err) == gypsumyard.ClassUnknown)
+		is.True(f.committed(insert(200+i)) <= 1)
+	}
+}
+
+// Guards against a read that fails although a fresh connection would work.
+func TestReadSurvivesSilentConnections(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	r := request("s", gypsumyard.StatementRead, "select 1")
+	is.NoErr(f.run(r).err)
+	for _, in := range f.group.Instances() {
+		in.Silence()
+	}
+	is.NoErr(f.run(r).err)
+}
+
+// Guards against an instance that is leaving and still gets reads.
+func TestLeavingReplica(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	leaving := f.group.Instances()[1]
+	leaving.SetLeaving(true)
+	time.Sleep(150 * time.Millisecond)
+	before := leaving.Counters()["select"]
+	for range 30 {
+		f.must("s", gypsumyard.StatementRead, "select 1")
+	}
+	is.Equal(leaving.Counters()["select"], before)
+}
+
+// Guards against a deadline that the owner overlooks while a statement runs.
+func TestDeadline(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	r := request("s", gypsumyard.StatementWrite, "select pg_sleep(5)")
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	begin := time.Now()
+	is.Equal(gypsumyard.ClassOf(f.run(r).err), gypsumyard.ClassUnknown)
+	is.True(time.Since(begin) < time.Second)
+}
+
+// Guards against a cancel request that does not reach the statement.
+func TestCancelStatement(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	r := request("s", gypsumyard.StatementRead, "select pg_sleep(5)")
+	time.AfterFunc(100*time.Millisecond, func() { _ = f.service.CancelStatement(context.Background(), r) })
+	begin := time.Now()
+	a := f.run(r)
+	is.NoErr(a.err)
+	is.Equal(a.text(), "57014")
+	is.True(time.Since(begin) < time.Second)
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -97,6 +97,7 @@
 			m = g.newMember(d, u)
 		}
 		m.pool.SetLimit(upstream.Limit(d))
+		m.permits.setLimit(upstream.Limit(d), d.Slots)
 		g.members = append(g.members, m)
 	}
 	for _, m := range keep {
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -26,6 +26,8 @@
 	pool   *upstream.Pool
 	wake   chan struct{}
 	cancel context.CancelFunc
+	// permits are those of the transactions on the instance.
+	permits permits
 
 	view     gypsumyard.InstanceView
 	lastSent time.Time
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -24,6 +24,7 @@
 	session gypsumyard.SessionID
 	member  *member
 	conn    *upstream.Conn
+	permit  *permit
 	// replica tells that the transaction runs on a replica and cannot write.
 	replica bool
 	// turn is held by the request that runs in the transaction.
@@ -39,7 +40,12 @@
 // pin keeps the attempt's connection for the transaction that the request has
 // left open.
 func (g *group) pin(r *job, a *attempt, replica bool, res *gypsumyard.Result) {
+	if a.permit == nil {
+		// The request was not known to begin a transaction.
+		a.permit = a.member.permits.force(r.Customer)
+	}
 	t := &transaction{
+		permit:   a.permit,
 		handle:   rand.Text(),
 		session:  r.Session,
 		member:   a.member,
@@ -48,6 +54,7 @@
 		turn:     make(chan struct{}, 1),
 		lastUsed: g.clock.Now(),
 	}
+	a.permit = nil
 	t.abandoned, t.abandon = context.WithCancelCause(g.ctx)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -94,6 +101,7 @@
 	delete(g.transactions, t.handle)
 	g.metrics.transactions.Update(float64(len(g.transactions)))
 	t.abandon(nil)
+	t.permit.release()
 	g.checkDrained()
 }
 
@@ -104,15 +112,15 @@
 		return res, err
 	}
 	defer g.leave(t)
-	ctx, cancel := context.WithCancelCause(ctx)
+	running, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(t.abandoned, func() { cancel(errNoTransaction) })()
-	a, err := g.admit(ctx, r, t.member, []gypsumyard.Target{{Instance: t.member.name, Reason: "open transaction"}})
+	a, err := g.admit(running, r, t.member, []gypsumyard.Target{{Instance: t.member.name, Reason: "open transaction"}})
 	if err != nil {
 		return g.stillOpen(t), err
 	}
 	a.conn = t.conn
-	out, err := g.exchange(ctx, r, &a, &upstream.Exchange{
+	out, err := g.exchange(running, r, &a, &upstream.Exchange{
 		Post:       r.Class == gypsumyard.StatementCommit && !t.replica,
 		Hold:       r.Class != gypsumyard.StatementRead && !t.replica,
 		Probe:      true,
@@ -132,6 +140,9 @@
 func (g *group) concludeStatement(ctx context.Context, t *transaction, r *job, a *attempt, out *upstream.Outcome, err error, sink gypsumyard.ResponseSink) (res gypsumyard.Result, _ error) {
 	res.Instance, res.TxStatus = t.member.name, 'I'
 	if err != nil {
+		if ctx.Err() == nil && t.abandoned.Err() != nil {
+			err = context.Cause(t.abandoned)
+		}
 		g.forget(t)
 		g.end(r, a, out, err)
 		err, _ = judgeWriteFailure(ctx, out, err)
--- /dev/null
+++ b/internal/owner/transaction_test.go
@@ -0,0 +1,163 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/matryer/is"
+)
+
+// Guards against statements of two transactions on one connection, and
+// against connections beyond an owner's part of the cap.
+func TestTransactionsDoNotMix(t *testing.T) {
+	f := start(t, []group.Option{group.WithSlots(2), group.WithConnections(30)})
+	f.must("s", gypsumyard.StatementWrite, "insert into rugs values (0, 0)")
+	var wg sync.WaitGroup
+	for c := range 24 {
+		wg.Go(func() {
+			session := fmt.Sprint("s", c)
+			for i := range 5 {
+				id := 1 + c*10 + i
+				tx := f.must(session, gypsumyard.StatementBegin, "begin")
+				f.in(tx, session, gypsumyard.StatementWrite, insert(id))
+				if a := f.in(tx, session, gypsumyard.StatementRead, fmt.Sprintf("select count(*) from rugs where id = %d", id)); a.text() != "1;SELECT 1" {
+					t.Errorf("session %s reads %q", session, a.text())
+				}
+				end, class := "commit", gypsumyard.StatementCommit
+				if i%2 == 1 {
+					end, class = "rollback", gypsumyard.StatementRollback
+				}
+				if a := f.in(tx, session, class, end); a.err != nil || a.result.TxStatus != 'I' {
+					t.Errorf("%s: %v", end, a.err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is := is.New(t)
+	is.Equal(len(f.group.Primary().Rows("rugs")), 1+24*3)
+	for _, in := range f.group.Instances() {
+		_, peak := in.Connections()
+		is.True(peak <= 13)
+	}
+	owners := map[string]string{}
+	for _, e := range f.group.Journal(0) {
+		if e.Transaction == 0 {
+			continue
+		}
+		key := fmt.Sprint(e.Instance, "/", e.Transaction)
+		if s := fmt.Sprint(e.Session); owners[key] == "" {
+			owners[key] = s
+		} else {
+			is.Equal(owners[key], s)
+		}
+	}
+}
+
+// Guards against settings, prepared statements and open transactions that
+// another session inherits.
+func TestSettingsDoNotLeak(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithConnections(8), group.WithSlots(2)})
+	for i := range 40 {
+		r := request(fmt.Sprint("s", i%5), gypsumyard.StatementWrite, "show work_mem")
+		want := "4MB"
+		switch i % 5 {
+		case 1:
+			want = "7MB"
+			r.Settings = []gypsumyard.Setting{{Name: "work_mem", Value: want}}
+		case 2:
+			f.must("leaky", gypsumyard.StatementWrite, "set work_mem = '9MB'")
+		case 3:
+			f.must("leaky", gypsumyard.StatementWrite, "begin; set work_mem = '9MB'; commit")
+		}
+		a := f.run(r)
+		is.NoErr(a.err)
+		is.Equal(a.text(), want+";SHOW")
+	}
+	bad := request("s", gypsumyard.StatementWrite, "show work_mem")
+	bad.Settings = []gypsumyard.Setting{{Name: "no_such_parameter", Value: "1"}}
+	is.Equal(gypsumyard.ClassOf(f.run(bad).err), gypsumyard.ClassNotRun)
+}
+
+// Guards against a transaction that keeps its connection after its session
+// has ended or gone idle.
+func TestAbandonAndIdleLimit(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, owner.WithIdleLimit(300*time.Millisecond))
+	tx := f.must("s", gypsumyard.StatementBegin, "begin")
+	is.NoErr(f.in(tx, "s", gypsumyard.StatementWrite, insert(1)).err)
+	r := request("s", gypsumyard.StatementCommit, "commit")
+	r.Transaction, r.Owner = tx.result.Transaction, tx.result.Owner
+	is.NoErr(f.service.Abandon(context.Background(), r))
+	is.Equal(gypsumyard.ClassOf(f.run(r).err), gypsumyard.ClassNotRun)
+	idle := f.must("s", gypsumyard.StatementBegin, "begin")
+	is.NoErr(f.in(idle, "s", gypsumyard.StatementWrite, insert(1)).err)
+	time.Sleep(700 * time.Millisecond)
+	is.Equal(gypsumyard.ClassOf(f.in(idle, "s", gypsumyard.StatementCommit, "commit").err), gypsumyard.ClassNotRun)
+	is.Equal(len(f.group.Primary().Rows("rugs")), 0)
+}
+
+// Guards against a failed transaction that ends early or reads as open.
+func TestFailedTransaction(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	tx := f.must("s", gypsumyard.StatementBegin, "begin")
+	a := f.in(tx, "s", gypsumyard.StatementWrite, "insert into nothing values (1)")
+	is.NoErr(a.err)
+	is.Equal(a.result.TxStatus, byte('E'))
+	is.Equal(f.in(tx, "s", gypsumyard.StatementRead, "select 1").text(), "25P02")
+	c := f.in(tx, "s", gypsumyard.StatementCommit, "commit")
+	is.Equal(c.text(), "ROLLBACK")
+	is.Equal(c.result.TxStatus, byte('I'))
+}
+
+// Guards against a read-only transaction that misses the session's writes or
+// that a replica lets write.
+func TestReadOnlyTransaction(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithLag(20*time.Millisecond, 0)})
+	w := f.must("s", gypsumyard.StatementWrite, insert(1))
+	r := request("s", gypsumyard.StatementBeginRead, "begin read only")
+	r.Position, r.PositionKnown = w.result.Position, true
+	tx := f.run(r)
+	is.NoErr(tx.err)
+	is.Equal(f.in(tx, "s", gypsumyard.StatementRead, "select id from rugs").text(), "1;SELECT 1")
+	is.Equal(f.in(tx, "s", gypsumyard.StatementWrite, insert(2)).text(), "25006")
+	is.NoErr(f.in(tx, "s", gypsumyard.StatementRollback, "rollback").err)
+}
+
+// Guards against a loss of ownership that cuts off running work, lets queued
+// work wait, or is not reported to the next owner.
+func TestOwnershipLost(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithSlots(1)})
+	tx := f.must("s", gypsumyard.StatementBegin, "begin")
+	running, queued := make(chan *answer, 1), make(chan *answer, 1)
+	go func() { running <- f.exec("a", gypsumyard.StatementWrite, "select pg_sleep(0.4)") }()
+	time.Sleep(100 * time.Millisecond)
+	go func() { queued <- f.exec("b", gypsumyard.StatementWrite, insert(1)) }()
+	time.Sleep(50 * time.Millisecond)
+	f.members.setOwner("host-2")
+	is.Equal(gypsumyard.ClassOf((<-queued).err), gypsumyard.ClassNotOwner)
+	is.NoErr((<-running).err)
+	is.Equal(gypsumyard.ClassOf(f.exec("c", gypsumyard.StatementWrite, insert(2)).err), gypsumyard.ClassNotOwner)
+	is.NoErr(f.in(tx, "s", gypsumyard.StatementWrite, insert(3)).err)
+	is.Equal(len(f.peers.released), 0)
+	is.NoErr(f.in(tx, "s", gypsumyard.StatementCommit, "commit").err)
+	is.Equal(<-f.peers.released, "host-2 appraisal")
+	eventually(t, "connections closed", func() bool {
+		n, _ := f.group.Primary().Connections()
+		return n == 0
+	})
+	f.members.setOwner("host-1")
+	eventually(t, "ownership regained", func() bool {
+		return f.exec("c", gypsumyard.StatementWrite, insert(4)).err == nil
+	})
+}
