peer: requests, gossip and calls over drpc streams

Hosts need a way to run requests at the owner of a database and to reach each other's lists and membership tables.

--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,241 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/matryer/is"
+)
+
+// Guards against a field of the request or the result that is lost on the way.
+func TestExecuteCarriesAllFields(t *testing.T) {
+	is := is.New(t)
+	var got gypsumyard.Request
+	want := gypsumyard.Result{Position: gypsumyard.Position{Term: 3, Offset: 9}, TxStatus: 'T', Transaction: "tx", Owner: "b", Instance: "i"}
+	o := newOwner(func(_ context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		got = *r
+		_, err := sink.Write([]byte("answer"))
+		return want, err
+	})
+	_, b := start(t, "b", o)
+	a, _ := start(t, "a")
+	r := gypsumyard.Request{
+		Session: "s", Customer: "c", Login: "l", Database: "d", Class: gypsumyard.StatementBegin,
+		Messages: bytes.Repeat([]byte("m"), 100_000), Shape: 7, Repeatable: true, Priority: true, Long: true,
+		MaxStaleness: time.Second, Position: gypsumyard.Position{Term: 1, Offset: 2}, PositionKnown: true,
+		Settings: []gypsumyard.Setting{{Name: "n", Value: "v"}}, Transaction: "t", Owner: "b",
+		Deadline: time.Now().Add(time.Minute),
+	}
+	var sink bytes.Buffer
+	res, err := a.Executor(b).Execute(t.Context(), &r, &sink)
+	is.NoErr(err)
+	is.Equal(res, want)
+	is.Equal(sink.String(), "answer")
+	d := got.Deadline.Sub(r.Deadline)
+	is.True(d > -time.Second && d < time.Second)
+	got.Deadline = r.Deadline
+	is.Equal(got, r)
+}
+
+// Guards against answers that reach another caller, lose bytes or change their
+// order when they interleave, come late or were cancelled.
+func TestMultiplexing(t *testing.T) {
+	o := newOwner(func(_ context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		var n int
+		if _, err := fmt.Sscan(string(r.Messages), &n); err != nil {
+			return gypsumyard.Result{}, err
+		}
+		for i := 0; i < n; i += 1000 {
+			if _, err := sink.Write(bytes.Repeat([]byte{byte(n), byte(i / 1000)}, min(1000, n-i))); err != nil {
+				return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassUnknown, "sink: %w", err)
+			}
+			if i%50_000 == 0 {
+				time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond)
+			}
+		}
+		return gypsumyard.Result{Instance: string(r.Messages)}, nil
+	})
+	_, b := start(t, "b", o)
+	a, _ := start(t, "a")
+	var wg sync.WaitGroup
+	for g := range 200 {
+		wg.Go(func() {
+			n := []int{1, 900, 16_383, 16_385, 40_000, 700_000}[g%6] + g
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if g%7 == 0 {
+				time.AfterFunc(time.Duration(g%5)*time.Millisecond, cancel)
+			}
+			var sink, want bytes.Buffer
+			text := fmt.Sprint(n)
+			res, err := a.Executor(b).Execute(ctx, &gypsumyard.Request{Messages: []byte(text)}, &sink)
+			for i := 0; i < n; i += 1000 {
+				want.Write(bytes.Repeat([]byte{byte(n), byte(i / 1000)}, min(1000, n-i)))
+			}
+			switch {
+			case g%7 == 0 && err != nil:
+				if !bytes.HasPrefix(want.Bytes(), sink.Bytes()) {
+					t.Errorf("request %s: wrong part of the answer", text)
+				}
+			case err != nil:
+				t.Errorf("request %s: %v", text, err)
+			case res.Instance != text || !bytes.Equal(sink.Bytes(), want.Bytes()):
+				t.Errorf("request %s: answer of %d bytes to %q", text, sink.Len(), res.Instance)
+			}
+		})
+	}
+	wg.Wait()
+	links, _, _, _ := a.snapshot()
+	for _, l := range links {
+		eventually(t, "all places are free", func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return len(l.calls)+l.places+l.bytes+l.windows == 0
+		})
+	}
+}
+
+type stuckSink struct{ release chan struct{} }
+
+func (s stuckSink) Write(b []byte) (int, error) { <-s.release; return len(b), nil }
+
+// Guards against a slow reader that delays others or makes the owner buffer
+// more than its window.
+func TestSlowReaderStallsOnlyItself(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	written := 0
+	o := newOwner(func(_ context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		for range 100 {
+			if _, err := sink.Write(make([]byte, 10_000)); err != nil {
+				return gypsumyard.Result{}, err
+			}
+			if string(r.Messages) == "slow" {
+				mu.Lock()
+				written += 10_000
+				mu.Unlock()
+			}
+		}
+		return gypsumyard.Result{}, nil
+	})
+	_, b := start(t, "b", o)
+	a, _ := start(t, "a")
+	stuck := stuckSink{make(chan struct{})}
+	slow := make(chan error)
+	go func() {
+		_, err := a.Executor(b).Execute(t.Context(), &gypsumyard.Request{Messages: []byte("slow")}, stuck)
+		slow <- err
+	}()
+	for range 20 {
+		var sink bytes.Buffer
+		_, err := a.Executor(b).Execute(t.Context(), &gypsumyard.Request{Messages: []byte("fast")}, &sink)
+		is.NoErr(err)
+		is.Equal(sink.Len(), 1_000_000)
+	}
+	mu.Lock()
+	is.True(written <= windowBytes) // the owner is held back
+	mu.Unlock()
+	close(stuck.release)
+	is.NoErr(<-slow)
+}
+
+// Guards against a broken connection that is reported with the wrong class.
+func TestBrokenStreamClasses(t *testing.T) {
+	is := is.New(t)
+	running := make(chan struct{}, 1)
+	o := newOwner(func(ctx context.Context, _ *gypsumyard.Request, _ gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		running <- struct{}{}
+		<-ctx.Done()
+		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassUnknown, "cancelled")
+	})
+	_, b := start(t, "b", o)
+	p := startProxy(t, b.Addr)
+	a, _ := start(t, "a")
+	via := gypsumyard.Host{Name: "b", Addr: p.addr()}
+	go func() {
+		<-running
+		p.breakAll()
+	}()
+	_, err := a.Executor(via).Execute(t.Context(), &gypsumyard.Request{}, discard{})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
+	_ = p.listener.Close()
+	_, err = a.Executor(via).Execute(t.Context(), &gypsumyard.Request{}, discard{})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+}
+
+// Guards against a connection that goes silent for good and is waited on, and
+// against one that went silent while idle and gets a request.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	block := make(chan struct{}, 1)
+	o := newOwner(func(ctx context.Context, r *gypsumyard.Request, _ gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		if string(r.Messages) == "block" {
+			block <- struct{}{}
+			<-ctx.Done()
+		}
+		return gypsumyard.Result{}, nil
+	})
+	_, b := start(t, "b", o)
+	p := startProxy(t, b.Addr)
+	a, _ := start(t, "a")
+	e := a.Executor(gypsumyard.Host{Name: "b", Addr: p.addr()})
+	go func() {
+		<-block
+		p.silence()
+	}()
+	_, err := e.Execute(t.Context(), &gypsumyard.Request{Messages: []byte("block")}, discard{})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
+	is.True(errors.Is(err, errSilent))
+	_, err = e.Execute(t.Context(), &gypsumyard.Request{}, discard{})
+	is.NoErr(err)
+	p.silence()
+	time.Sleep(silentAfter + 100*time.Millisecond)
+	_, err = e.Execute(t.Context(), &gypsumyard.Request{}, discard{})
+	is.NoErr(err)
+	is.Equal(p.dialled(), 6) // three links of two connections
+}
+
+// Guards against transactions and requests that outlive their entry host.
+func TestEntryDeathAbandonsTransactions(t *testing.T) {
+	for _, how := range []string{"break", "silence"} {
+		t.Run(how, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan error, 1)
+			o := newOwner(func(ctx context.Context, r *gypsumyard.Request, _ gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+				switch r.Session {
+				case "open":
+					return gypsumyard.Result{TxStatus: 'T', Transaction: "tx-open"}, nil
+				case "running":
+					<-ctx.Done()
+					ended <- context.Cause(ctx)
+					return gypsumyard.Result{TxStatus: 'T', Transaction: "tx-late"}, nil
+				}
+				return gypsumyard.Result{TxStatus: 'I'}, nil
+			})
+			_, b := start(t, "b", o)
+			p := startProxy(t, b.Addr)
+			a, _ := start(t, "a")
+			e := a.Executor(gypsumyard.Host{Name: "b", Addr: p.addr()})
+			_, err := e.Execute(t.Context(), &gypsumyard.Request{Session: "closed", Transaction: "tx-closed"}, discard{})
+			is.NoErr(err)
+			_, err = e.Execute(t.Context(), &gypsumyard.Request{Session: "open"}, discard{})
+			is.NoErr(err)
+			go func() { _, _ = e.Execute(t.Context(), &gypsumyard.Request{Session: "running"}, discard{}) }()
+			time.Sleep(50 * time.Millisecond)
+			if how == "break" {
+				p.breakAll()
+			} else {
+				p.silence()
+			}
+			is.True(errors.Is(<-ended, errEntryGone))
+			eventually(t, "both transactions abandoned", func() bool { return len(o.abandonedNow()) == 2 })
+		})
+	}
+}
