dispatch: executor that finds the owner and retries

Entry hosts need one Executor that hides where a database is owned. Requests that certainly did not run are sent again at the possibly changed owner, reads of unknown outcome only while nothing was delivered and if repeatable, writes never twice.

--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// defaultPatience is how long a request without a deadline is tried.
+	defaultPatience = 5 * time.Second
+	// transactionPatience is how long a request waits for the host that holds
+	// its open transaction. It spans the time in which a live host refutes
+	// its suspicion; a dead one has lost the transaction.
+	transactionPatience = 2 * time.Second
+	// backoffMin and backoffMax bound the pause between attempts. A change of
+	// the membership view ends a pause early.
+	backoffMin = 10 * time.Millisecond
+	backoffMax = 200 * time.Millisecond
+	// retryAfter is what a caller is told when no owner was found in time.
+	retryAfter = 500 * time.Millisecond
+)
+
+// Executors is the way to the owners on other hosts. The service "peer"
+// implements it.
+type Executors interface {
+	// Executor returns the way to the databases that the host owns.
+	Executor(host gypsumyard.Host) gypsumyard.Executor
+}
+
+// A Service is the kernel service "dispatch". It implements
+// [gypsumyard.Executor].
+type Service struct {
+	clock   gypsumyard.Clock
+	log     logrus.FieldLogger
+	metrics tally.Scope
+	kernel  *kernel.Kernel
+	members gypsumyard.Membership
+	peers   Executors
+	done    chan struct{}
+
+	local, remote, placed tally.Counter
+
+	mu sync.Mutex
+	// owners are the hosts that were last seen to own something, by name.
+	// Hosts of other regions are found here when they hold a transaction.
+	owners map[string]gypsumyard.Host
+}
+
+// An Option changes a Service.
+type Option func(*Service)
+
+// WithClock sets the clock. The default is the system's.
+func WithClock(c gypsumyard.Clock) Option { return func(s *Service) { s.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l logrus.FieldLogger) Option { return func(s *Service) { s.log = l } }
+
+// WithMetrics sets the scope of the metrics.
+func WithMetrics(m tally.Scope) Option { return func(s *Service) { s.metrics = m } }
+
+// New returns the service.
+func New(options ...Option) *Service {
+	s := &Service{
+		clock:   clock.System(),
+		log:     logrus.StandardLogger(),
+		metrics: tally.NoopScope,
+		done:    make(chan struct{}),
+		owners:  map[string]gypsumyard.Host{},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.local = s.metrics.Tagged(map[string]string{"owner": "local"}).Counter("dispatch_attempts")
+	s.remote = s.metrics.Tagged(map[string]string{"owner": "remote"}).Counter("dispatch_attempts")
+	s.placed = s.metrics.Counter("dispatch_no_owner")
+	return s
+}
+
+// Name returns "dispatch".
+func (s *Service) Name() string { return "dispatch" }
+
+// Needs returns the services that Start looks up. The service "owner" is
+// looked up when it is first needed.
+func (s *Service) Needs() []string { return []string{"members", "peer"} }
+
+// Done returns a channel that is closed after Stop.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Start looks up the membership and the way to other hosts.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) (err error) {
+	s.kernel = k
+	s.members, err = kernel.Lookup[gypsumyard.Membership](k, "members")
+	if err != nil {
+		return fmt.Errorf("dispatch: %w", err)
+	}
+	s.peers, err = kernel.Lookup[Executors](k, "peer")
+	if err != nil {
+		return fmt.Errorf("dispatch: %w", err)
+	}
+	return nil
+}
+
+// Stop ends nothing: requests run in the goroutines of their callers.
+func (s *Service) Stop(context.Context) error {
+	close(s.done)
+	return nil
+}
+
+// Execute runs the request at the owner of its database, or at the host that
+// holds its open transaction. Only requests that certainly did not run, and
+// reads of which nothing was delivered, are sent again.
+func (s *Service) Execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (res gypsumyard.Result, err error) {
+	out := &countingSink{sink: sink}
+	a := s.newAttempt(r, "execute")
+	a.delivered = func() bool { return out.written }
+	a.run = func(e gypsumyard.Executor) (err error) {
+		res, err = e.Execute(ctx, r, out)
+		return err
+	}
+	err = s.try(ctx, a)
+	return res, err
+}
+
+// Abandon rolls back the open transaction of a session that has ended.
+func (s *Service) Abandon(ctx context.Context, r *gypsumyard.Request) error {
+	a := s.newAttempt(r, "abandon")
+	a.run = func(e gypsumyard.Executor) error { return e.Abandon(ctx, r) }
+	return s.try(ctx, a)
+}
+
+// CancelStatement asks the upstream to cancel what the session runs.
+func (s *Service) CancelStatement(ctx context.Context, r *gypsumyard.Request) error {
+	a := s.newAttempt(r, "cancel statement")
+	a.run = func(e gypsumyard.Executor) error { return e.CancelStatement(ctx, r) }
+	return s.try(ctx, a)
+}
+
+// A countingSink knows whether anything of an answer was delivered.
+type countingSink struct {
+	sink    gypsumyard.ResponseSink
+	written bool
+}
+
+func (c *countingSink) Write(b []byte) (int, error) {
+	c.written = c.written || len(b) > 0
+	return c.sink.Write(b)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,162 @@
+package dispatch_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/dispatch"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// base is a service that does nothing.
+type base struct {
+	name string
+	done chan struct{}
+}
+
+func (b base) Name() string                                { return b.name }
+func (b base) Needs() []string                             { return nil }
+func (b base) Start(context.Context, *kernel.Kernel) error { return nil }
+func (b base) Stop(context.Context) error                  { close(b.done); return nil }
+func (b base) Done() <-chan struct{}                       { return b.done }
+
+// members is a scripted view in which each call of Owner takes the next entry.
+type members struct {
+	base
+	owners []string
+	hosts  []gypsumyard.Host
+}
+
+func (m *members) Self() gypsumyard.Host    { return gypsumyard.Host{Name: "self"} }
+func (m *members) Hosts() []gypsumyard.Host { return m.hosts }
+func (m *members) Changes() <-chan struct{} { return nil }
+
+func (m *members) Owner(string) (gypsumyard.Host, bool) {
+	o := m.owners[0]
+	if len(m.owners) > 1 {
+		m.owners = m.owners[1:]
+	}
+	return gypsumyard.Host{Name: o}, o != ""
+}
+
+// hosts runs requests as scripted: each try takes the next outcome.
+type hosts struct {
+	base
+	tried    []string
+	outcomes []error
+	write    string
+}
+
+type at struct {
+	*hosts
+	name string
+}
+
+func (h *hosts) Executor(host gypsumyard.Host) gypsumyard.Executor { return at{h, host.Name} }
+
+func (a at) Execute(_ context.Context, _ *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	a.tried = append(a.tried, a.name)
+	_, _ = io.WriteString(sink, a.write)
+	err := a.outcomes[0]
+	if len(a.outcomes) > 1 {
+		a.outcomes = a.outcomes[1:]
+	}
+	return gypsumyard.Result{Owner: a.name}, err
+}
+
+func (a at) Abandon(context.Context, *gypsumyard.Request) error         { return nil }
+func (a at) CancelStatement(context.Context, *gypsumyard.Request) error { return nil }
+
+// localOwner is the service "owner" of this host.
+type localOwner struct {
+	base
+	run at
+}
+
+func (l localOwner) Execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	return l.run.Execute(ctx, r, sink)
+}
+
+func (l localOwner) Abandon(context.Context, *gypsumyard.Request) error         { return nil }
+func (l localOwner) CancelStatement(context.Context, *gypsumyard.Request) error { return nil }
+func (l localOwner) AcceptRelease(string, string)                               {}
+
+func (l localOwner) ProbeInstance(context.Context, string, string) (gypsumyard.InstanceStatus, error) {
+	return gypsumyard.InstanceStatus{}, nil
+}
+
+// Guards against a write that is sent twice, a request that ran and is sent
+// again, and a refusal that is not retried at the new owner.
+func TestRetries(t *testing.T) {
+	fail := func(c gypsumyard.ErrorClass) error { return gypsumyard.Errorf(c, "scripted") }
+	read := gypsumyard.Request{Class: gypsumyard.StatementRead, Repeatable: true}
+	write := gypsumyard.Request{Class: gypsumyard.StatementWrite, Repeatable: true}
+	once := gypsumyard.Request{Class: gypsumyard.StatementRead}
+	inTx := gypsumyard.Request{Class: gypsumyard.StatementRead, Repeatable: true, Transaction: "tx", Owner: "b"}
+	goneTx := gypsumyard.Request{Transaction: "tx", Owner: "gone"}
+	tests := []struct {
+		name     string
+		request  gypsumyard.Request
+		owners   []string
+		outcomes []error
+		write    string
+		tried    string
+		class    gypsumyard.ErrorClass
+	}{
+		{"local", write, []string{"self"}, []error{nil}, "x", "self", ""},
+		{"not owner", write, []string{"a", "b"}, []error{fail(gypsumyard.ClassNotOwner), nil}, "", "ab", ""},
+		{"draining", write, []string{"a", "b"}, []error{fail(gypsumyard.ClassShutdown), nil}, "", "ab", ""},
+		{"not run", write, []string{"a", "a"}, []error{fail(gypsumyard.ClassNotRun), nil}, "", "aa", ""},
+		{"unknown write", write, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), nil}, "", "a", gypsumyard.ClassUnknown},
+		{"unclassified write", write, []string{"a"}, []error{io.EOF, nil}, "", "a", gypsumyard.ClassUnknown},
+		{"unknown read", read, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), nil}, "", "aa", ""},
+		{"unknown read, once", once, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), nil}, "", "a", gypsumyard.ClassUnknown},
+		{"delivered read", read, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), nil}, "x", "a", gypsumyard.ClassUnknown},
+		{"unknown in transaction", inTx, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), nil}, "", "b", gypsumyard.ClassUnknown},
+		{"not owner in transaction", inTx, []string{"a"}, []error{fail(gypsumyard.ClassNotOwner), nil}, "", "b", gypsumyard.ClassNotRun},
+		{"load", write, []string{"a"}, []error{fail(gypsumyard.ClassLoad), nil}, "", "a", gypsumyard.ClassLoad},
+		{"plan", write, []string{"a"}, []error{fail(gypsumyard.ClassPlan), nil}, "", "a", gypsumyard.ClassPlan},
+		{"late owner", write, []string{"", "", "a"}, []error{nil}, "", "a", ""},
+		{"no owner", write, []string{""}, []error{nil}, "", "", gypsumyard.ClassNotRun},
+		{"holder gone", goneTx, []string{"a"}, []error{nil}, "", "", gypsumyard.ClassNotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := &members{base{"members", make(chan struct{})}, tt.owners, []gypsumyard.Host{{Name: "a"}, {Name: "b"}}}
+			h := &hosts{base: base{"peer", make(chan struct{})}, outcomes: tt.outcomes, write: tt.write}
+			o := localOwner{base{"owner", make(chan struct{})}, at{h, "self"}}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			s := dispatch.New(dispatch.WithLogger(log))
+			k, err := kernel.New(m, h, o, s)
+			is.NoErr(err)
+			is.NoErr(k.Start(t.Context()))
+			defer func() { is.NoErr(k.Stop(context.Background())) }()
+			tt.request.Deadline = time.Now().Add(300 * time.Millisecond)
+			var sink bytes.Buffer
+			_, err = s.Execute(t.Context(), &tt.request, &sink)
+			tried := ""
+			for _, n := range h.tried {
+				tried += n
+			}
+			is.Equal(tried, tt.tried)
+			is.Equal(sink.String(), tt.write)
+			if tt.class == "" {
+				is.NoErr(err)
+				return
+			}
+			is.True(err != nil)
+			is.Equal(gypsumyard.ClassOf(err), tt.class)
+			if e, ok := err.(*gypsumyard.Error); ok && e.Class == gypsumyard.ClassNotRun {
+				is.True(e.RetryAfter > 0)
+			}
+		})
+	}
+}
