owner: give up early on silent connections

Cause: a write on a silent connection kept its slot for 2 s although polls on fresh connections were answered.

Change: after 500 ms without the first answer the exchange ends if a poll that was sent later has been answered. Benchmarks of the executor's path.

--- /dev/null
+++ b/internal/owner/bench_test.go
@@ -0,0 +1,49 @@
+package owner_test
+
+import (
+	"testing"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
+)
+
+func benchmark(b *testing.B, r *gypsumyard.Request, options ...owner.Option) {
+	f := start(b, []group.Option{group.WithJournal(0)}, options...)
+	w := f.must("s", gypsumyard.StatementWrite, insert(1))
+	r.Position = w.result.Position
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(p *testing.PB) {
+		q := *r
+		for p.Next() {
+			if a := f.run(&q); a.err != nil {
+				b.Fatal(a.err)
+			}
+		}
+	})
+}
+
+// BenchmarkRead measures a validated read whose position is known.
+func BenchmarkRead(b *testing.B) {
+	r := request("s", gypsumyard.StatementRead, "select id from rugs where id = 1")
+	r.PositionKnown = true
+	benchmark(b, r)
+}
+
+// BenchmarkReadPrimary is BenchmarkRead with every read on the primary.
+func BenchmarkReadPrimary(b *testing.B) {
+	r := request("s", gypsumyard.StatementRead, "select id from rugs where id = 1")
+	r.PositionKnown = true
+	benchmark(b, r, owner.WithRouter(func(gypsumyard.Database) gypsumyard.Router { return owner.NewPrimaryRouter() }))
+}
+
+// BenchmarkReadBound measures a read that needs a sample of the primary.
+func BenchmarkReadBound(b *testing.B) {
+	benchmark(b, request("s", gypsumyard.StatementRead, "select id from rugs where id = 1"))
+}
+
+// BenchmarkWrite measures a write up to its confirmation.
+func BenchmarkWrite(b *testing.B) {
+	benchmark(b, request("s", gypsumyard.StatementWrite, "update rugs set knots = 2 where id = 1"))
+}
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -175,6 +175,8 @@
 	if r.Long {
 		ex.SilentBound = max(ex.SilentBound, unknownSilent)
 	}
+	sent := g.clock.Now()
+	ex.Working = func() bool { return g.answeredSince(a.member, sent) }
 	g.mu.Lock()
 	g.running[r.Session] = a.conn
 	g.mu.Unlock()
@@ -191,6 +193,14 @@
 	return out, err
 }
 
+// answeredSince reports whether the instance has answered a poll that was sent
+// after t.
+func (g *group) answeredSince(m *member, t time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.view.Reachable && m.view.SampledAt.After(t)
+}
+
 // end gives back the connection after an exchange outside a transaction, and
 // the slot.
 func (g *group) end(r *job, a *attempt, out *upstream.Outcome, err error) {
@@ -198,7 +208,7 @@
 	case err == nil:
 		a.member.pool.Put(a.conn)
 	case out.Sent && !out.NotRun:
-		if errors.Is(err, upstream.ErrSilent) || isTimeout(err) {
+		if errors.Is(err, upstream.ErrSilent) {
 			a.member.pool.Suspect()
 		}
 		a.member.pool.Abort(a.conn)
@@ -208,11 +218,6 @@
 	g.release(r, a, err == nil)
 }
 
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // deliver writes the rest of the answer.
 func deliver(sink io.Writer, answer []byte) error {
 	if len(answer) == 0 {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -126,8 +126,7 @@
 
 // abortCause returns the cause of ctx if it ended the connection's wait.
 func abortCause(ctx context.Context, err error) error {
-	var t net.Error
-	if errors.As(err, &t) && t.Timeout() {
+	if isTimeout(err) {
 		if cause := context.Cause(ctx); cause != nil {
 			return cause
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -19,6 +20,9 @@
 	// its own. A smaller one fits into the socket buffers, so that it cannot
 	// block while the instance waits for its answers to be read.
 	ownWriter = 32 << 10
+	// suspectAfter is longer than the retransmission of one lost segment, so
+	// that a loss is not taken for a silent connection.
+	suspectAfter = 500 * time.Millisecond
 )
 
 // errCopyIn ends an exchange whose request asks the caller for data.
@@ -47,6 +51,10 @@
 	// SilentBound each later wait. The status before the request is answered
 	// at once by a working connection, however long the request runs.
 	FirstBound, SilentBound time.Duration
+	// Working reports whether a fresh connection has been answered since the
+	// exchange began. If it has, the wait for the first answer ends after
+	// suspectAfter. It may be nil.
+	Working func() bool
 }
 
 // An Outcome tells what became of an exchange.
@@ -211,13 +219,14 @@
 
 // read reads the answers up to the last ReadyForQuery.
 func (r *run) read(ctx context.Context) error {
-	bound := r.ex.FirstBound
+	if err := r.awaitFirst(ctx); err != nil {
+		return abortCause(ctx, err)
+	}
 	for len(r.phases) > 0 {
-		msg, err := r.receive(ctx, bound)
+		msg, err := r.receive(ctx, r.ex.SilentBound)
 		if err != nil {
 			return abortCause(ctx, err)
 		}
-		bound = r.ex.SilentBound
 		if err := r.take(msg); err != nil {
 			return err
 		}
@@ -225,6 +234,33 @@
 	return r.setup
 }
 
+// awaitFirst reads the first message, which a working connection sends at
+// once.
+func (r *run) awaitFirst(ctx context.Context) error {
+	step := r.ex.FirstBound
+	if r.ex.Working != nil {
+		step = min(step, suspectAfter)
+	}
+	begin := time.Now()
+	for {
+		msg, err := r.receive(ctx, step)
+		if err == nil {
+			return r.take(msg)
+		}
+		if !isTimeout(err) || ctx.Err() != nil {
+			return err
+		}
+		if time.Since(begin) >= r.ex.FirstBound || r.ex.Working != nil && r.ex.Working() {
+			return ErrSilent
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // receive reads one message within the bound.
 func (r *run) receive(ctx context.Context, bound time.Duration) (pgproto3.BackendMessage, error) {
 	if r.conn.front.ReadBufferLen() == 0 {
@@ -242,7 +278,7 @@
 // set again, which saves a timer update for each message.
 func (r *run) setBound(bound time.Duration) error {
 	if bound <= 0 {
-		return nil
+		return r.conn.net.SetReadDeadline(time.Time{})
 	}
 	until := time.Now().Add(bound)
 	if d := until.Sub(r.bounded); d >= 0 && d < bound/16 {
@@ -353,5 +389,7 @@
 	r.out.Delivered = true
 	_, r.sinkErr = r.sink.Write(r.out.Answer)
 	r.out.Answer = r.out.Answer[:0]
-	return nil
+	// The sink may have blocked for longer than the bound.
+	r.bounded = time.Time{}
+	return r.setBound(r.ex.SilentBound)
 }
