--- a/cmd/gypsumyard/main.go
+++ b/cmd/gypsumyard/main.go
@@ -49,6 +49,8 @@
 		Usage:       "database proxy with session consistency",
 		Description: description,
 		Commands: []*cli.Command{
+			serveCommand(),
+			devCommand(),
 			checkCommand(),
 			plansCommand(),
 			statusCommand(),
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -38,23 +38,22 @@
 	return nil
 }
 
-// FetchObjects returns the objects of which the host has newer versions.
-func (s *Service) FetchObjects(ctx context.Context, from gypsumyard.Host, have map[string]gypsumyard.Version) (objects []gypsumyard.Object, err error) {
+// FetchObjects returns the host's copies that are newer than after, and the
+// version up to which its copies are complete.
+func (s *Service) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (objects []gypsumyard.Object, complete gypsumyard.Version, err error) {
 	defer annotate(&err, "fetch objects from", from)
-	q := &peerpb.ListQuery{Have: map[string]uint64{}}
-	for name, v := range have {
-		q.Have[name] = uint64(v)
-	}
+	q := &peerpb.ListQuery{After: uint64(after)}
 	replies, err := s.call(ctx, from, &peerpb.Call{Body: &peerpb.Call_Query{Query: q}})
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	for _, r := range replies {
 		if r.Object != nil {
 			objects = append(objects, decodeObject(r.Object))
 		}
+		complete = max(complete, gypsumyard.Version(r.Complete))
 	}
-	return objects, nil
+	return objects, complete, nil
 }
 
 // ProbeInstance asks a host to read the status of an instance.
@@ -137,53 +136,71 @@
 
 // serve runs one call and sends its replies.
 func (g *gossipServer) serve(id uint64, c *peerpb.Call) {
-	objects, status, err := g.perform(c)
+	objects, last := g.perform(c)
 	for _, o := range objects {
 		if !g.reply(id, &peerpb.Reply{Object: encodeObject(o)}) {
 			return
 		}
 	}
-	g.reply(id, &peerpb.Reply{Status: status, Error: encodeError(err), Last: true})
+	last.Last = true
+	g.reply(id, last)
 }
 
-func (g *gossipServer) perform(c *peerpb.Call) (objects []gypsumyard.Object, status *peerpb.InstanceStatus, err error) {
-	k := g.service.kernel
+// perform runs one call. It returns the objects of the answer and the last
+// reply.
+func (g *gossipServer) perform(c *peerpb.Call) (objects []gypsumyard.Object, last *peerpb.Reply) {
+	last = &peerpb.Reply{}
+	var err error
 	switch b := c.GetBody().(type) {
 	case *peerpb.Call_Object:
-		lists, err := kernel.Lookup[gypsumyard.ObjectReplica](k, "lists")
-		if err == nil {
-			lists.Apply([]gypsumyard.Object{decodeObject(b.Object)})
-		}
-		return nil, nil, err
+		err = g.applyObject(b.Object)
 	case *peerpb.Call_Query:
-		lists, err := kernel.Lookup[gypsumyard.ObjectReplica](k, "lists")
-		if err != nil {
-			return nil, nil, err
-		}
-		return lists.Newer(decodeVersions(b.Query)), nil, nil
+		objects, last.Complete, err = g.newerObjects(b.Query)
 	case *peerpb.Call_Probe:
-		owner, err := kernel.Lookup[gypsumyard.Owner](k, "owner")
-		if err != nil {
-			return nil, nil, err
-		}
-		st, err := owner.ProbeInstance(g.ctx, b.Probe.GetDatabase(), b.Probe.GetInstance())
-		return nil, encodeStatus(st), err
+		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
-		owner, err := kernel.Lookup[gypsumyard.Owner](k, "owner")
-		if err == nil {
-			owner.AcceptRelease(b.Released.GetDatabase(), g.from)
-		}
-		return nil, nil, err
+		err = g.acceptRelease(b.Released)
+	default:
+		err = gypsumyard.Errorf(gypsumyard.ClassNotSupported, "call %T", b)
+	}
+	last.Error = encodeError(err)
+	return objects, last
+}
+
+func (g *gossipServer) applyObject(o *peerpb.Object) error {
+	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](g.service.kernel, "lists")
+	if err != nil {
+		return err
+	}
+	lists.Apply([]gypsumyard.Object{decodeObject(o)})
+	return nil
+}
+
+func (g *gossipServer) newerObjects(q *peerpb.ListQuery) ([]gypsumyard.Object, uint64, error) {
+	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](g.service.kernel, "lists")
+	if err != nil {
+		return nil, 0, err
 	}
-	return nil, nil, gypsumyard.Errorf(gypsumyard.ClassNotSupported, "call %T", c.GetBody())
+	objects, complete := lists.Newer(gypsumyard.Version(q.GetAfter()))
+	return objects, uint64(complete), nil
 }
 
-func decodeVersions(q *peerpb.ListQuery) map[string]gypsumyard.Version {
-	have := make(map[string]gypsumyard.Version, len(q.GetHave()))
-	for name, v := range q.GetHave() {
-		have[name] = gypsumyard.Version(v)
+func (g *gossipServer) probe(p *peerpb.ProbeInstance) (*peerpb.InstanceStatus, error) {
+	owner, err := kernel.Lookup[gypsumyard.Owner](g.service.kernel, "owner")
+	if err != nil {
+		return nil, err
 	}
-	return have
+	st, err := owner.ProbeInstance(g.ctx, p.GetDatabase(), p.GetInstance())
+	return encodeStatus(st), err
+}
+
+func (g *gossipServer) acceptRelease(r *peerpb.Released) error {
+	owner, err := kernel.Lookup[gypsumyard.Owner](g.service.kernel, "owner")
+	if err != nil {
+		return err
+	}
+	owner.AcceptRelease(r.GetDatabase(), g.from)
+	return nil
 }
 
 func (g *gossipServer) reply(id uint64, r *peerpb.Reply) bool {
