--- a/internal/emulate/group/extended.go
+++ b/internal/emulate/group/extended.go
@@ -49,7 +49,6 @@
 	if s.lost() || errors.As(err, &fatal) {
 		return err
 	}
-	s.closePortals()
 	s.fail()
 	s.sendError(err, "ERROR")
 	if err := s.backend.Flush(); err != nil {
@@ -72,7 +71,6 @@
 // sync ends the implicit transaction.
 func (s *session) sync(err error) error {
 	if !s.explicit {
-		s.closePortals()
 		_, err = s.commit()
 	}
 	if err == nil {
@@ -205,16 +203,14 @@
 	if p.done {
 		return sqlparse.Errorf("55000", "portal %q cannot be run again", m.Portal)
 	}
-	if p.running == nil {
-		o, err := s.run(p.prepared.parsed, p.params)
-		if err != nil {
-			return err
-		}
-		p.running = o
+	o, err := s.resume(p)
+	if err != nil {
+		return err
 	}
-	o := p.running
 	sent, more, err := s.sendRows(o, p.prepared.columns, p.formats, int64(m.MaxRows))
 	if err == nil && more {
+		// A suspended portal waits for the client and needs no slot.
+		s.releaseSlot()
 		s.backend.Send(&pgproto3.PortalSuspended{})
 		return nil
 	}
@@ -227,6 +223,15 @@
 	return nil
 }
 
+// resume starts a portal's statement or takes up a suspended one.
+func (s *session) resume(p *portal) (o *outcome, err error) {
+	if p.running != nil {
+		return p.running, s.takeSlot(p.running.ctx)
+	}
+	p.running, err = s.run(p.prepared.parsed, p.params)
+	return p.running, err
+}
+
 func (s *session) closeObject(m *pgproto3.Close) {
 	if m.ObjectType == 'S' {
 		delete(s.statements, m.Name)
--- a/internal/emulate/group/group.go
+++ b/internal/emulate/group/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync"
 
@@ -63,7 +64,11 @@
 		domain = g.config.domains[i%n]
 	}
 	e := engine.New(g.name, role, source, g.config.clock)
-	return newInstance(g, g.instanceName(i), domain, e)
+	in := newInstance(g, g.instanceName(i), domain, e)
+	if p := g.config.firstPort; p != 0 {
+		in.addr = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p+uint16(i))
+	}
+	return in
 }
 
 func (g *Group) instanceName(i int) string { return fmt.Sprintf("%s-%d", g.name, i+1) }
@@ -85,15 +90,17 @@
 	return nil
 }
 
-// Primary returns the running instance that accepts writes, or nil.
-func (g *Group) Primary() *Instance {
+// Primary returns the running instance that accepts writes, or nil. Of several
+// that believe to be the primary it is that of the highest term.
+func (g *Group) Primary() (p *Instance) {
+	var term gypsumyard.Term
 	for _, in := range g.instances {
 		st := in.engine.Status()
-		if in.Running() && st.Writable() {
-			return in
+		if in.Running() && st.Writable() && st.Term() > term {
+			p, term = in, st.Term()
 		}
 	}
-	return nil
+	return p
 }
 
 // Database returns the group's entry of the catalog.
--- a/internal/emulate/group/group_test.go
+++ b/internal/emulate/group/group_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -195,3 +198,92 @@
 	is.NoErr(a.QueryRow(bounded(t), "select knots from rugs where id = 1").Scan(&knots))
 	is.Equal(knots, 12)
 }
+
+// Guards against transactions that see or leave halves of others, under
+// contention, deadlocks and kills of the primary: transfers must keep the sum,
+// and each acknowledged one must be in the log.
+func TestTransfersUnderKills(t *testing.T) {
+	is := is.New(t)
+	g := start(t, group.WithSlots(2), group.WithLag(time.Millisecond, time.Millisecond))
+	p := g.Primary()
+	exec(t, connect(t, p), "create table sheets (id int4 primary key, water int4); insert into sheets select i, 100 from generate_series(0, 4) as i")
+	var acknowledged, unknown atomic.Int64
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	for range 6 {
+		work.Go(func() { transfer(p, stop, &acknowledged, &unknown) })
+	}
+	for range 5 {
+		time.Sleep(60 * time.Millisecond)
+		p.Kill()
+		is.NoErr(p.Restart())
+	}
+	close(stop)
+	work.Wait()
+	records := int64(len(p.Records())) - 2
+	t.Logf("%d acknowledged, %d unknown, %d records", acknowledged.Load(), unknown.Load(), records)
+	is.True(acknowledged.Load() > 0)
+	is.True(records >= acknowledged.Load())
+	is.True(records <= acknowledged.Load()+unknown.Load())
+	for _, in := range g.Instances() {
+		eventually(t, "replication", func() bool { return in.Status().Applied == p.Status().Applied })
+		var sum int
+		is.NoErr(connect(t, in).QueryRow(bounded(t), "select sum(water) from sheets").Scan(&sum))
+		is.Equal(sum, 500)
+	}
+}
+
+// transfer moves water between sheets until stop is closed.
+func transfer(p *group.Instance, stop <-chan struct{}, acknowledged, unknown *atomic.Int64) {
+	ctx := context.Background()
+	var c *pgx.Conn
+	for {
+		select {
+		case <-stop:
+			if c != nil {
+				_ = c.Close(ctx)
+			}
+			return
+		default:
+		}
+		if c == nil || c.IsClosed() {
+			c, _ = dial(ctx, p)
+			continue
+		}
+		from := rand.IntN(5)
+		to := (from + 1 + rand.IntN(4)) % 5
+		_, err := c.Exec(ctx, fmt.Sprintf("begin; update sheets set water = water - 1 where id = %d; update sheets set water = water + 1 where id = %d", from, to))
+		if err != nil {
+			_, _ = c.Exec(ctx, "rollback")
+			continue
+		}
+		if _, err = c.Exec(ctx, "commit"); err != nil {
+			unknown.Add(1)
+		} else {
+			acknowledged.Add(1)
+		}
+	}
+}
+
+func BenchmarkSelectByKey(b *testing.B) {
+	g, err := group.New("bench", group.WithOpenDelay(0), group.WithJournal(0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer g.Close()
+	ctx := context.Background()
+	c, err := pgx.Connect(ctx, fmt.Sprintf("postgres://a@%s/bench?sslmode=disable", g.Primary().Upstream().Addr))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close(ctx)
+	if _, err := c.Exec(ctx, "create table t (id int8 primary key, v text); insert into t select i, 'x' from generate_series(1, 10000) as i"); err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; b.Loop(); i++ {
+		var v string
+		if err := c.QueryRow(ctx, "select v from t where id = $1", i%10000+1).Scan(&v); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/emulate/group/options.go
+++ b/internal/emulate/group/options.go
@@ -29,6 +29,7 @@
 	domains     []string
 	journal     int
 	clock       gypsumyard.Clock
+	firstPort   uint16
 }
 
 func defaults() config {
@@ -85,6 +86,10 @@
 // WithFailureDomains names the instances' failure domains, in turn.
 func WithFailureDomains(names ...string) Option { return func(c *config) { c.domains = names } }
 
+// WithPorts makes the instances listen on consecutive ports of 127.0.0.1, from
+// the given one on. Without it the system chooses the ports.
+func WithPorts(first uint16) Option { return func(c *config) { c.firstPort = first } }
+
 // WithJournal sets how many entries the journal keeps. Zero turns it off.
 func WithJournal(entries int) Option { return func(c *config) { c.journal = entries } }
 
--- a/internal/emulate/group/replica.go
+++ b/internal/emulate/group/replica.go
@@ -69,10 +69,10 @@
 // record and the instance.
 func (in *Instance) due(r *engine.Record) time.Time {
 	in.mu.Lock()
-	lag, jitter := in.lag, in.jitter
+	lag, jitter, port := in.lag, in.jitter, in.addr.Port()
 	in.mu.Unlock()
 	if jitter > 0 {
-		seed := rand.New(rand.NewPCG(uint64(r.Position.Offset), uint64(in.addr.Port())))
+		seed := rand.New(rand.NewPCG(uint64(r.Position.Offset), uint64(port)))
 		lag += time.Duration(seed.Int64N(int64(jitter)))
 	}
 	return r.Time.Add(lag)
--- a/internal/emulate/group/session.go
+++ b/internal/emulate/group/session.go
@@ -264,6 +264,7 @@
 
 // commit ends the transaction and keeps its work.
 func (s *session) commit() (p gypsumyard.Position, err error) {
+	s.closePortals()
 	tx := s.tx
 	s.tx, s.explicit, s.failed = nil, false, false
 	if tx == nil {
@@ -279,7 +280,6 @@
 		s.instance.group.journal.commit(s.entries, record)
 	}
 	s.entries = nil
-	s.portals = map[string]*portal{}
 	return p, err
 }
 
@@ -290,13 +290,13 @@
 }
 
 func (s *session) rollbackWork() {
+	s.closePortals()
 	if s.tx == nil {
 		return
 	}
 	s.tx.Rollback()
 	s.tx, s.entries = nil, nil
 	s.settings.end(false)
-	s.portals = map[string]*portal{}
 }
 
 // statementContext returns the context of one statement. Cancel requests end
@@ -323,6 +323,9 @@
 }
 
 func (s *session) takeSlot(ctx context.Context) error {
+	if s.hasSlot {
+		return nil
+	}
 	if err := s.instance.slots.Acquire(ctx, 1); err != nil {
 		return context.Cause(ctx)
 	}
--- a/internal/emulate/store/server.go
+++ b/internal/emulate/store/server.go
@@ -47,11 +47,16 @@
 // WithHostLag sets how long changes of the host list take to show.
 func WithHostLag(d time.Duration) Option { return func(s *Server) { s.hosts.lag = d } }
 
+// WithAddr sets the address to listen on. The default is a loopback port chosen
+// by the system.
+func WithAddr(a netip.AddrPort) Option { return func(s *Server) { s.addr = a } }
+
 // WithClock sets the clock.
 func WithClock(k gypsumyard.Clock) Option { return func(s *Server) { s.clock = k } }
 
 // A Server is a running emulation of the platform's service.
 type Server struct {
+	addr     netip.AddrPort
 	clock    gypsumyard.Clock
 	objects  *objects
 	hosts    hosts
@@ -71,18 +76,14 @@
 	lose        int
 }
 
-// New starts the service on a loopback port chosen by the system.
-func New(options ...Option) (*Server, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, fmt.Errorf("start object store: %w", err)
-	}
+// New starts the service.
+func New(options ...Option) (s *Server, err error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{
+	s = &Server{
+		addr:        netip.MustParseAddrPort("127.0.0.1:0"),
 		clock:       clock.System(),
 		objects:     newObjects(),
 		hosts:       hosts{shown: map[string]gypsumyard.Host{}},
-		listener:    l,
 		cancel:      cancel,
 		done:        make(chan struct{}),
 		delay:       DefaultDelay,
@@ -93,20 +94,26 @@
 	for _, o := range options {
 		o(s)
 	}
+	if s.listener, err = net.Listen("tcp", s.addr.String()); err != nil {
+		cancel()
+		return nil, fmt.Errorf("start object store: %w", err)
+	}
 	s.http = &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: 10 * time.Second,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
-	go func() {
-		defer close(s.done)
-		if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			cancel()
-		}
-	}()
+	go s.serve()
 	return s, nil
 }
 
+func (s *Server) serve() {
+	defer close(s.done)
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		s.cancel()
+	}
+}
+
 // Addr returns the address of the service.
 func (s *Server) Addr() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
 
