emulate/group: faults hide the end of connections

Cause: a connection that the instance ended, after a rewind or at its own will, was closed visibly through a partition or a silence. Deeply nested expressions could exhaust the parser's stack.

Change: the end of a session waits while a fault hides it from the client. Expressions nest at most 500 deep.

--- a/internal/emulate/group/faults.go
+++ b/internal/emulate/group/faults.go
@@ -1,6 +1,10 @@
 package group
 
-import "time"
+import (
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+)
 
 // Kill ends the instance: its connections are reset, its port refuses, what
 // was not committed is lost. It returns when nothing of it runs any more.
@@ -94,6 +98,13 @@
 	in.lag, in.jitter = lag, jitter
 }
 
+// Follow orders the instance to replicate from source in term, like the control
+// function group_follow, but also while clients cannot reach it.
+func (in *Instance) Follow(term gypsumyard.Term, source string) error {
+	_, err := in.engine.Follow(term, source)
+	return err
+}
+
 // SetLeaving sets what the instance reports of its imminent shutdown.
 func (in *Instance) SetLeaving(leaving bool) { in.engine.SetLeaving(leaving) }
 
--- a/internal/emulate/group/group_test.go
+++ b/internal/emulate/group/group_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -287,3 +288,29 @@
 		}
 	}
 }
+
+// Guards against goroutines that outlive their group, whatever the state of
+// its connections.
+func TestCloseLeavesNothing(t *testing.T) {
+	before := runtime.NumGoroutine()
+	g, err := group.New("appraisal")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := g.Primary()
+	var conns []*pgx.Conn
+	for range 4 {
+		conns = append(conns, connect(t, p))
+	}
+	var work sync.WaitGroup
+	work.Go(func() { _, _ = conns[0].Exec(context.Background(), "select pg_sleep(60)") })
+	p.Silence()
+	connect(t, p)
+	p.Partition(true)
+	g.Close()
+	work.Wait()
+	for _, c := range conns {
+		_ = c.PgConn().Conn().Close()
+	}
+	eventually(t, "the end of all goroutines", func() bool { return runtime.NumGoroutine() <= before })
+}
--- a/internal/emulate/group/instance.go
+++ b/internal/emulate/group/instance.go
@@ -121,6 +121,7 @@
 // serve runs one connection to its end.
 func (in *Instance) serve(k *link) {
 	defer k.close(errClosed)
+	defer k.linger()
 	s := newSession(in, k)
 	defer s.end()
 	if s.startup() {
@@ -217,12 +218,18 @@
 	return slices.Collect(maps.Keys(in.links))
 }
 
+// shutGate returns a channel that is closed when clients are served again, or
+// nil if they are.
+func (in *Instance) shutGate() <-chan struct{} {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.gate
+}
+
 // awaitGate waits while clients are not served.
 func (in *Instance) awaitGate(ctx context.Context) error {
 	for {
-		in.mu.Lock()
-		gate := in.gate
-		in.mu.Unlock()
+		gate := in.shutGate()
 		if gate == nil {
 			return nil
 		}
--- a/internal/emulate/group/link.go
+++ b/internal/emulate/group/link.go
@@ -26,6 +26,8 @@
 	pending  []byte
 	silence  chan struct{}
 	once     sync.Once
+	// ended is closed when the client, or close, has closed the connection.
+	ended chan struct{}
 }
 
 type chunk struct {
@@ -48,11 +50,14 @@
 		cancel:   cancel,
 		chunks:   make(chan chunk, readAhead),
 		silence:  make(chan struct{}),
+		ended:    make(chan struct{}),
 	}
 }
 
-// receive reads ahead until the connection ends.
+// receive reads ahead until the connection ends. What comes after the end of
+// the session is dropped.
 func (k *link) receive() {
+	defer close(k.ended)
 	for {
 		buf := make([]byte, chunkSize)
 		n, err := k.raw.Read(buf)
@@ -61,7 +66,6 @@
 			select {
 			case k.chunks <- c:
 			case <-k.ctx.Done():
-				return
 			}
 		}
 		if err != nil {
@@ -142,11 +146,28 @@
 	}
 }
 
+// linger waits, at the end of a session, while a fault hides the end from the
+// client: nothing of it passes a partition or a silenced connection.
+func (k *link) linger() {
+	for {
+		gate := k.instance.shutGate()
+		if k.silenced() {
+			gate = make(chan struct{})
+		}
+		if gate == nil {
+			return
+		}
+		select {
+		case <-gate:
+		case <-k.ended:
+			return
+		}
+	}
+}
+
 // finish sends last words to a client whose connection is being terminated.
 func (k *link) finish(data []byte) {
-	if k.silenced() {
-		return
-	}
+	k.linger()
 	_ = k.raw.SetWriteDeadline(time.Now().Add(finalWrite))
 	_, _ = k.raw.Write(data)
 }
--- a/internal/emulate/group/replication_test.go
+++ b/internal/emulate/group/replication_test.go
@@ -330,3 +330,162 @@
 	is.Equal(got, "ParseComplete BindComplete 1 2 PortalSuspended 3 SELECT 1 ReadyForQuery 42601 ReadyForQuery ")
 	is.NoErr(hijacked.Conn.Close())
 }
+
+// Guards against writes that a majority confirmed and a promotion loses.
+// Writers wait for a replica's confirmation under the same term while the
+// primary changes again and again.
+func TestConfirmedWritesSurvivePromotions(t *testing.T) {
+	is := is.New(t)
+	g := start(t, group.WithLag(0, 2*time.Millisecond))
+	exec(t, connect(t, g.Primary()), createRugs)
+	var mu sync.Mutex
+	confirmed := map[int64]bool{}
+	stop := make(chan struct{})
+	var work sync.WaitGroup
+	for w := range int64(4) {
+		work.Go(func() {
+			for id := w; ; id += 4 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if writeConfirmed(g, id) {
+					mu.Lock()
+					confirmed[id] = true
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	for term := int64(2); term < 8; term++ {
+		time.Sleep(50 * time.Millisecond)
+		cut := g.Primary()
+		cut.Isolate(true)
+		time.Sleep(10 * time.Millisecond)
+		promote(t, g, cut, term)
+	}
+	close(stop)
+	work.Wait()
+	present := map[any]bool{}
+	for _, row := range g.Primary().Rows("rugs") {
+		present[row[0]] = true
+	}
+	t.Logf("%d confirmed, %d present", len(confirmed), len(present))
+	is.True(len(confirmed) > 0)
+	for id := range confirmed {
+		if !present[id] {
+			t.Errorf("confirmed write %d is lost", id)
+		}
+	}
+	for _, in := range g.Instances() {
+		eventually(t, "convergence of "+in.Name(), func() bool { return applied(in) == applied(g.Primary()) })
+		is.Equal(fmt.Sprint(in.Rows("rugs")), fmt.Sprint(g.Primary().Rows("rugs")))
+	}
+}
+
+// promote fences the instances other than old, promotes the one with the
+// highest position and makes all others follow it.
+func promote(t *testing.T, g *group.Group, old *group.Instance, term int64) {
+	t.Helper()
+	var best *group.Instance
+	for _, in := range g.Instances() {
+		if in == old {
+			continue
+		}
+		mustOrder(t, in, "group_fence($1, 'a')", term)
+		if best == nil || applied(in).Compare(applied(best)) > 0 {
+			best = in
+		}
+	}
+	mustOrder(t, best, "group_promote($1, 'a')", term)
+	old.Isolate(false)
+	for _, in := range g.Instances() {
+		if in != best {
+			mustOrder(t, in, "group_follow($1, $2)", term, best.Name())
+		}
+	}
+}
+
+// writeConfirmed inserts a row and reports whether a second instance holds the
+// record under the term of the write.
+func writeConfirmed(g *group.Group, id int64) bool {
+	p := g.Primary()
+	if p == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c, err := dial(ctx, p)
+	if err != nil {
+		return false
+	}
+	defer c.Close(ctx)
+	if _, err := c.Exec(ctx, "insert into rugs (id) values ($1)", id); err != nil {
+		return false
+	}
+	// The status comes over the connection of the write: a rewind would have
+	// ended it.
+	var at gypsumyard.Position
+	if err := c.QueryRow(ctx, "select term, log_offset from group_status()").Scan(&at.Term, &at.Offset); err != nil {
+		return false
+	}
+	for range 20 {
+		for _, in := range g.Instances() {
+			st := in.Status()
+			if in != p && st.Fence <= at.Term && st.Term() == at.Term && st.Contains(at) {
+				return true
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
+// Guards against a frozen instance that still commits, and against news that
+// pass a partition: the end of a connection whose log went back is seen only
+// after the partition.
+func TestFaultsHideWhatHappens(t *testing.T) {
+	is := is.New(t)
+	g := start(t)
+	p := g.Instance("1")
+	c, writer := connect(t, p), connect(t, p)
+	exec(t, c, createRugs)
+	written := make(chan error, 1)
+	go func() {
+		for i := 0; ; i++ {
+			if _, err := writer.Exec(context.Background(), "insert into rugs (id) values ($1)", i); err != nil {
+				written <- err
+				return
+			}
+		}
+	}()
+	eventually(t, "writes", func() bool { return applied(p).Offset > 20 })
+	p.Freeze()
+	frozen := applied(p)
+	time.Sleep(30 * time.Millisecond)
+	is.Equal(applied(p), frozen)
+	p.Thaw()
+	eventually(t, "more writes", func() bool { return applied(p).Offset > frozen.Offset+20 })
+
+	p.Partition(true)
+	p.Isolate(true)
+	mustOrder(t, g.Instance("2"), "group_fence(2, 'a')")
+	mustOrder(t, g.Instance("2"), "group_promote(2, 'a')")
+	answer := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(context.Background(), "select 1")
+		answer <- err
+	}()
+	p.Isolate(false)
+	is.NoErr(p.Follow(2, "appraisal-2"))
+	eventually(t, "replication of the new term", func() bool { return applied(p).Term == 2 })
+	select {
+	case err := <-answer:
+		t.Fatalf("an answer passed the partition: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	p.Partition(false)
+	<-answer
+	is.True(code(<-written) != "")
+}
--- a/internal/emulate/sqlparse/expr.go
+++ b/internal/emulate/sqlparse/expr.go
@@ -67,6 +67,11 @@
 }
 
 func (p *parser) unary() Expr {
+	p.depth++
+	defer func() { p.depth-- }()
+	if p.depth > maxDepth {
+		panic(Errorf("54001", "expression is nested too deeply"))
+	}
 	if p.accept("-") {
 		return &Unary{Op: "-", X: p.unary()}
 	}
--- a/internal/emulate/sqlparse/parser.go
+++ b/internal/emulate/sqlparse/parser.go
@@ -70,8 +70,13 @@
 	source string
 	tokens []token
 	pos    int
+	// depth is that of the nested expressions being parsed.
+	depth int
 }
 
+// maxDepth bounds the nesting of expressions, and with it the stack.
+const maxDepth = 500
+
 // reserved words cannot be column names or aliases without quotes.
 var reserved = map[string]bool{
 	"select": true, "from": true, "where": true, "order": true, "limit": true, "offset": true,
