--- /dev/null
+++ b/internal/bench/record.go
@@ -0,0 +1,149 @@
+package bench
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gypsumyard/gypsumyard/internal/history"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	// maxLatency is the longest latency that histograms tell apart.
+	maxLatency = time.Minute
+	// latencyDigits is the number of significant digits of a histogram.
+	latencyDigits = 3
+)
+
+// kindRecord holds the results of one kind of request.
+type kindRecord struct {
+	all, crest *hdrhistogram.Histogram
+	outcomes   map[history.Outcome]int64
+	crestOK    int64
+	crestAll   int64
+	errors     map[string]int64
+}
+
+// A recorder collects what clients see. Its methods may be called at the same
+// time.
+type recorder struct {
+	mu        sync.Mutex
+	start     time.Time
+	profile   *Profile
+	kinds     map[string]*kindRecord
+	histories map[string]*history.History
+	// acknowledged holds the times of acknowledged writes of each database.
+	acknowledged map[string][]time.Duration
+	// seconds holds the latencies of successful requests by second of arrival.
+	seconds []*hdrhistogram.Histogram
+}
+
+func newRecorder(p *Profile, start time.Time, duration time.Duration) *recorder {
+	r := &recorder{
+		start: start, profile: p, kinds: map[string]*kindRecord{},
+		histories: map[string]*history.History{}, acknowledged: map[string][]time.Duration{},
+	}
+	for i := range p.Kinds {
+		k := &p.Kinds[i]
+		if r.kinds[k.Name] == nil {
+			r.kinds[k.Name] = &kindRecord{
+				all: newHistogram(), crest: newHistogram(),
+				outcomes: map[history.Outcome]int64{}, errors: map[string]int64{},
+			}
+		}
+		r.histories[k.Database] = &history.History{Rows: map[string]int{}}
+	}
+	for range int(duration/time.Second) + 1 {
+		r.seconds = append(r.seconds, newHistogram())
+	}
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
+}
+
+// request records the end of a request that arrived at the given time.
+func (r *recorder) request(k *Kind, arrived time.Time, o history.Outcome, err error) {
+	latency := min(time.Since(arrived), maxLatency).Microseconds()
+	at := arrived.Sub(r.start)
+	crest := r.profile.inCrest(at)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec := r.kinds[k.Name]
+	rec.outcomes[o]++
+	if crest {
+		rec.crestAll++
+	}
+	if err != nil {
+		rec.errors[errorName(err)]++
+		return
+	}
+	_ = rec.all.RecordValue(latency)
+	if crest {
+		rec.crestOK++
+		_ = rec.crest.RecordValue(latency)
+	}
+	if second := int(at / time.Second); second < len(r.seconds) && k.Shape != ShapePull {
+		_ = r.seconds[second].RecordValue(latency)
+	}
+}
+
+// errorName returns a short name of an error for counting.
+func errorName(err error) string {
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		return e.Code + " " + e.Message
+	}
+	var c *pgconn.ConnectError
+	if errors.As(err, &c) {
+		return "connect"
+	}
+	return "connection"
+}
+
+func (r *recorder) write(k *Kind, w history.Write) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.histories[k.Database]
+	h.Writes = append(h.Writes, w)
+	if w.Outcome == history.Acknowledged {
+		r.acknowledged[k.Database] = append(r.acknowledged[k.Database], w.End.Sub(r.start))
+	}
+}
+
+func (r *recorder) read(database string, v history.Read) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.histories[database].Reads = append(r.histories[database].Reads, v)
+}
+
+func (r *recorder) answer(database string, v history.Answer) {
+	if v.Got == v.Want && v.GotRows == v.WantRows {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.histories[database].Answers = append(r.histories[database].Answers, v)
+}
+
+// longestGap returns the longest time without an acknowledged write in a
+// database from the given time on.
+func (r *recorder) longestGap(database string, from, to time.Duration) time.Duration {
+	r.mu.Lock()
+	times := slices.Clone(r.acknowledged[database])
+	r.mu.Unlock()
+	slices.Sort(times)
+	last, longest := from, time.Duration(0)
+	for _, t := range times {
+		if t < from || t > to {
+			continue
+		}
+		longest = max(longest, t-last)
+		last = t
+	}
+	return max(longest, to-last)
+}
