--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -41,6 +41,8 @@
 	log      *logrus.Logger
 	admitter func(gypsumyard.Database, tally.Scope) gypsumyard.Admitter
 	router   func(gypsumyard.Database) gypsumyard.Router
+	// dispatch replaces the services that run requests if it is not nil.
+	dispatch func(h *Host) kernel.Service
 
 	registry *prometheus.Registry
 	scope    tally.Scope
@@ -78,6 +80,13 @@
 	return func(h *Host) { h.router = f }
 }
 
+// WithDispatch replaces the services that run requests, the owner included, by
+// one that is found under the name "dispatch", for measurements against a
+// baseline.
+func WithDispatch(f func(h *Host) kernel.Service) Option {
+	return func(h *Host) { h.dispatch = f }
+}
+
 // New assembles a host.
 func New(s config.Settings, options ...Option) (h *Host, err error) {
 	defer func() {
@@ -162,7 +171,11 @@
 	h.operator = operator.New(s.Listen.Operators, operator.WithClock(h.clock), operator.WithLogger(h.entry("operator")),
 		operator.WithToken(s.Operators.Token), operator.WithDrain(func() { go h.Drain(context.Background()) }),
 		operator.WithMetrics(promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{})))
-	return []kernel.Service{store, peers, h.members, h.lists, h.owner, dispatcher, h.caller, h.operator}
+	common := []kernel.Service{store, peers, h.members, h.lists, h.caller, h.operator}
+	if h.dispatch != nil {
+		return append(common, h.dispatch(h))
+	}
+	return append(common, h.owner, dispatcher)
 }
 
 func (h *Host) ownerOptions() []owner.Option {
