--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -18,6 +18,8 @@
 	// early; for a write giving up means that its outcome is unknown.
 	readFirstBound  = time.Second
 	writeFirstBound = 2 * time.Second
+	// connectBound limits how long a granted slot may wait for a connection.
+	connectBound = 2 * time.Second
 )
 
 // A job is a request that is being executed.
@@ -163,6 +165,8 @@
 
 // connect gets a connection to the granted instance.
 func (g *group) connect(ctx context.Context, r *job, a *attempt) (err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, connectBound, errNoConnection)
+	defer cancel()
 	a.conn, err = a.member.pool.Get(ctx, !r.Repeatable)
 	return err
 }
@@ -215,7 +219,7 @@
 	default:
 		a.member.pool.Discard(a.conn)
 	}
-	g.release(r, a, err == nil)
+	g.release(r, a, err == nil && out.Setup == nil)
 }
 
 // deliver writes the rest of the answer.
--- a/internal/owner/failures.go
+++ b/internal/owner/failures.go
@@ -12,6 +12,7 @@
 	errReplaced     = errors.New("the primary was replaced before the write was confirmed")
 	errDeadline     = gypsumyard.Errorf(gypsumyard.ClassNotRun, "the deadline passed before the request ran")
 	errNoPrimary    = gypsumyard.Errorf(gypsumyard.ClassNotRun, "no primary within the allowed wait")
+	errNoConnection = gypsumyard.Errorf(gypsumyard.ClassLoad, "no connection to the instance became free")
 	errNotOwner     = gypsumyard.Errorf(gypsumyard.ClassNotOwner, "this host does not own the database")
 	errStopped      = gypsumyard.Errorf(gypsumyard.ClassShutdown, "the host is shutting down")
 	// errNoTransaction carries the SQLSTATE for "no active transaction", since
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -43,9 +43,11 @@
 	if err != nil {
 		return res, false, notRun(err)
 	}
-	a, err := g.admit(waiting, r, nil, targets)
+	queued, done := g.whileValid(waiting, g.noneUsable(targets))
+	a, err := g.admit(queued, r, nil, targets)
+	done()
 	if err != nil {
-		return res, false, err
+		return res, errors.Is(err, errMoved), err
 	}
 	if err := g.connect(waiting, r, &a); err != nil {
 		g.release(r, &a, false)
@@ -89,7 +91,7 @@
 		again, err = g.judgeReadFailure(ctx, r, out, err)
 		return res, again, err
 	case out.Setup != nil:
-		g.end(r, a, out, errors.New("settings refused"))
+		g.end(r, a, out, nil)
 		return res, false, setupError(out.Setup)
 	case out.Rejected:
 		g.dropRejected(r, a, out)
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -32,9 +32,11 @@
 	if err != nil {
 		return res, false, notRun(err)
 	}
-	a, err := g.admit(waiting, r, nil, []gypsumyard.Target{{Instance: m.name, Reason: "primary"}})
+	queued, done := g.whileValid(waiting, g.movedFrom(m))
+	a, err := g.admit(queued, r, nil, []gypsumyard.Target{{Instance: m.name, Reason: "primary"}})
+	done()
 	if err != nil {
-		return res, false, err
+		return res, errors.Is(err, errMoved), err
 	}
 	if !g.stillPrimary(m, term) {
 		g.release(r, &a, false)
@@ -115,7 +117,7 @@
 		err, again = judgeWriteFailure(ctx, out, err)
 		return res, again && g.pauseBeforeRetry(waiting, a.member), err
 	case out.Setup != nil:
-		g.end(r, a, out, errors.New("settings refused"))
+		g.end(r, a, out, nil)
 		return res, false, setupError(out.Setup)
 	case refusedAsReplica(out):
 		g.end(r, a, out, nil)
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,235 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+)
+
+func startGroup(t *testing.T, options ...group.Option) *group.Group {
+	t.Helper()
+	g, err := group.New("appraisal", append([]group.Option{group.WithOpenDelay(0)}, options...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g
+}
+
+func startPool(t *testing.T, g *group.Group, limit int) *Pool {
+	t.Helper()
+	p := NewPool(clock.System(), AddressOf(g.Database("north"), g.Instances()[0].Upstream()), limit, tally.NoopScope)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func batch(t *testing.T, messages ...pgproto3.FrontendMessage) Batch {
+	t.Helper()
+	var buf []byte
+	for _, m := range messages {
+		var err error
+		buf, err = m.Encode(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	b, err := ParseBatch(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func query(t *testing.T, sql string) *Exchange {
+	t.Helper()
+	return &Exchange{
+		Batch:       batch(t, &pgproto3.Query{String: sql}),
+		Reset:       true,
+		Pre:         true,
+		Post:        true,
+		FirstBound:  200 * time.Millisecond,
+		SilentBound: time.Second,
+	}
+}
+
+// Guards against requests that are not one unit: a second Query would make
+// the proxy mistake one answer for another.
+func TestParseBatchRefusesSeveralUnits(t *testing.T) {
+	is := is.New(t)
+	q, err := (&pgproto3.Query{String: "select 1"}).Encode(nil)
+	is.NoErr(err)
+	for _, messages := range [][]byte{nil, append(q, q...), q[:3], append([]byte{'H', 0, 0, 0, 4}, 'X'), {'P', 0, 0, 0, 4}} {
+		_, err := ParseBatch(messages)
+		is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassProtocol)
+	}
+	_, err = ParseBatch([]byte{'F', 0, 0, 0, 4})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotSupported)
+}
+
+// Guards against a status row that is read differently from how it was meant.
+func TestHistoryRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var want gypsumyard.History
+		text := ""
+		for i := range rapid.IntRange(0, 4).Draw(t, "terms") {
+			s := gypsumyard.TermStart{Term: gypsumyard.Term(i + 1), Start: gypsumyard.Offset(rapid.Uint32().Draw(t, "start"))}
+			want = append(want, s)
+			if i > 0 {
+				text += ","
+			}
+			text += fmt.Sprintf("%d:%d", s.Term, s.Start)
+		}
+		got, err := parseHistory(text)
+		if err != nil || fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Fatalf("parseHistory(%q) = %v, %v, want %v", text, got, err, want)
+		}
+	})
+}
+
+// Guards against values and names that break out of a SET statement.
+func TestSetStatementsQuote(t *testing.T) {
+	is := is.New(t)
+	got := setStatements([]gypsumyard.Setting{
+		{Name: "work_mem", Value: "4MB'; drop table rugs; --"},
+		{Name: `a";b`, Value: "1"},
+		{Name: "search_path", Value: `"$user", public`},
+	})
+	is.Equal(got, []string{
+		`SET "a"";b" = '1'`,
+		`SET search_path = '$user', 'public'`,
+		`SET work_mem = '4MB''; drop table rugs; --'`,
+	})
+}
+
+// Guards against a named statement that the connection's next user finds.
+func TestNamedStatementIsDiscarded(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, startGroup(t), 1)
+	for range 3 {
+		c, err := p.Get(t.Context(), false)
+		is.NoErr(err)
+		ex := query(t, "")
+		ex.Batch = batch(t, &pgproto3.Parse{Name: "s1", Query: "select 1"}, &pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+		out, err := c.Run(t.Context(), ex, io.Discard)
+		is.NoErr(err)
+		is.True(out.Failure == nil)
+		is.True(out.Completed && out.Pre != nil && out.Post != nil)
+		p.Put(c)
+	}
+}
+
+// Guards against a late cancel request that hits the connection's next user.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, startGroup(t), 2)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	is.NoErr(c.Cancel(t.Context()))
+	p.Put(c)
+	d, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	is.True(c != d)
+	p.Put(d)
+}
+
+// Guards against a refused connection that looks like a broken one, and
+// against a pool that dials on while the instance refuses.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, group.WithConnections(2))
+	hog := startPool(t, g, 2)
+	for range 2 {
+		_, err := hog.Get(t.Context(), false)
+		is.NoErr(err)
+	}
+	p := startPool(t, g, 5)
+	for range 200 {
+		_, err := p.Get(t.Context(), false)
+		is.True(errors.Is(err, ErrRefused))
+	}
+	is.True(g.Instances()[0].Counters()["open"] < 20)
+}
+
+// Guards against a request on a connection that has gone silent since it was
+// checked, and against connections above the limit.
+func TestCheckedConnection(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	p := startPool(t, g, 2)
+	c, err := p.Get(t.Context(), true)
+	is.NoErr(err)
+	p.Put(c)
+	g.Instances()[0].Silence()
+	time.Sleep(checkedFor)
+	d, err := p.Get(t.Context(), true)
+	is.NoErr(err)
+	out, err := d.Run(t.Context(), query(t, "select 1"), io.Discard)
+	is.NoErr(err)
+	is.True(out.Completed)
+	_, err = p.Get(t.Context(), true)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = p.Get(ctx, true)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	open, used := p.Counts()
+	is.Equal(open, 2)
+	is.Equal(used, 2)
+}
+
+// Guards against a silent connection that counts as not run after the request
+// was sent, and against one closed by the instance that counts as unknown.
+func TestWhatWasSent(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	p := startPool(t, g, 2)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	g.Instances()[0].Silence()
+	out, err := c.Run(t.Context(), query(t, "select 1"), io.Discard)
+	is.True(errors.Is(err, ErrSilent))
+	is.True(out.Sent)
+	p.Discard(c)
+	c, err = p.Get(t.Context(), false)
+	is.NoErr(err)
+	p.Put(c)
+	g.Instances()[0].Kill()
+	time.Sleep(20 * time.Millisecond)
+	_, err = p.Get(t.Context(), false)
+	is.True(err != nil)
+}
+
+// Guards against an answer that reaches the sink although the status before it
+// was refused, and against a held answer that does.
+func TestRejectedAndHeldAnswers(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, startGroup(t), 2)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	big := "select i from generate_series(1, 20000) as s(i)"
+	ex := query(t, big)
+	ex.Check = func(gypsumyard.InstanceStatus) bool { return false }
+	out, err := c.Run(t.Context(), ex, io.Discard)
+	is.NoErr(err)
+	is.True(out.Rejected && !out.Delivered && len(out.Answer) == 0)
+	out, err = c.Run(t.Context(), query(t, big), io.Discard)
+	is.NoErr(err)
+	is.True(out.Delivered)
+	ex = query(t, "select 1; "+big)
+	ex.Hold = true
+	out, err = c.Run(t.Context(), ex, io.Discard)
+	is.NoErr(err)
+	is.True(!out.Delivered && len(out.Answer) > 2*bufferLimit)
+	p.Put(c)
+}
