owner: share one run between identical waiting reads

Cause: clubs check the same readings at once, and each check took a slot.

Change: reads of one customer with the same text, settings and priority that arrive before the first of them is sent get its answer; the status check covers the positions that all of them need.

--- a/internal/owner/failure_test.go
+++ b/internal/owner/failure_test.go
@@ -199,3 +199,37 @@
 	is.Equal(a.text(), "57014")
 	is.True(time.Since(begin) < time.Second)
 }
+
+// Guards against a shared answer that is incomplete, or older than what one of
+// its readers must see.
+func TestIdenticalReadsShareOneRun(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithSlots(1), group.WithStatementCost(20 * time.Millisecond)})
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	before := f.group.Primary().Counters()["select"]
+	var wg sync.WaitGroup
+	for c := range 60 {
+		wg.Go(func() {
+			session := fmt.Sprint("s", c)
+			if c%20 == 7 {
+				w := f.must(session, gypsumyard.StatementWrite, insert(c))
+				r := request(session, gypsumyard.StatementRead, "select count(*) from rugs")
+				r.Position, r.PositionKnown = w.result.Position, true
+				if text := f.run(r).text(); text < "2" {
+					t.Errorf("own write is missing: %q", text)
+				}
+				return
+			}
+			a := f.exec(session, gypsumyard.StatementRead, "select count(*) from rugs")
+			if a.err != nil || !strings.HasSuffix(a.text(), ";SELECT 1") {
+				t.Errorf("answer %q, error %v", a.text(), a.err)
+			}
+		})
+	}
+	wg.Wait()
+	runs := int64(0)
+	for _, in := range f.group.Instances() {
+		runs += in.Counters()["select"]
+	}
+	is.True(runs-before < 40)
+}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -23,6 +23,7 @@
 	router   gypsumyard.Router
 	promoter Promoter
 	shapes   shapes
+	flights  flights
 	// ctx ends all work of the group.
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
--- a/internal/owner/metrics.go
+++ b/internal/owner/metrics.go
@@ -11,6 +11,7 @@
 	readsReplica   tally.Counter
 	readsPrimary   tally.Counter
 	readsRejected  tally.Counter
+	readsShared    tally.Counter
 	writes         tally.Counter
 	unknown        tally.Counter
 	promotions     tally.Counter
@@ -26,6 +27,7 @@
 		readsReplica:   scope.Counter("reads-replica"),
 		readsPrimary:   scope.Counter("reads-primary"),
 		readsRejected:  scope.Counter("reads-rejected"),
+		readsShared:    scope.Counter("reads-shared"),
 		writes:         scope.Counter("writes"),
 		unknown:        scope.Counter("outcome-unknown"),
 		promotions:     scope.Counter("promotions"),
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -26,6 +26,7 @@
 	pollUrgent  time.Duration
 	pollTimeout time.Duration
 	takeover    time.Duration
+	coalesce    bool
 }
 
 // An Option changes how a Service works.
@@ -47,6 +48,7 @@
 		pollUrgent:  2 * time.Millisecond,
 		pollTimeout: 200 * time.Millisecond,
 		takeover:    3 * time.Second,
+		coalesce:    true,
 	}
 	s.instance = func(d gypsumyard.Database, u gypsumyard.Upstream) gypsumyard.Instance {
 		return upstream.NewControl(s.clock, d, u)
@@ -107,3 +109,7 @@
 func WithPollInterval(rest, urgent time.Duration) Option {
 	return func(s *settings) { s.pollEvery, s.pollUrgent = rest, urgent }
 }
+
+// WithCoalescing sets whether identical reads of one customer that wait at the
+// same time are answered by one run. The default is true.
+func WithCoalescing(on bool) Option { return func(s *settings) { s.coalesce = on } }
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -15,6 +15,13 @@
 	bound    bool
 	excluded map[string]bool
 	sink     gypsumyard.ResponseSink
+	// flight is set while identical reads may join this one. joined is what
+	// those that did need, and copy keeps the answer for them.
+	flight *flight
+	joined []gypsumyard.Position
+	copy   *copier
+	// failed tells that the instance answered with an error.
+	failed bool
 }
 
 // read runs a read, or begins a read-only transaction, on an instance that
@@ -26,6 +33,13 @@
 	if err != nil {
 		return res, notRun(err)
 	}
+	res, answered, err := g.share(waiting, s)
+	if answered {
+		return res, err
+	}
+	if s.flight != nil {
+		defer func() { g.flights.land(s.flight, s, res, err) }()
+	}
 	var again bool
 	for range maxAttempts {
 		res, again, err = g.tryRead(ctx, waiting, s)
@@ -54,12 +68,14 @@
 		s.excluded[a.member.name] = true
 		return res, waiting.Err() == nil, notRun(err)
 	}
+	g.depart(s)
 	out, err := g.exchange(ctx, r, &a, &upstream.Exchange{
 		Reset:      true,
 		Pre:        true,
-		Check:      func(st gypsumyard.InstanceStatus) bool { return st.Contains(s.needed) },
+		Check:      s.covers,
 		FirstBound: readFirstBound,
 	}, s.sink)
+	s.failed = out.Failure != nil
 	g.logRead(s, &a, &out)
 	return g.concludeRead(ctx, waiting, s, &a, &out, err)
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -117,7 +117,7 @@
 	}
 	key := c.settings
 	if ex.Reset {
-		key = settingsKey(ex.Settings)
+		key = SettingsKey(ex.Settings)
 	}
 	start := r.encode(key)
 	c.settings = key
@@ -133,7 +133,7 @@
 // of their own.
 func (r *run) prove(ctx context.Context) error {
 	c := r.conn
-	key := settingsKey(r.ex.Settings)
+	key := SettingsKey(r.ex.Settings)
 	if !r.ex.Reset || key == "" || c.proven.has(key) {
 		return nil
 	}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -24,6 +24,10 @@
 // their command tag does not show it.
 var sessionWords = [][]byte{[]byte("set_config"), []byte("advisory"), []byte("temp")}
 
+// LeavesState reports whether the request may leave state on the connection
+// that its command tags do not show.
+func (b Batch) LeavesState() bool { return b.leavesState }
+
 // ParseBatch checks that the messages are one unit: exactly one Query, or
 // extended messages that end with Sync. It keeps the slice.
 func ParseBatch(messages []byte) (s Batch, err error) {
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -26,8 +26,8 @@
 	return out
 }
 
-// settingsKey identifies a set of settings. Equal keys mean equal settings.
-func settingsKey(settings []gypsumyard.Setting) string {
+// SettingsKey identifies a set of settings. Equal keys mean equal settings.
+func SettingsKey(settings []gypsumyard.Setting) string {
 	if len(settings) == 0 {
 		return ""
 	}
