caller: bound what callers can hold

Cause: text, batches and connections of hostile callers could take memory and time without bound: the lexer was quadratic on long numbers and on continued strings, and recursed into nested strings without limit.

Change: linear lexer with limits on tokens, statements and nesting; batches, rewritten batches and prepared statements count against the budget of the host; callers that are not authenticated get a small buffer.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -26,7 +26,7 @@
 	discardBound = 16 * mib
 	// lingerTime is how long a connection stays open after the last message,
 	// so that a reset does not overtake it.
-	lingerTime = time.Second
+	lingerTime = 250 * time.Millisecond
 )
 
 var (
@@ -93,7 +93,7 @@
 		socket:    socket,
 		clock:     s.clock,
 		budget:    &s.budget,
-		bound:     s.limits.ConnectionBuffer,
+		bound:     min(startupBuffer, s.limits.ConnectionBuffer),
 		writeTime: s.limits.Write,
 		stop:      s.stopping,
 		arrived:   make(chan struct{}, 1),
@@ -210,6 +210,13 @@
 	return 0, nil
 }
 
+// setBound changes how much the caller may send ahead.
+func (c *conn) setBound(bound int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bound = bound
+}
+
 // pauseReading tells the data callback that the session does not read now.
 func (c *conn) pauseReading() {
 	c.mu.Lock()
--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -59,6 +59,9 @@
 	if x.skipping {
 		return nil
 	}
+	if !x.frames.charge(messageOverhead) {
+		return errOverflow
+	}
 	if x.frames.held > x.server.limits.Batch {
 		return refusal(stateTooMuch, "extended batch of over %d bytes", x.server.limits.Batch)
 	}
@@ -244,6 +247,9 @@
 		if err := w.add(&messages[i]); err != nil {
 			return nil, nil, err
 		}
+		if len(w.out) > x.server.limits.Batch {
+			return nil, nil, refusal(stateTooMuch, "extended batch of over %d bytes with its prepared statements", x.server.limits.Batch)
+		}
 	}
 	out, err = (&pgproto3.Sync{}).Encode(w.out)
 	return out, w.ops, err
--- a/internal/caller/frame.go
+++ b/internal/caller/frame.go
@@ -38,6 +38,15 @@
 	r.held = 0
 }
 
+// charge counts n further bytes that belong to the messages held.
+func (r *frameReader) charge(n int) bool {
+	if !r.budget.take(n) {
+		return false
+	}
+	r.held += n
+	return true
+}
+
 // read returns the next message of at most limit bytes.
 func (r *frameReader) read(limit int) (frame, error) {
 	var header [headerLen]byte
@@ -74,10 +83,9 @@
 	copy(data, prefix)
 	for n > 0 {
 		piece := min(n, readPiece)
-		if !r.budget.take(piece) {
+		if !r.charge(piece) {
 			return nil, errOverflow
 		}
-		r.held += piece
 		start := len(data)
 		data = append(data, make([]byte, piece)...)
 		if _, err := io.ReadFull(r.in, data[start:]); err != nil {
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -14,11 +14,13 @@
 	// its session has read.
 	ConnectionBuffer int
 	// TotalBuffer bounds the bytes received and not yet answered of all
-	// connections together.
+	// connections together, and their prepared statements.
 	TotalBuffer int
-	// Message is the longest message, Batch the longest extended batch.
+	// Message is the longest message.
 	Message int
-	Batch   int
+	// Batch is the longest extended batch, counting messageOverhead for each
+	// message.
+	Batch int
 	// Statements and StatementBytes bound the prepared statements of a session.
 	Statements     int
 	StatementBytes int
@@ -37,6 +39,11 @@
 const (
 	kib = 1 << 10
 	mib = 1 << 20
+
+	// messageOverhead is what a decoded message takes beyond its bytes.
+	messageOverhead = 256
+	// startupBuffer is the ConnectionBuffer of a caller that is not known yet.
+	startupBuffer = 16 * kib
 )
 
 func defaultLimits() Limits {
@@ -44,7 +51,7 @@
 		ConnectionBuffer: mib,
 		TotalBuffer:      256 * mib,
 		Message:          16 * mib,
-		Batch:            32 * mib,
+		Batch:            64 * mib,
 		Statements:       1000,
 		StatementBytes:   4 * mib,
 		Settings:         100,
--- a/internal/caller/prepared.go
+++ b/internal/caller/prepared.go
@@ -33,6 +33,7 @@
 // empty name is the unnamed statement.
 type preparedStore struct {
 	limits *Limits
+	budget *budget
 	byName map[string]*prepared
 	bytes  int
 }
@@ -42,6 +43,9 @@
 // fits reports whether p and n further statements of the given bytes may be
 // kept.
 func (s *preparedStore) fits(p *prepared, n, bytes int) bool {
+	if s.budget.used.Load()+int64(bytes+p.size()) > s.budget.limit {
+		return false
+	}
 	return len(s.byName)+n < s.limits.Statements && s.bytes+bytes+p.size() <= s.limits.StatementBytes
 }
 
@@ -52,16 +56,19 @@
 	}
 	s.byName[p.name] = p
 	s.bytes += p.size()
+	s.budget.give(-p.size())
 }
 
 func (s *preparedStore) remove(name string) {
 	if p, ok := s.byName[name]; ok {
 		s.bytes -= p.size()
+		s.budget.give(p.size())
 		delete(s.byName, name)
 	}
 }
 
 func (s *preparedStore) clear() {
+	s.budget.give(s.bytes)
 	s.byName = nil
 	s.bytes = 0
 }
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -91,6 +91,7 @@
 		}
 	}()
 	defer x.frames.release()
+	defer x.prepared.clear()
 	if err := x.begin(); err != nil {
 		return !hasLeft(err)
 	}
@@ -122,7 +123,7 @@
 		id:         gypsumyard.SessionID(s.membership.Self().Name + "-" + hex.EncodeToString(id)),
 		began:      s.clock.Now(),
 		settings:   settings{},
-		prepared:   preparedStore{limits: &s.limits},
+		prepared:   preparedStore{limits: &s.limits, budget: &s.budget},
 		tx:         transaction{status: statusIdle},
 		repeatable: true,
 	}
@@ -144,11 +145,14 @@
 	defer timer.Stop()
 	x.conn.deadline = timer.C()
 	x.conn.onDeadline = errStartup
+	x.conn.interrupt = x.server.draining
+	x.conn.onInterrupt = func() error { return shuttingDown() }
 	err := x.start()
 	if err == nil {
 		err = x.server.openSession(x.customer)
 	}
 	x.conn.deadline = nil
+	x.conn.setBound(x.server.limits.ConnectionBuffer)
 	if err != nil {
 		x.sayFatal(err)
 		x.server.log.WithError(err).WithField("remote", x.conn.socket.RemoteAddr().String()).Info("no session started")
--- a/internal/caller/settings.go
+++ b/internal/caller/settings.go
@@ -13,8 +13,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// maxSettingBytes bounds the value of one setting.
-const maxSettingBytes = 8 * kib
+// maxSettingBytes bounds the name and the value of one setting.
+const maxSettingBytes = kib
 
 // settings are the parameters that a session has set, by name in lower case.
 type settings map[string]string
--- a/internal/caller/unit.go
+++ b/internal/caller/unit.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"errors"
+
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/sqltext"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -140,8 +142,12 @@
 	} else {
 		messages, a.ops, err = x.rewrite(u.messages)
 	}
-	if err != nil {
-		return false, gypsumyard.Errorf(gypsumyard.ClassProtocol, "cannot encode a request: %v", err)
+	var e *gypsumyard.Error
+	if err != nil && !errors.As(err, &e) {
+		e = gypsumyard.Errorf(gypsumyard.ClassProtocol, "cannot encode a request: %w", err)
+	}
+	if e != nil {
+		return false, x.refuse(e)
 	}
 	r := x.newRequest(class, messages)
 	describe(r, u.statements)
--- a/internal/sqltext/classify.go
+++ b/internal/sqltext/classify.go
@@ -151,14 +151,21 @@
 // blockKeepsState looks into the strings of a DO statement.
 func blockKeepsState(tokens []token) bool {
 	for _, t := range tokens {
-		if t.kind == tokenString && bodyKeepsState(t.text) {
+		if t.kind == tokenString && bodyKeepsState(t.text, 0) {
 			return true
 		}
 	}
 	return false
 }
 
-func bodyKeepsState(body string) bool {
+// maxNesting bounds how deep strings within strings are looked into. Deeper
+// ones are refused.
+const maxNesting = 8
+
+func bodyKeepsState(body string, depth int) bool {
+	if depth > maxNesting {
+		return true
+	}
 	l := lexer{src: body}
 	var tokens []token
 	for t := l.next(); t.kind != tokenEnd; t = l.next() {
@@ -169,7 +176,7 @@
 		if starts && t.is("set", "reset", "listen", "notify", "prepare", "load", "discard") {
 			return true
 		}
-		if t.kind == tokenString && bodyKeepsState(t.text) {
+		if t.kind == tokenString && bodyKeepsState(t.text, depth+1) {
 			return true
 		}
 	}
--- a/internal/sqltext/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -138,7 +138,7 @@
 	case c == '\'':
 		return l.quoted(false)
 	case c == '"':
-		return tokenQuoted, l.delimited('"')
+		return tokenQuoted, l.quotedName()
 	case (c == 'e' || c == 'E') && n == '\'':
 		l.pos++
 		return l.quoted(true)
@@ -173,11 +173,11 @@
 
 func (l *lexer) number() string {
 	start := l.pos
+	hex := l.src[start] == '0' && l.at(start+1)|0x20 == 'x'
 	for l.pos < len(l.src) {
 		c := l.src[l.pos]
-		exponent := (c == '+' || c == '-') && l.pos > start && (l.src[l.pos-1]|0x20) == 'e' && isDigit(l.at(l.pos+1))
-		hex := l.pos > start && strings.HasPrefix(strings.ToLower(l.src[start:l.pos]), "0x")
-		if !isIdentPart(c) && c != '.' && (!exponent || hex) {
+		exponent := !hex && (c == '+' || c == '-') && l.src[l.pos-1]|0x20 == 'e' && isDigit(l.at(l.pos+1))
+		if !isIdentPart(c) && c != '.' && !exponent {
 			break
 		}
 		l.pos++
@@ -187,44 +187,47 @@
 
 // delimited reads a text in which the delimiter is written twice to stand for
 // itself. Backslashes have no meaning.
-func (l *lexer) delimited(delim byte) string {
+func (l *lexer) delimited(b *strings.Builder, delim byte) {
 	l.pos++
-	var b strings.Builder
 	for l.pos < len(l.src) {
 		c := l.src[l.pos]
 		l.pos++
 		if c == delim {
 			if l.at(l.pos) != delim {
-				return b.String()
+				return
 			}
 			l.pos++
 		}
 		b.WriteByte(c)
 	}
 	l.broken = true
+}
+
+func (l *lexer) quotedName() string {
+	var b strings.Builder
+	l.delimited(&b, '"')
 	return b.String()
 }
 
 // quoted reads a string constant with its continuations on later lines.
 func (l *lexer) quoted(escapes bool) (tokenKind, string) {
-	var text string
+	var b strings.Builder
 	for {
 		if escapes {
-			text += l.escaped()
+			l.escaped(&b)
 		} else {
-			text += l.delimited('\'')
+			l.delimited(&b, '\'')
 		}
 		if !l.continues() {
-			return tokenString, text
+			return tokenString, b.String()
 		}
 	}
 }
 
 // escaped reads one part of a string constant with backslash escapes. Escapes
 // keep the character after the backslash; no classified value depends on more.
-func (l *lexer) escaped() string {
+func (l *lexer) escaped(b *strings.Builder) {
 	l.pos++
-	var b strings.Builder
 	for l.pos < len(l.src) {
 		c := l.src[l.pos]
 		l.pos++
@@ -233,7 +236,7 @@
 			b.WriteByte(l.src[l.pos])
 			l.pos++
 		case c == '\'' && l.at(l.pos) != '\'':
-			return b.String()
+			return
 		case c == '\'':
 			b.WriteByte(c)
 			l.pos++
@@ -242,7 +245,6 @@
 		}
 	}
 	l.broken = true
-	return b.String()
 }
 
 // continues moves to the next part of a string constant, if white space with a
@@ -273,7 +275,7 @@
 func (l *lexer) unicode() (tokenKind, string) {
 	l.pos += 2
 	if l.src[l.pos] == '"' {
-		return tokenQuoted, "U&" + l.delimited('"')
+		return tokenQuoted, "U&" + l.quotedName()
 	}
 	return l.quoted(false)
 }
--- a/internal/sqltext/statement.go
+++ b/internal/sqltext/statement.go
@@ -36,6 +36,13 @@
 	KindRefused
 )
 
+const (
+	// maxTokens and maxStatements bound the memory that a query string of the
+	// largest size takes while it is read.
+	maxTokens     = 500_000
+	maxStatements = 10_000
+)
+
 // ProxyPrefix begins the names of the parameters that the proxy handles.
 const ProxyPrefix = "gypsumyard."
 
@@ -84,6 +91,10 @@
 		if s.Kind != KindEmpty {
 			statements = append(statements, s)
 		}
+		if len(statements) > maxStatements {
+			s.refuse("query string of more than 10000 statements")
+			return []Statement{s}
+		}
 	}
 	if len(statements) == 0 {
 		return []Statement{{Text: sql, Kind: KindEmpty, Class: gypsumyard.StatementRead}}
@@ -98,11 +109,16 @@
 	l.comments = nil
 	l.broken = false
 	var tokens []token
-	depth, atomic := 0, 0
+	depth, atomic, tooLong := 0, 0, false
 	for {
 		t := l.next()
 		switch {
 		case t.kind == tokenEnd, t.punct(";") && depth <= 0 && atomic == 0:
+			if tooLong {
+				s := Statement{Text: l.src[start:t.start], Class: gypsumyard.StatementWrite}
+				s.refuse("statement of more than 500000 tokens")
+				return s
+			}
 			return build(l, start, t.start, tokens)
 		case t.punct("("):
 			depth++
@@ -111,7 +127,9 @@
 		default:
 			atomic = atomicDepth(atomic, tokens, t)
 		}
-		tokens = append(tokens, t)
+		if tooLong = tooLong || len(tokens) == maxTokens; !tooLong {
+			tokens = append(tokens, t)
+		}
 	}
 }
 
