--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
@@ -47,3 +48,24 @@
 func BenchmarkWrite(b *testing.B) {
 	benchmark(b, request("s", gypsumyard.StatementWrite, "update rugs set knots = 2 where id = 1"))
 }
+
+// BenchmarkFailover measures how long writes stall when the primary dies, from
+// the kill to the next acknowledged write.
+func BenchmarkFailover(b *testing.B) {
+	f := start(b, []group.Option{group.WithRoundTrip(2 * time.Millisecond), group.WithLag(2*time.Millisecond, time.Millisecond)}, withPromoter())
+	for i := range b.N {
+		f.must("s", gypsumyard.StatementWrite, insert(2*i))
+		dead := f.group.Primary()
+		b.StartTimer()
+		dead.Kill()
+		f.must("s", gypsumyard.StatementWrite, insert(2*i+1))
+		b.StopTimer()
+		if err := dead.Restart(); err != nil {
+			b.Fatal(err)
+		}
+		eventually(b, "former primary follows", func() bool {
+			p, s := f.group.Primary(), dead.Status()
+			return p != nil && s.Contains(p.Status().Applied)
+		})
+	}
+}
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -90,6 +90,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(g.Close)
+	f := serve(t, g, options...)
+	f.must("setup", gypsumyard.StatementWrite, "create table rugs (id int8 primary key, knots int8)")
+	return f
+}
+
+// serve starts one more service that believes to own the group.
+func serve(t testing.TB, g *group.Group, options ...owner.Option) *fixture {
+	t.Helper()
 	f := &fixture{t: t, group: g}
 	newView := func(name string) *view {
 		return &view{name: name, db: g.Database("north"), owner: "host-1", changes: make(chan struct{}), done: closed()}
@@ -109,7 +117,6 @@
 		defer cancel()
 		_ = f.service.Stop(ctx)
 	})
-	f.must("setup", gypsumyard.StatementWrite, "create table rugs (id int8 primary key, knots int8)")
 	return f
 }
 
