--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -23,6 +23,7 @@
 	router   gypsumyard.Router
 	promoter Promoter
 	shapes   shapes
+	flights  flights
 	// ctx ends all work of the group.
 	ctx       context.Context
 	cancel    context.CancelCauseFunc
@@ -264,61 +265,3 @@
 	}
 	return at
 }
-
-// A waiter waits for a change of what the group knows.
-type waiter struct {
-	check func() bool
-	done  chan struct{}
-}
-
-// await waits until check, which is called with the lock held, returns true.
-// While it waits the instances are polled often.
-func (g *group) await(ctx context.Context, check func() bool) error {
-	g.mu.Lock()
-	if check() {
-		g.mu.Unlock()
-		return nil
-	}
-	w := &waiter{check: check, done: make(chan struct{})}
-	g.waiters = append(g.waiters, w)
-	g.urgent++
-	for _, m := range g.members {
-		m.poke()
-	}
-	g.mu.Unlock()
-	select {
-	case <-w.done:
-		return nil
-	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.removeWaiter(w)
-	return context.Cause(ctx)
-}
-
-func (g *group) removeWaiter(w *waiter) {
-	for i, o := range g.waiters {
-		if o == w {
-			g.waiters = append(g.waiters[:i], g.waiters[i+1:]...)
-			g.urgent--
-			return
-		}
-	}
-}
-
-// afterChange releases the waiters whose condition holds. It is called with
-// the lock held.
-func (g *group) afterChange() {
-	rest := g.waiters[:0]
-	for _, w := range g.waiters {
-		if !w.check() {
-			rest = append(rest, w)
-			continue
-		}
-		g.urgent--
-		close(w.done)
-	}
-	clear(g.waiters[len(rest):])
-	g.waiters = rest
-}
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -15,6 +15,13 @@
 	bound    bool
 	excluded map[string]bool
 	sink     gypsumyard.ResponseSink
+	// flight is set while identical reads may join this one. joined is what
+	// those that did need, and copy keeps the answer for them.
+	flight *flight
+	joined []gypsumyard.Position
+	copy   *copier
+	// failed tells that the instance answered with an error.
+	failed bool
 }
 
 // read runs a read, or begins a read-only transaction, on an instance that
@@ -26,6 +33,13 @@
 	if err != nil {
 		return res, notRun(err)
 	}
+	res, answered, err := g.share(waiting, s)
+	if answered {
+		return res, err
+	}
+	if s.flight != nil {
+		defer func() { g.flights.land(s.flight, s, res, err) }()
+	}
 	var again bool
 	for range maxAttempts {
 		res, again, err = g.tryRead(ctx, waiting, s)
@@ -43,21 +57,25 @@
 	if err != nil {
 		return res, false, notRun(err)
 	}
-	a, err := g.admit(waiting, r, nil, targets)
+	queued, done := g.whileValid(waiting, g.noneUsable(targets))
+	a, err := g.admit(queued, r, nil, targets)
+	done()
 	if err != nil {
-		return res, false, err
+		return res, errors.Is(err, errMoved), err
 	}
 	if err := g.connect(waiting, r, &a); err != nil {
 		g.release(r, &a, false)
 		s.excluded[a.member.name] = true
 		return res, waiting.Err() == nil, notRun(err)
 	}
+	g.depart(s)
 	out, err := g.exchange(ctx, r, &a, &upstream.Exchange{
 		Reset:      true,
 		Pre:        true,
-		Check:      func(st gypsumyard.InstanceStatus) bool { return st.Contains(s.needed) },
+		Check:      s.covers,
 		FirstBound: readFirstBound,
 	}, s.sink)
+	s.failed = out.Failure != nil
 	g.logRead(s, &a, &out)
 	return g.concludeRead(ctx, waiting, s, &a, &out, err)
 }
@@ -89,7 +107,7 @@
 		again, err = g.judgeReadFailure(ctx, r, out, err)
 		return res, again, err
 	case out.Setup != nil:
-		g.end(r, a, out, errors.New("settings refused"))
+		g.end(r, a, out, nil)
 		return res, false, setupError(out.Setup)
 	case out.Rejected:
 		g.dropRejected(r, a, out)
