member: membership table with heartbeats, gossip and rendezvous ownership

Hosts need one view of who is alive and who owns a database, without calls to the store.

Conclusion: scripted failures and the differential test of ownership pass.

--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,286 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// naiveOwner is the definition of rendezvous hashing, without any cache.
+func naiveOwner(hosts []gypsumyard.Host, region, database string) (owner gypsumyard.Host, ok bool) {
+	var best uint64
+	for _, h := range hosts {
+		if h.Region != region || h.State != gypsumyard.HostLive {
+			continue
+		}
+		w := weight(hashName(h.Name), hashName(database))
+		if !ok || w > best || w == best && h.Name < owner.Name {
+			owner, best, ok = h, w, true
+		}
+	}
+	return owner, ok
+}
+
+// Guards against a cache or an incremental view that gives another owner than
+// the definition.
+func TestOwnerMatchesNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newNetwork(1)
+		d := w.nodes[0]
+		d.lists = &databases{map[string]string{}}
+		d.start()
+		hosts := map[string]gypsumyard.Host{d.host.Name: d.table.Self()}
+		t.Repeat(map[string]func(*rapid.T){
+			"host": func(t *rapid.T) {
+				h := gypsumyard.Host{
+					Name:   fmt.Sprint("h", rapid.IntRange(0, 20).Draw(t, "host")),
+					Addr:   d.host.Addr,
+					Region: rapid.SampledFrom([]string{"r", "q"}).Draw(t, "region"),
+					State:  rapid.SampledFrom([]gypsumyard.HostState{gypsumyard.HostLive, gypsumyard.HostLeaving, gypsumyard.HostDead}).Draw(t, "state"),
+				}
+				r := record{host: h, incarnation: uint64(len(w.events)) + uint64(d.table.sequence)}
+				d.table.sequence += 2
+				r.state = map[gypsumyard.HostState]peerpb.MemberState{gypsumyard.HostLive: 0, gypsumyard.HostLeaving: 1, gypsumyard.HostDead: 3}[h.State]
+				r.host.State = ""
+				d.table.merge(r.update())
+				hosts[h.Name] = h
+			},
+			"database": func(t *rapid.T) {
+				name := fmt.Sprint("db", rapid.IntRange(0, 50).Draw(t, "database"))
+				d.lists.regions[name] = rapid.SampledFrom([]string{"r", "q", "none"}).Draw(t, "region")
+			},
+			"": func(t *rapid.T) {
+				var all []gypsumyard.Host
+				for _, h := range hosts {
+					all = append(all, h)
+				}
+				for i := range 52 {
+					name := fmt.Sprint("db", i)
+					got, gotOK := d.table.Owner(name)
+					region, known := d.lists.regions[name]
+					want, ok := naiveOwner(all, region, name)
+					if gotOK != (ok && known) || gotOK && got.Name != want.Name {
+						t.Fatalf("owner of %s: %v %v, want %v %v", name, got, gotOK, want, ok && known)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against ownership that moves between hosts which did not change, and
+// against an uneven spread.
+func TestMinimalDisruption(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(9)
+	l := &databases{map[string]string{}}
+	for i := range 3000 {
+		l.regions[fmt.Sprint("db", i)] = "r"
+	}
+	w.nodes[0].lists = l
+	w.startAll()
+	w.run(time.Second)
+	before := map[string]string{}
+	count := map[string]int{}
+	for db := range l.regions {
+		o, ok := w.nodes[0].table.Owner(db)
+		is.True(ok)
+		before[db] = o.Name
+		count[o.Name]++
+	}
+	for _, n := range count {
+		is.True(n > 230 && n < 440) // 333 expected, standard deviation 17
+	}
+	w.nodes[4].dead = true
+	w.run(3 * time.Second)
+	for db, old := range before {
+		o, ok := w.nodes[0].table.Owner(db)
+		is.True(ok)
+		is.True(o.Name != "host-004")
+		is.True(old == "host-004" || o.Name == old)
+	}
+}
+
+// Guards against a dead host that stays in the view for longer than 2 s.
+func TestDeadHost(t *testing.T) {
+	w := newNetwork(9)
+	w.startAll()
+	w.run(2 * time.Second)
+	w.nodes[3].dead = true
+	took := w.untilAll(t, 2*time.Second, "host dead", func(d *node) bool { return d.sees(w.nodes[3]) == gypsumyard.HostDead })
+	t.Logf("dead after %s", took)
+	w.nodes[3].start()
+	w.untilAll(t, 2*time.Second, "restarted host live", func(d *node) bool { return d.sees(w.nodes[3]) == gypsumyard.HostLive })
+}
+
+// Guards against a broken path between two hosts that makes either one dead.
+func TestBrokenPath(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(5)
+	w.startAll()
+	w.run(2 * time.Second)
+	w.blocked = func(a, b *node) bool { return a.index+b.index == 1 } // hosts 0 and 1
+	incarnation := w.nodes[1].table.self.incarnation
+	for range 500 {
+		w.run(20 * time.Millisecond)
+		for _, d := range w.nodes {
+			for _, o := range w.nodes {
+				is.True(d.sees(o) != gypsumyard.HostDead)
+			}
+		}
+	}
+	is.True(w.nodes[1].table.self.incarnation <= incarnation+2) // suspicions are not repeated
+}
+
+// Guards against sides of a partition that do not find each other again, and
+// against hosts that stay dead although they refute it.
+func TestPartitionHeals(t *testing.T) {
+	for _, n := range []int{9, 40} {
+		w := newNetwork(n)
+		w.startAll()
+		w.run(3 * time.Second)
+		w.blocked = func(a, b *node) bool { return (a.index < n/3) != (b.index < n/3) }
+		w.untilAll(t, 10*time.Second, "other side dead", func(d *node) bool {
+			return len(d.table.Hosts()) == n/3 || len(d.table.Hosts()) == n-n/3
+		})
+		w.blocked = func(_, _ *node) bool { return false }
+		took := w.untilAll(t, 30*time.Second, "partition healed", func(d *node) bool { return d.allLive(n) })
+		t.Logf("%d hosts: healed after %s", n, took)
+	}
+}
+
+func (d *node) allLive(n int) bool {
+	hosts := d.table.Hosts()
+	if len(hosts) != n {
+		return false
+	}
+	for _, h := range hosts {
+		if h.State != gypsumyard.HostLive {
+			return false
+		}
+	}
+	return true
+}
+
+// Guards against a paused host that trusts its old view or blames the others
+// for its own silence, and against one that is not taken back.
+func TestPausedHost(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(9)
+	w.startAll()
+	w.run(2 * time.Second)
+	p := w.nodes[2]
+	is.True(p.table.Fresh())
+	p.paused = true
+	w.run(5 * time.Second)
+	is.Equal(w.nodes[0].sees(p), gypsumyard.HostDead)
+	is.True(!p.table.Fresh()) // even before its first tick
+	p.resume()
+	is.True(!p.table.Fresh()) // answers to old heartbeats prove nothing
+	for _, o := range w.nodes {
+		is.Equal(p.sees(o), gypsumyard.HostLive)
+	}
+	w.run(10 * time.Millisecond)
+	is.True(p.table.Fresh())
+	w.untilAll(t, 2*time.Second, "paused host is back", func(d *node) bool { return d.sees(p) == gypsumyard.HostLive })
+	since, ok := p.table.FreshSince()
+	is.True(ok && w.clock.Since(since) < 3*time.Second)
+}
+
+// Guards against a lone host that waits for others for ever.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(2)
+	w.nodes[0].start()
+	is.True(!w.nodes[0].table.Fresh())
+	w.run(3 * time.Second)
+	is.True(w.nodes[0].table.Fresh()) // the other one is dead
+	w.nodes[0].paused = true
+	w.run(3 * time.Second)
+	w.nodes[0].resume()
+	is.True(w.nodes[0].table.Fresh())
+}
+
+// Guards against loss that makes hosts dead.
+func TestLoss(t *testing.T) {
+	w := newNetwork(9)
+	w.loss = 0.1
+	w.startAll()
+	w.run(2 * time.Second)
+	for range 1000 {
+		w.run(20 * time.Millisecond)
+		for _, d := range w.nodes {
+			if len(d.table.Hosts()) != 9 {
+				t.Fatalf("%s sees %d hosts", d.host.Name, len(d.table.Hosts()))
+			}
+		}
+	}
+}
+
+// Guards against a leaving host that still gets ownership, and one that left
+// and is waited for.
+func TestAnnounce(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(9)
+	for _, d := range w.nodes {
+		d.lists = &databases{map[string]string{"db": "r"}}
+	}
+	w.startAll()
+	w.run(2 * time.Second)
+	o, _ := w.nodes[0].table.Owner("db")
+	owner := w.byAddr[o.Addr]
+	changes := w.nodes[0].table.Changes()
+	owner.table.Announce(gypsumyard.HostLeaving)
+	w.run(10 * time.Millisecond)
+	<-changes
+	for _, d := range w.nodes {
+		is.Equal(d.sees(owner), gypsumyard.HostLeaving)
+		next, ok := d.table.Owner("db")
+		is.True(ok && next.Name != o.Name)
+	}
+	owner.table.Announce(gypsumyard.HostDead)
+	w.run(10 * time.Millisecond)
+	for _, d := range w.nodes {
+		is.True(d == owner || d.sees(owner) == gypsumyard.HostDead)
+	}
+}
+
+// Guards against a start that depends on the platform.
+func TestSeedsWithoutPlatform(t *testing.T) {
+	w := newNetwork(20)
+	for _, d := range w.nodes {
+		d.listErr = errPlatform
+		d.start(WithSeeds(w.nodes[7].host.Addr, w.nodes[8].host.Addr))
+	}
+	took := w.untilAll(t, 10*time.Second, "all hosts live", func(d *node) bool { return d.allLive(20) })
+	t.Logf("20 hosts with two seeds: complete after %s", took)
+}
+
+// Guards against a listed host that never started and owns databases, and a
+// host that the list calls leaving and that takes new ones.
+func TestPlatformList(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(9)
+	for _, d := range w.nodes[:8] {
+		d.start()
+	}
+	w.run(3 * time.Second)
+	for _, d := range w.nodes[:8] {
+		is.Equal(d.sees(w.nodes[8]), gypsumyard.HostDead)
+	}
+	w.run(listLag)
+	list := append([]gypsumyard.Host(nil), w.nodes[0].list...)
+	list[3].State = gypsumyard.HostLeaving
+	for _, d := range w.nodes {
+		d.list = list
+	}
+	w.run(pollInterval + time.Second)
+	for _, d := range w.nodes[:8] {
+		is.Equal(d.sees(w.nodes[3]), gypsumyard.HostLeaving)
+	}
+}
