--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -251,7 +251,6 @@
 // compareDigest fetches the sender's table if the tables differ for long, which
 // means that an update was lost, and once after the start.
 func (s *Service) compareDigest(m *peerpb.Members, now time.Time) []outgoing {
-	s.refresh()
 	if m.Digest == s.digest {
 		s.differs = time.Time{}
 		return nil
