owner, site: stop once; a stopped host is cut off

Cause: draining a host stopped its owner twice, which closed a channel twice; a host stopped by a scenario finished its requests first, unlike a crash. Change: the owner stops once; site.StopHost gives no time.

--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -35,6 +35,7 @@
 	// since.
 	stale    bool
 	stopping bool
+	stopOnce sync.Once
 }
 
 var (
@@ -86,8 +87,14 @@
 }
 
 // Stop refuses new requests and waits until those in flight and the open
-// transactions have ended. What is left when ctx is done is cut off.
-func (s *Service) Stop(ctx context.Context) error {
+// transactions have ended. What is left when ctx is done is cut off. Only the
+// first call has an effect: a drained host stops its services once more.
+func (s *Service) Stop(ctx context.Context) (err error) {
+	s.stopOnce.Do(func() { err = s.stop(ctx) })
+	return err
+}
+
+func (s *Service) stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
 	groups := s.all()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -326,7 +326,11 @@
 	if h == nil {
 		return fmt.Errorf("no host %q runs", name)
 	}
-	return h.Stop(ctx)
+	// With a context that is done, services cut off what they are doing.
+	ctx, cancel := context.WithCancel(ctx)
+	cancel()
+	_ = h.Stop(ctx)
+	return nil
 }
 
 // DrainHost shuts a host down gracefully and forgets it.
