--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -174,7 +174,7 @@
 
 // runOf turns a journal entry into a run of the history.
 func runOf(e group.Entry) history.Run {
-	run := history.Run{Instance: e.Instance, Transaction: e.Transaction, Start: e.Start, End: e.End}
+	run := history.Run{Instance: e.Instance, Transaction: e.Transaction, Used: e.SlotTime, End: e.End}
 	if _, rest, ok := strings.Cut(e.Statement, customerMark); ok {
 		run.Customer, _, _ = strings.Cut(rest, " ")
 	}
@@ -218,7 +218,7 @@
 func (r *run) shares(database string, h *history.History) (list []ShareResult) {
 	used := map[string]time.Duration{}
 	for _, e := range h.Runs {
-		used[e.Customer] += e.End.Sub(e.Start)
+		used[e.Customer] += e.Used
 	}
 	capacity := r.options.Duration.Seconds() * r.slots(database)
 	for _, c := range r.deployment.Customers {
--- a/internal/emulate/group/journal.go
+++ b/internal/emulate/group/journal.go
@@ -22,6 +22,8 @@
 	Params      []string  `json:"params,omitempty"`
 	Start       time.Time `json:"start"`
 	End         time.Time `json:"end"`
+	// SlotTime is how long the statement held an execution slot.
+	SlotTime time.Duration `json:"slot-time-ns"`
 	// Seen is the position that the statement saw.
 	Seen gypsumyard.Position `json:"seen"`
 	// Committed tells that the statement's transaction was committed on the
--- a/internal/emulate/group/session.go
+++ b/internal/emulate/group/session.go
@@ -38,6 +38,9 @@
 	statements map[string]*prepared
 	portals    map[string]*portal
 	hasSlot    bool
+	slotSince  time.Time
+	// slotTime is how long the current statement has held a slot so far.
+	slotTime time.Duration
 
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc
@@ -329,7 +332,7 @@
 	if err := s.instance.slots.Acquire(ctx, 1); err != nil {
 		return context.Cause(ctx)
 	}
-	s.hasSlot = true
+	s.hasSlot, s.slotSince = true, s.instance.clock.Now()
 	return nil
 }
 
@@ -337,6 +340,7 @@
 	if s.hasSlot {
 		s.instance.slots.Release(1)
 		s.hasSlot = false
+		s.slotTime += s.instance.clock.Since(s.slotSince)
 	}
 }
 
--- a/internal/emulate/group/statement.go
+++ b/internal/emulate/group/statement.go
@@ -57,6 +57,7 @@
 		kind = "control"
 	} else {
 		o.entry = s.newEntry(p, params)
+		s.slotTime = 0
 		if err := s.occupy(o.ctx, p); err != nil {
 			return err
 		}
@@ -127,7 +128,7 @@
 	if o.entry == nil {
 		return
 	}
-	o.entry.End = s.instance.clock.Now()
+	o.entry.End, o.entry.SlotTime = s.instance.clock.Now(), s.slotTime
 	if err != nil {
 		o.entry.Error = sqlError(err).Code
 	}
--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -151,7 +151,7 @@
 			drained := time.Duration(rate * float64(r.End.Sub(runs[i-1].End)))
 			debt = max(0, debt-drained)
 		}
-		debt += r.End.Sub(r.Start)
+		debt += r.Used
 		excess = max(excess, debt-burst)
 	}
 	return excess, excess <= 0
--- a/internal/history/events.go
+++ b/internal/history/events.go
@@ -66,8 +66,9 @@
 	// Tag is that of the request, empty if the statement has none.
 	Tag      string
 	Customer string
-	Start    time.Time
-	End      time.Time
+	// Used is the slot time of the statement, charged at End.
+	Used time.Duration
+	End  time.Time
 }
 
 // A ListVersion is the version of a list object that a host had in force.
