--- a/cmd/gypsumyard/main.go
+++ b/cmd/gypsumyard/main.go
@@ -51,6 +51,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			devCommand(),
+			emulateCommand(),
 			benchCommand(),
 			checkCommand(),
 			plansCommand(),
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,9 @@
 	adjust      func(*config.Settings)
 	log         config.Log
 	journal     int
+	platform    netip.AddrPort
+	control     netip.AddrPort
+	members     []config.Settings
 }
 
 // An Option changes a site.
@@ -72,6 +76,17 @@
 // WithJournal sets how many statements each database remembers for checks.
 func WithJournal(entries int) Option { return func(s *settings) { s.journal = entries } }
 
+// WithPlatform sets the address of the emulated platform.
+func WithPlatform(a netip.AddrPort) Option { return func(s *settings) { s.platform = a } }
+
+// WithControl sets the address at which faults are switched.
+func WithControl(a netip.AddrPort) Option { return func(s *settings) { s.control = a } }
+
+// WithMembers puts hosts that run elsewhere on the platform's list.
+func WithMembers(members ...config.Settings) Option {
+	return func(s *settings) { s.members = append(s.members, members...) }
+}
+
 // Start runs the emulators, writes the lists and starts the hosts. It returns
 // when all hosts admit callers.
 func Start(ctx context.Context, d Deployment, options ...Option) (s *Site, err error) {
@@ -97,7 +112,7 @@
 	if err != nil {
 		return s, err
 	}
-	for _, c := range hosts {
+	for _, c := range slices.Concat(hosts, s.options.members) {
 		if err = s.Environment.Store().SetHost(memberOf(c)); err != nil {
 			return s, err
 		}
@@ -113,6 +128,12 @@
 func (s *Site) emulators() []emulate.Option {
 	d := s.deployment
 	options := []emulate.Option{emulate.WithStore(store.WithHostLag(hostListLag))}
+	if s.options.platform.IsValid() {
+		options = append(options, emulate.WithStore(store.WithAddr(s.options.platform)))
+	}
+	if s.options.control.IsValid() {
+		options = append(options, emulate.WithControl(s.options.control))
+	}
 	for _, b := range d.Databases {
 		options = append(options, emulate.WithGroup(b.Name,
 			group.WithInstances(b.Instances),
