--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -245,8 +245,10 @@
 	}()
 	_, err = c.Exec(t.Context(), "select pg_sleep(100)").ReadAll()
 	is.NoErr(err)
+	f.executor.mu.Lock()
+	defer f.executor.mu.Unlock()
 	is.Equal(len(f.executor.canceled), 1)
-	is.Equal(f.executor.canceled[0].Session, f.executor.last().Session)
+	is.Equal(f.executor.canceled[0].Session, f.executor.requests[0].Session)
 }
 
 // Guards against a drain that interrupts a request or a transaction, or that
@@ -273,7 +275,7 @@
 	open.query("commit", "C:COMMIT S:gypsumyard.position="+testDatabase+":1/2 Z:I")
 	is.Equal(open.script(), "E:57P01 end")
 	is.Equal(stuck.script(), "E:57P01 end")
-	is.Equal(len(f.executor.abandoned), 1)
+	is.Equal(f.executor.abandons(), 1)
 	_, err := net.Dial("tcp", f.server.Addr().String())
 	is.True(err != nil)
 	select {
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -145,6 +145,12 @@
 	return e.requests[len(e.requests)-1]
 }
 
+func (e *fakeExecutor) abandons() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.abandoned)
+}
+
 func (e *fakeExecutor) count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/caller/raw_test.go
+++ b/internal/caller/raw_test.go
@@ -232,7 +232,7 @@
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
 	r.query("insert into t values (1)", "E:GY002 Z:E")
 	is.Equal(f.executor.last().Owner, "host-2")
-	is.Equal(len(f.executor.abandoned), 1)
+	is.Equal(f.executor.abandons(), 1)
 	n := f.executor.count()
 	r.query("select 1", "E:25P02 Z:E")
 	r.check("ParseComplete BindComplete C:ROLLBACK Z:I", parse("", "commit"), bind(""), run(), sync_)
@@ -256,11 +256,7 @@
 	r := dial(t, f, "")
 	r.query("begin", "C:BEGIN Z:T")
 	r.Conn.Close()
-	eventually(t, func() bool {
-		f.executor.mu.Lock()
-		defer f.executor.mu.Unlock()
-		return len(f.executor.abandoned) == 1
-	})
+	eventually(t, func() bool { return f.executor.abandons() == 1 })
 }
 
 func eventually(t testing.TB, ok func() bool) {
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -103,6 +103,7 @@
 	log := x.logger()
 	log.WithField("remote", c.socket.RemoteAddr().String()).Info("session started")
 	err := x.loop()
+	x.abandon()
 	x.sayFatal(err)
 	log.WithFields(logrus.Fields{
 		"reason":   err,
--- a/internal/sqltext/classify.go
+++ b/internal/sqltext/classify.go
@@ -244,9 +244,10 @@
 
 // columnList reports whether the name at i is an alias or the name of a WITH
 // query that is followed by a list of columns: the list holds names only and,
-// after WITH, is followed by AS.
+// after WITH, is followed by AS. A name that follows a closing parenthesis can
+// only be an alias.
 func columnList(tokens []token, i int) bool {
-	if i == 0 || !tokens[i-1].is("as", "with", "recursive") {
+	if i == 0 || !tokens[i-1].is("as", "with", "recursive") && !tokens[i-1].punct(")") {
 		return false
 	}
 	j := i + 2
@@ -256,7 +257,7 @@
 	if j >= len(tokens) || !tokens[j].punct(")") {
 		return false
 	}
-	if tokens[i-1].is("as") {
+	if !tokens[i-1].is("with", "recursive") {
 		return true
 	}
 	return j+2 < len(tokens) && tokens[j+1].is("as") && (tokens[j+2].punct("(") || tokens[j+2].is("materialized", "not"))
--- a/internal/sqltext/classify_test.go
+++ b/internal/sqltext/classify_test.go
@@ -22,6 +22,7 @@
 		"SELECT count(*), max(knots) FROM rugs WHERE id IN (1,2) AND (dye = 'x')":        read,
 		"select lower(a), now(), pg_catalog.upper(b) from generate_series(1, 3) as g(x)": read,
 		"with r(a, b) as (select 1, 2) select * from r":                                  read,
+		"select name from (values ('a', 1)) s(name, tp)":                                 read,
 		"(select 1) union all (select 2)":                                                read,
 		"values (1), (2)":                                                                read,
 		"table rugs":                                                                     read,
