upstream, owner: look once more after a pause; fewer polls

Cause: after a pause of the process a read deadline has passed although the answer lies in the socket's buffer, so a write that was answered ended as unknown. Polls of idle databases would exceed the control budget of a host at the target scale.

Change: one more read of 20 ms after a bound has passed.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -47,6 +47,7 @@
 	transactions map[string]*transaction
 	running      map[gypsumyard.SessionID]*upstream.Conn
 	inFlight     int
+	lastRequest  time.Time
 	// owned ends with the ownership of the database.
 	owned  context.Context
 	disown context.CancelCauseFunc
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -15,6 +15,14 @@
 	// failuresUntilUnreachable counts one failure on the open connection and
 	// one on a fresh one.
 	failuresUntilUnreachable = 2
+	// A database without requests for quietAfter is polled less often by
+	// quietFactor, until a poll fails. At the target scale the polls of idle
+	// databases would otherwise use up the bytes that control may use.
+	quietAfter  = 5 * time.Second
+	quietFactor = 4
+	// pollAtLeast is the longest pause between two polls of an instance that
+	// requests keep up to date. Only polls measure its distance.
+	pollAtLeast = time.Second
 )
 
 // A member is one instance of a group. Its view is guarded by the lock of the
@@ -29,8 +37,10 @@
 	// permits are those of the transactions on the instance.
 	permits permits
 
-	view     gypsumyard.InstanceView
+	view gypsumyard.InstanceView
+	// lastSent and polledAt are when the last poll began and ended.
 	lastSent time.Time
+	polledAt time.Time
 	failures int
 	running  int
 	// followAt is when the instance was last told to follow the primary.
@@ -73,34 +83,48 @@
 
 // rest waits until the next poll is due.
 func (g *group) rest(ctx context.Context, m *member) {
-	d := g.pause(m)
-	if d <= 0 {
-		return
-	}
-	t := g.clock.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C():
-	case <-m.wake:
-	case <-ctx.Done():
+	for {
+		d := g.pause(m)
+		if d <= 0 {
+			return
+		}
+		t := g.clock.NewTimer(d)
+		select {
+		case <-t.C():
+		case <-m.wake:
+			t.Stop()
+			return
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
 	}
 }
 
+// pause returns how long the next poll is not due. The status that comes with
+// a request replaces a poll.
 func (g *group) pause(m *member) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := g.clock.Now()
+	every := g.pollEvery
 	switch {
 	case m.failures == 1:
 		// The connection may be broken while a fresh one works.
 		return 0
 	case m.failures > 0:
-		return g.pollEvery
 	case !g.sampleAfter.Before(m.lastSent):
 		return 0
 	case g.urgent > 0:
-		return g.pollUrgent
+		return m.polledAt.Add(g.pollUrgent).Sub(now)
+	case now.Sub(g.lastRequest) > quietAfter:
+		every *= quietFactor
+	}
+	seen := m.polledAt
+	if m.view.SampledAt.After(seen) && now.Sub(seen) < pollAtLeast {
+		seen = m.view.SampledAt
 	}
-	return g.pollEvery
+	return seen.Add(every).Sub(now)
 }
 
 // observe takes over the result of a poll.
@@ -108,6 +132,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before := m.usable()
+	m.polledAt = g.clock.Now()
 	if err != nil {
 		m.failures++
 		if m.failures >= failuresUntilUnreachable && m.view.Reachable {
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -162,6 +162,7 @@
 		return false
 	}
 	g.inFlight++
+	g.lastRequest = g.clock.Now()
 	return true
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -23,6 +23,8 @@
 	// suspectAfter is longer than the retransmission of one lost segment, so
 	// that a loss is not taken for a silent connection.
 	suspectAfter = 500 * time.Millisecond
+	// grace is the time for one more look after a bound has passed.
+	grace = 20 * time.Millisecond
 )
 
 // errCopyIn ends an exchange whose request asks the caller for data.
@@ -271,6 +273,19 @@
 			return nil, err
 		}
 	}
+	msg, err := r.conn.front.Receive()
+	if err == nil || !isTimeout(err) || ctx.Err() != nil {
+		return msg, err
+	}
+	// If this process was paused, the deadline has passed although the answer
+	// may lie in the socket's buffer.
+	r.bounded = time.Time{}
+	if err := r.setBound(grace); err != nil {
+		return nil, err
+	}
+	if err := context.Cause(ctx); err != nil {
+		return nil, err
+	}
 	return r.conn.front.Receive()
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -233,3 +234,31 @@
 	is.True(!out.Delivered && len(out.Answer) > 2*bufferLimit)
 	p.Put(c)
 }
+
+// slowConn stalls before a read like a paused process, so that the deadline
+// passes while the answer arrives.
+type slowConn struct {
+	net.Conn
+	stall time.Duration
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	time.Sleep(c.stall)
+	c.stall = 0
+	return c.Conn.Read(b)
+}
+
+// Guards against an answer that counts as missing because the process was
+// paused while it arrived.
+func TestAnswerDuringPause(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, startGroup(t), 1)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	defer p.Put(c)
+	slow := &slowConn{Conn: c.net, stall: 300 * time.Millisecond}
+	c.net, c.front = slow, pgproto3.NewFrontend(slow, slow)
+	out, err := c.Run(t.Context(), query(t, "select 1"), io.Discard)
+	is.NoErr(err)
+	is.True(out.Completed)
+}
