owner: promote when the primary died before the takeover

Cause: the timeout promoter measured from the last answer of a known primary, and a new owner has never seen one.

--- a/internal/owner/failure_test.go
+++ b/internal/owner/failure_test.go
@@ -129,6 +129,16 @@
 	})
 }
 
+// Guards against an owner that waits forever for a primary that was dead
+// before it took over.
+func TestPrimaryDeadBeforeTakeover(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.group.Primary().Kill()
+	next := serve(t, f.group, withPromoter())
+	is.NoErr(next.exec("s", gypsumyard.StatementWrite, insert(1)).err)
+}
+
 // Guards against lost writes and exceeded connections while two hosts believe
 // that they own the database and both replace the primary.
 func TestTwoOwners(t *testing.T) {
--- a/internal/owner/timeout.go
+++ b/internal/owner/timeout.go
@@ -18,31 +18,38 @@
 // timeoutPromoter knows no peers and no planned promotions.
 type timeoutPromoter struct {
 	clock gypsumyard.Clock
+	// lost is when no writable instance was seen first.
+	lost time.Time
 }
 
 // NewTimeoutPromoter returns a promoter that replaces a primary that does not
 // answer for a fixed time. It is the baseline for measurements.
 func NewTimeoutPromoter(clock gypsumyard.Clock) Promoter { return &timeoutPromoter{clock: clock} }
 
+// Judge measures from the last answer of the primary, or from the first call
+// if this host has never seen one.
 func (p *timeoutPromoter) Judge(_ context.Context, s PromotionState) Verdict {
 	now := p.clock.Now()
 	limit := deadAfter
-	silent := time.Duration(-1)
 	for _, v := range s.Views {
 		switch {
+		case v.Reachable && v.Status.Writable():
+			p.lost = time.Time{}
+			return Verdict{}
 		case v.Upstream.Name == s.Primary:
-			silent = now.Sub(v.SampledAt)
-			if v.Reachable && v.Status.Role != gypsumyard.RolePrimary {
-				return Verdict{Promote: true, Reason: "the primary has stepped down"}
-			}
+			p.lost = v.SampledAt
 		case v.Reachable && v.Status.StreamAge+now.Sub(v.SampledAt) < deadAfter:
 			limit = deadWhileHeard
 		}
 	}
+	if p.lost.IsZero() {
+		p.lost = now
+	}
+	silent := now.Sub(p.lost)
 	if silent < limit {
 		return Verdict{}
 	}
-	return Verdict{Promote: true, Reason: "the primary has not answered for " + silent.String()}
+	return Verdict{Promote: true, Reason: "no primary has answered for " + silent.String()}
 }
 
 func (p *timeoutPromoter) Promote(ctx context.Context, s PromotionState, _ Verdict) (string, gypsumyard.Term, error) {
