owner: drain apart from stop; final class for refused settings

Cause: the kernel stops the service peer before owner, so requests of other hosts would be cut off before the owner had drained. A refused setting was of a class that dispatch sends again. Abandon with a foreign session ended the running statement of a transaction.

Change: Drain can be called ahead of the kernel's stop. Refused settings have ClassProtocol with the SQLSTATE of the instance; the test expects it. Abandon checks the session first.

--- a/internal/owner/failures.go
+++ b/internal/owner/failures.go
@@ -38,7 +38,8 @@
 	return gypsumyard.Errorf(gypsumyard.ClassUnknown, "outcome unknown: %w", err)
 }
 
-// setupError returns the refusal of a setting. The request was not sent.
+// setupError returns the refusal of a setting. The request was not sent. Its
+// class is not ClassNotRun, because sending it again cannot help.
 func setupError(e *upstream.ServerError) error {
-	return &gypsumyard.Error{Class: gypsumyard.ClassNotRun, State: e.State, Message: "setting refused: " + e.Message, Err: e}
+	return &gypsumyard.Error{Class: gypsumyard.ClassProtocol, State: e.State, Message: "setting refused: " + e.Message, Err: e}
 }
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -85,9 +85,11 @@
 	return nil
 }
 
-// Stop refuses new requests and waits until those in flight and the open
-// transactions have ended. What is left when ctx is done is cut off.
-func (s *Service) Stop(ctx context.Context) error {
+// Drain refuses new requests and waits until those in flight and the open
+// transactions have ended. The databases are handed over to the hosts that own
+// them by then. It is called before the services stop through which requests
+// arrive, and may be left out.
+func (s *Service) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	s.stopping = true
 	groups := s.all()
@@ -95,8 +97,16 @@
 	for _, g := range groups {
 		g.lose()
 	}
-	err := s.awaitDrained(ctx, groups)
+	return s.awaitDrained(ctx, groups)
+}
+
+// Stop drains and ends the service. What is left when ctx is done is cut off.
+func (s *Service) Stop(ctx context.Context) error {
+	err := s.Drain(ctx)
 	s.cancel(errStopped)
+	s.mu.Lock()
+	groups := s.all()
+	s.mu.Unlock()
 	for _, g := range groups {
 		g.close()
 	}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -32,6 +32,8 @@
 	// abandoned ends the request that runs.
 	abandoned context.Context
 	abandon   context.CancelCauseFunc
+	// status is the state after the last request. It belongs to the turn.
+	status byte
 	// lastUsed and ended are guarded by the lock of the group.
 	lastUsed time.Time
 	ended    bool
@@ -52,6 +54,7 @@
 		conn:     a.conn,
 		replica:  replica,
 		turn:     make(chan struct{}, 1),
+		status:   res.TxStatus,
 		lastUsed: g.clock.Now(),
 	}
 	a.permit = nil
@@ -132,7 +135,7 @@
 
 // stillOpen describes a transaction in which a request did not run.
 func (g *group) stillOpen(t *transaction) gypsumyard.Result {
-	return gypsumyard.Result{TxStatus: 'T', Transaction: t.handle, Owner: g.service.self, Instance: t.member.name}
+	return gypsumyard.Result{TxStatus: t.status, Transaction: t.handle, Owner: g.service.self, Instance: t.member.name}
 }
 
 // concludeStatement turns the outcome of a request in a transaction into an
@@ -150,6 +153,7 @@
 	}
 	res.TxStatus = out.TxStatus
 	if out.TxStatus != 'I' {
+		t.status = out.TxStatus
 		res.Transaction, res.Owner = t.handle, g.service.self
 		g.release(r, a, true)
 		return res, deliver(sink, out.Answer)
@@ -178,7 +182,7 @@
 	g.mu.Lock()
 	t := g.transactions[r.Transaction]
 	g.mu.Unlock()
-	if t == nil {
+	if t == nil || t.session != r.Session {
 		return nil
 	}
 	t.abandon(errNoTransaction)
--- a/internal/owner/transaction_test.go
+++ b/internal/owner/transaction_test.go
@@ -83,7 +83,7 @@
 	}
 	bad := request("s", gypsumyard.StatementWrite, "show work_mem")
 	bad.Settings = []gypsumyard.Setting{{Name: "no_such_parameter", Value: "1"}}
-	is.Equal(gypsumyard.ClassOf(f.run(bad).err), gypsumyard.ClassNotRun)
+	is.Equal(gypsumyard.ClassOf(f.run(bad).err), gypsumyard.ClassProtocol)
 }
 
 // Guards against a transaction that keeps its connection after its session
