--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -235,7 +235,7 @@
 		h.entry("host").Info("drain begins")
 		h.operator.SetDraining()
 		h.members.Announce(gypsumyard.HostLeaving)
-		err = errors.Join(h.caller.Drain(ctx), h.owner.Stop(ctx))
+		err = errors.Join(h.caller.Drain(ctx), h.owner.Drain(ctx))
 		h.members.Announce(gypsumyard.HostDead)
 		err = errors.Join(err, h.Stop(ctx))
 	})
