peer: abandon lost transactions, bound unauthenticated connections

A caller that gives up the request that opens a transaction does not learn its handle, so the transaction stayed open until the link broke. The client's side now abandons it when the late answer comes. A failed dial called the function that it was about to return as nil; the handshake test found the panic. Connections that are not authenticated hold one of 128 places.

member: probes outlive a change of targets.

--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -50,7 +49,11 @@
 			d.dead = i%4 == 0
 		}
 		w.bytes = 0
-		took := w.untilAll(b, 30*time.Second, "domain dead", func(d *node) bool { return len(d.table.Hosts()) == n*3/4 })
+		owners := w.untilAll(b, 30*time.Second, "no dead host owns databases", func(d *node) bool {
+			return len(d.table.view().regions["r"]) == n*3/4
+		})
+		b.ReportMetric(owners.Seconds(), "ownership-s")
+		took := owners + w.untilAll(b, 30*time.Second, "domain dead", func(d *node) bool { return len(d.table.Hosts()) == n*3/4 })
 		b.ReportMetric(took.Seconds(), "death-s")
 		b.ReportMetric(float64(w.bytes)/(n*3/4)/took.Seconds(), "bytes/host/s")
 	}
@@ -117,7 +120,6 @@
 	beat.From = d.table.targets[0].host.Name
 	beat.Incarnation = d.table.targets[0].incarnation
 	b.ReportAllocs()
-	b.ReportMetric(float64(proto.Size(beat)), "bytes/heartbeat")
 	b.ResetTimer()
 	for range b.N {
 		d.table.tick()
@@ -126,5 +128,5 @@
 		}
 		w.events = w.events[:0]
 	}
-	runtime.KeepAlive(w)
+	b.ReportMetric(float64(proto.Size(beat)), "bytes/heartbeat")
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,8 +32,8 @@
 	// successors is how many hosts get heartbeats.
 	successors = 8
 	// updatesPerMessage bounds the updates on one heartbeat. An update has
-	// about 60 bytes.
-	updatesPerMessage = 6
+	// about 60 bytes, so that a full message still fits in one packet.
+	updatesPerMessage = 12
 	// seedPatience is how long a host that knows only addresses waits for an
 	// answer before it takes itself for the first one.
 	seedPatience = 2 * time.Second
@@ -77,6 +77,9 @@
 	changes chan struct{}
 
 	suspects map[string]*record
+	// probing holds the hosts that this one probes through others. A probe
+	// ends in time even if the host is no longer a target.
+	probing map[string]*record
 	// digest is the same in equal tables.
 	digest uint64
 	// dirty tells that ring and targets do not reflect the table.
@@ -131,6 +134,7 @@
 		changes:  make(chan struct{}),
 		helping:  map[string][]helped{},
 		suspects: map[string]*record{},
+		probing:  map[string]*record{},
 	}
 	for _, o := range options {
 		o(s)
--- a/internal/member/suspect.go
+++ b/internal/member/suspect.go
@@ -30,13 +30,16 @@
 // suspicions that nobody refuted.
 func (s *Service) judge(now time.Time) (out []outgoing) {
 	for _, r := range s.targets {
-		if r.gone() || now.Sub(r.heard) <= suspectAfter {
-			continue
+		if !r.gone() && r.probed.IsZero() && now.Sub(r.heard) > suspectAfter {
+			out = append(out, s.suspect(r, now)...)
 		}
+	}
+	for name, r := range s.probing {
 		switch {
-		case r.probed.IsZero():
-			out = append(out, s.suspect(r, now)...)
+		case r.gone() || r.probed.IsZero():
+			delete(s.probing, name)
 		case now.Sub(r.probed) > confirmAfter:
+			delete(s.probing, name)
 			s.declare(r, peerpb.MemberState_DEAD)
 		}
 	}
@@ -54,6 +57,7 @@
 // suspect asks other hosts to reach the target.
 func (s *Service) suspect(r *record, now time.Time) (out []outgoing) {
 	r.probed = now
+	s.probing[r.host.Name] = r
 	if now.Sub(r.indirect) > indirectFor {
 		s.declare(r, peerpb.MemberState_SUSPECT)
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -222,9 +222,8 @@
 	at := slices.Index(s.ring, s.self)
 	for _, d := range distances(len(s.ring)) {
 		r := s.ring[(at+d)%len(s.ring)]
-		if !slices.Contains(old, r) {
+		if !slices.Contains(old, r) && r.probed.IsZero() {
 			r.heard = now
-			r.probed = time.Time{}
 		}
 		s.targets = append(s.targets, r)
 	}
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -33,10 +33,11 @@
 // A call is one request at a peer, on the entry host's side.
 type call struct {
 	operation peerpb.Operation
-	session   gypsumyard.SessionID
-	size      int
-	window    int
-	notify    chan struct{}
+	// request is a copy without messages.
+	request gypsumyard.Request
+	size    int
+	window  int
+	notify  chan struct{}
 
 	// The link's lock guards id, state and removed. The writer numbers the
 	// call when it takes the first part, so that numbers only grow on the
@@ -50,7 +51,9 @@
 	allowed   int
 	bulk      bool
 	forgotten bool
-	final     *peerpb.Final
+	// aborted tells that the caller has got an error instead of the answer.
+	aborted bool
+	final   *peerpb.Final
 }
 
 // addChunk queues a chunk of the answer for the goroutine of the request.
@@ -70,18 +73,19 @@
 	return nil
 }
 
-func (c *call) finish(f *peerpb.Final) error {
+// finish takes the final message. It reports whether the caller is gone.
+func (c *call) finish(f *peerpb.Final) (aborted bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(f.GetData()) > shortBytes || (c.bulk && len(f.GetData()) > 0) {
-		return fmt.Errorf("%w: final message with %d bytes", errMalformed, len(f.GetData()))
+		return false, fmt.Errorf("%w: final message with %d bytes", errMalformed, len(f.GetData()))
 	}
 	if f.Result == nil && f.Error == nil {
-		return fmt.Errorf("%w: final message without result", errMalformed)
+		return false, fmt.Errorf("%w: final message without result", errMalformed)
 	}
 	c.final = f
 	c.signal()
-	return nil
+	return c.aborted, nil
 }
 
 func (c *call) signal() {
@@ -114,6 +118,38 @@
 	c.chunks = nil
 }
 
+// abandonAnswer notes that the caller will not get the answer. It returns the
+// final message if that came before.
+func (c *call) abandonAnswer() *peerpb.Final {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+	return c.final
+}
+
+// opened returns the transaction that the request has opened, or "".
+func (c *call) opened(f *peerpb.Final) string {
+	if c.operation != peerpb.Operation_EXECUTE || c.request.Transaction != "" {
+		return ""
+	}
+	return f.GetResult().GetTransaction()
+}
+
+// abandonLost abandons a transaction of which the caller does not know, because
+// it gave up the request that opened it.
+func (l *link) abandonLost(c *call, f *peerpb.Final) {
+	if c.opened(f) == "" {
+		return
+	}
+	r := c.request
+	r.Transaction, r.Owner = f.Result.Transaction, f.Result.Owner
+	l.remote.service.spawn(func() {
+		ctx, cancel := context.WithTimeout(l.remote.service.stopping, abandonTimeout)
+		defer cancel()
+		_ = executor{l.remote}.Abandon(ctx, &r) // The peer abandons it when the link breaks.
+	})
+}
+
 // withdraw takes the request back if its last part has not been written. It
 // reports whether it did so, and whether the peer has seen a part of it.
 func (l *link) withdraw(c *call) (withdrawn, seen bool) {
@@ -159,7 +195,8 @@
 	if err != nil {
 		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassNotRun, "no connection to host %s: %w", e.remote.to.Name, err)
 	}
-	c := &call{operation: op, session: r.Session, size: len(r.Messages), notify: make(chan struct{}, 1)}
+	c := &call{operation: op, request: *r, size: len(r.Messages), notify: make(chan struct{}, 1)}
+	c.request.Messages = nil
 	if !l.register(c) {
 		e := gypsumyard.Errorf(gypsumyard.ClassLoad, "too many requests to host %s", l.host)
 		e.RetryAfter = cancelGrace
@@ -234,7 +271,7 @@
 			}
 		}
 		if final != nil {
-			return c.conclude(final, sink)
+			return l.conclude(c, final, sink)
 		}
 		if len(chunks) > 0 {
 			continue
@@ -257,7 +294,7 @@
 }
 
 // conclude turns the final message into the result.
-func (c *call) conclude(f *peerpb.Final, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+func (l *link) conclude(c *call, f *peerpb.Final, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
 	r := decodeResult(f.Result)
 	if err := decodeError(f.Error); err != nil {
 		return r, err
@@ -266,6 +303,7 @@
 		return r, nil
 	}
 	if _, err := sink.Write(f.Data); err != nil {
+		l.abandonLost(c, f)
 		return r, gypsumyard.Errorf(gypsumyard.ClassUnknown, "write answer: %w", err)
 	}
 	return r, nil
@@ -283,6 +321,9 @@
 		c.forget()
 		return gypsumyard.Errorf(gypsumyard.ClassNotRun, "request was not sent to host %s: %w", l.host, err)
 	}
+	if final := c.abandonAnswer(); final != nil {
+		l.abandonLost(c, final)
+	}
 	final := l.awaitFinal(c)
 	c.forget()
 	if final != nil && final.Error != nil && final.Error.Class != string(gypsumyard.ClassUnknown) {
--- /dev/null
+++ b/internal/peer/hostile_test.go
@@ -0,0 +1,169 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc/drpcconn"
+)
+
+// FuzzDecode guards against bytes of a peer that make this host panic: it
+// decodes a frame and hands it to every reader that takes frames.
+func FuzzDecode(f *testing.F) {
+	seeds := []*peerpb.Frame{
+		{Id: 1, Body: &peerpb.Frame_Request{Request: &peerpb.Request{Session: "s", Messages: []byte("m"), Size: 1, Window: shortBytes, Settings: []*peerpb.Setting{{Name: "n"}}}}},
+		{Id: 1, Body: &peerpb.Frame_Request{Request: &peerpb.Request{Size: 5, Window: shortBytes}}},
+		{Id: 1, Body: &peerpb.Frame_Part{Part: &peerpb.Part{Messages: []byte("m")}}},
+		{Id: 1, Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{}}},
+		{Id: 1, Body: &peerpb.Frame_Credit{Credit: &peerpb.Credit{Bytes: 1 << 63}}},
+		{Id: 1, Body: &peerpb.Frame_Chunk{Chunk: &peerpb.Chunk{Data: []byte("d")}}},
+		finalFrame(1, gypsumyard.Result{TxStatus: 'I'}, gypsumyard.Errorf(gypsumyard.ClassLoad, "full"), []byte("d")),
+		{Body: &peerpb.Frame_Members{Members: &peerpb.Members{From: "x", Updates: []*peerpb.MemberUpdate{{Name: "n", Address: []byte{1, 2, 3}}}}}},
+		{Id: 1, Body: &peerpb.Frame_Call{Call: &peerpb.Call{Body: &peerpb.Call_Query{Query: &peerpb.ListQuery{Have: map[string]uint64{"a": 1}}}}}},
+		replyFrame(1, &peerpb.Reply{Last: true, Status: &peerpb.InstanceStatus{History: []*peerpb.TermStart{{Term: 1}}}}),
+	}
+	for _, s := range seeds {
+		b, err := proto.Marshal(s)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	s := New(gypsumyard.Host{Name: "self"}, []byte("secret"), WithLogger(quiet()))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var frame peerpb.Frame
+		if proto.Unmarshal(b, &frame) != nil {
+			return
+		}
+		handleEverywhere(s, &frame)
+		if r := frame.GetRequest(); r != nil {
+			decoded, err := decodeRequest(r, time.Now())
+			if err == nil && decoded.Messages == nil && len(r.Messages) > 0 {
+				t.Fatal("messages are lost")
+			}
+		}
+		if e := frame.GetFinal().GetError(); e != nil && decodeError(e) == nil {
+			t.Fatal("an error became a success")
+		}
+		if st := frame.GetReply().GetStatus(); st != nil {
+			decodeStatus(st)
+		}
+	})
+}
+
+// handleEverywhere hands the frame to a client link with one call and to a
+// server link. The server's link has ended, so that no request runs.
+func handleEverywhere(s *Service, f *peerpb.Frame) {
+	c1, c2 := net.Pipe()
+	defer func() { _, _ = c1.Close(), c2.Close() }()
+	st := newStream(nil, c1, s.clock)
+	l := &link{remote: &remote{service: s}, short: st, bulk: st, clock: s.clock, done: make(chan struct{}), calls: map[uint64]*call{}, open: map[gypsumyard.SessionID]string{}, next: 1}
+	l.calls[1] = &call{id: 1, window: shortBytes, allowed: shortBytes, notify: make(chan struct{}, 1)}
+	_ = l.handle(l.bulk, f)
+	in := newInbound(s, "entry", st)
+	in.bulk = st
+	st.fail(errClosed)
+	in.last = f.Id - 1
+	in.running[f.Id-1] = &run{id: f.Id - 1, size: 8, cancel: func(error) {}, partial: &peerpb.Request{}, window: newWindow(shortBytes)}
+	if r := f.GetRequest(); r == nil || uint64(len(r.Messages)) < r.Size {
+		_ = in.handle(f)
+	}
+	g := &gossip{service: s, stream: st, done: make(chan struct{}), calls: map[uint64]*gossipCall{1: {done: make(chan struct{})}}}
+	_ = g.handle(f)
+}
+
+// hostileStream opens an authenticated stream for raw frames.
+func hostileStream(t *testing.T, to gypsumyard.Host, secret string, k kind, link string) (wire, error) {
+	t.Helper()
+	conn, err := net.Dial("tcp", to.Addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()})
+	t.Cleanup(func() { _ = c.Close() })
+	w, err := openStream(t.Context(), peerpb.NewDRPCPeerClient(c), k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(gypsumyard.Host{Name: "hostile"}, []byte(secret), WithLogger(quiet()))
+	_, err = s.greet(w, conn, k, link, "")
+	return w, err
+}
+
+// Guards against a hostile peer that ends more than its own stream.
+func TestHostileFramesEndOnlyTheirStream(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(func(context.Context, *gypsumyard.Request, gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		return gypsumyard.Result{}, nil
+	})
+	_, b := start(t, "b", o)
+	a, _ := start(t, "a")
+	request := func(p *peerpb.Request) *peerpb.Frame {
+		return &peerpb.Frame{Id: 1, Body: &peerpb.Frame_Request{Request: p}}
+	}
+	ok := func() *peerpb.Request { return &peerpb.Request{Window: windowBytes, Size: 3, Messages: []byte("abc")} }
+	huge, window, settings := ok(), ok(), ok()
+	huge.Size = maxRequestBytes + 1
+	window.Window = 1 << 40
+	settings.Settings = []*peerpb.Setting{{Name: string(make([]byte, maxSettingBytes+1))}}
+	frames := map[string][]*peerpb.Frame{
+		"size":          {request(huge)},
+		"window":        {request(window)},
+		"settings":      {request(settings)},
+		"number reused": {request(ok()), request(ok())},
+		"credit":        {{Id: 9, Body: &peerpb.Frame_Credit{Credit: &peerpb.Credit{Bytes: 1}}}},
+		"part":          {{Id: 9, Body: &peerpb.Frame_Part{Part: &peerpb.Part{Messages: []byte("x")}}}},
+		"final":         {finalFrame(1, gypsumyard.Result{}, nil, nil)},
+		"empty":         {{}},
+		"foreign":       {{Body: &peerpb.Frame_Members{Members: &peerpb.Members{From: "other"}}}},
+	}
+	for name, fs := range frames {
+		link := string(newNonce())
+		short, err := hostileStream(t, b, "secret", kindShort, link)
+		is.NoErr(err)
+		_, err = hostileStream(t, b, "secret", kindBulk, link)
+		is.NoErr(err)
+		for _, f := range fs {
+			_ = sendNow(short, f)
+		}
+		for err == nil {
+			_, err = short.Recv()
+		}
+		t.Logf("%s: %v", name, err)
+	}
+	_, err := a.Executor(b).Execute(t.Context(), &gypsumyard.Request{}, discard{})
+	is.NoErr(err)
+}
+
+// Guards against peers without the secret, clients that never greet and bytes
+// that are no drpc at all.
+func TestHandshakeRefusals(t *testing.T) {
+	is := is.New(t)
+	_, b := start(t, "b")
+	_, err := hostileStream(t, b, "wrong", kindShort, "")
+	is.True(err != nil)
+	a, _ := start(t, "a")
+	_, err = a.Executor(gypsumyard.Host{Name: "other", Addr: b.Addr}).Execute(t.Context(), &gypsumyard.Request{}, discard{})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+	for _, garbage := range [][]byte{nil, bytes.Repeat([]byte{0xff}, 4096), binary.AppendUvarint([]byte{3, 1, 1}, 1<<40)} {
+		conn, err := net.Dial("tcp", b.Addr.String())
+		is.NoErr(err)
+		_, err = conn.Write(garbage)
+		is.NoErr(err)
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(3 * handshakeTimeout)))
+		for err == nil {
+			_, err = conn.Read(make([]byte, 4096))
+		}
+		ne, timeout := err.(net.Error)
+		is.True(!timeout || !ne.Timeout()) // the host closes the connection
+		_ = conn.Close()
+	}
+}
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -206,7 +206,9 @@
 	in.mu.Lock()
 	switch {
 	case op == peerpb.Operation_ABANDON:
-		delete(in.open, r.Session)
+		if o, ok := in.open[r.Session]; ok && o.Transaction == r.Transaction {
+			delete(in.open, r.Session)
+		}
 	case op != peerpb.Operation_EXECUTE:
 	case res.Transaction != "":
 		t := *r
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,6 +34,7 @@
 // A link is the client's side of a Short and a Bulk stream to one host. Both
 // end together.
 type link struct {
+	remote *remote
 	host   string
 	short  *stream
 	bulk   *stream
@@ -46,7 +47,7 @@
 	calls map[uint64]*call
 	// places counts the calls, those that have no number yet included.
 	places  int
-	open    map[gypsumyard.SessionID]bool
+	open    map[gypsumyard.SessionID]string
 	windows int
 	bytes   int
 	used    time.Time
@@ -142,28 +143,34 @@
 		}
 		return c.addChunk(b.Chunk.GetData())
 	case *peerpb.Frame_Final:
-		if err := c.finish(b.Final); err != nil {
+		aborted, err := c.finish(b.Final)
+		if err != nil {
 			return err
 		}
 		l.noteTransaction(c, b.Final)
 		l.remove(c)
+		if aborted {
+			l.abandonLost(c, b.Final)
+		}
 		return nil
 	}
 	return fmt.Errorf("%w: %T", errMalformed, f.Body)
 }
 
-// noteTransaction records which sessions have transactions open at the peer.
+// noteTransaction records the sessions' open transactions at the peer.
 func (l *link) noteTransaction(c *call, f *peerpb.Final) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case c.operation == peerpb.Operation_ABANDON:
-		delete(l.open, c.session)
+		if l.open[c.request.Session] == c.request.Transaction {
+			delete(l.open, c.request.Session)
+		}
 	case c.operation != peerpb.Operation_EXECUTE:
 	case f.GetResult().GetTransaction() != "":
-		l.open[c.session] = true
+		l.open[c.request.Session] = f.Result.Transaction
 	case leavesNoTransaction(f):
-		delete(l.open, c.session)
+		delete(l.open, c.request.Session)
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -44,6 +44,9 @@
 	maxMessageBytes = 2 << 20
 	// maxConnections bounds the connections from other hosts.
 	maxConnections = 16384
+	// maxUnknown bounds the connections that are not authenticated yet, each
+	// of which may hold a message of maxMessageBytes.
+	maxUnknown = 128
 )
 
 // A Service is the kernel service "peer".
@@ -57,6 +60,7 @@
 
 	listener net.Listener
 	slots    chan struct{}
+	unknown  chan struct{}
 	stopping context.Context
 	stop     context.CancelFunc
 	wait     sync.WaitGroup
@@ -98,6 +102,7 @@
 		log:     logrus.StandardLogger(),
 		metrics: tally.NoopScope,
 		slots:   make(chan struct{}, maxConnections),
+		unknown: make(chan struct{}, maxUnknown),
 		done:    make(chan struct{}),
 		remotes: map[netip.AddrPort]*remote{},
 		links:   map[*link]bool{},
@@ -218,23 +223,42 @@
 			}
 			continue
 		}
-		select {
-		case s.slots <- struct{}{}:
-		default:
-			_ = conn.Close()
-			continue
-		}
-		ok := s.spawn(func() {
-			defer func() { <-s.slots }()
-			_ = srv.ServeOne(s.stopping, conn) // The stream's handler reports errors.
-			_ = conn.Close()
-		})
-		if !ok {
+		if c, ok := s.take(conn); !ok || !s.spawn(func() { s.serveConn(srv, c) }) {
 			_ = conn.Close()
 		}
 	}
 }
 
+// An accepted connection holds a place among the unauthenticated ones until
+// known is called.
+type accepted struct {
+	net.Conn
+	known func()
+}
+
+// take finds a place for a new connection.
+func (s *Service) take(conn net.Conn) (*accepted, bool) {
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		return nil, false
+	}
+	select {
+	case s.unknown <- struct{}{}:
+	default:
+		<-s.slots
+		return nil, false
+	}
+	return &accepted{conn, sync.OnceFunc(func() { <-s.unknown })}, true
+}
+
+func (s *Service) serveConn(srv *drpcserver.Server, c *accepted) {
+	_ = srv.ServeOne(s.stopping, c) // The stream's handler reports errors.
+	_ = c.Close()
+	c.known()
+	<-s.slots
+}
+
 // dial opens a stream to a host. The returned function frees its resources and
 // must be called once the stream has ended.
 func (s *Service) dial(ctx context.Context, to gypsumyard.Host, k kind, link string) (st *stream, closeStream func(), err error) {
@@ -245,13 +269,13 @@
 	}
 	dc := drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()})
 	sctx, cancel := context.WithCancel(s.stopping)
-	closeStream = func() {
+	release := func() {
 		cancel()
 		_ = dc.Close()
 	}
 	defer func() {
 		if err != nil {
-			closeStream()
+			release()
 		}
 	}()
 	stopWatching := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -264,7 +288,7 @@
 		return nil, nil, err
 	}
 	s.metrics.Tagged(map[string]string{"stream": string(k)}).Counter("peer_dials").Inc(1)
-	return newStream(w, conn, s.clock), closeStream, nil
+	return newStream(w, conn, s.clock), release, nil
 }
 
 func openStream(ctx context.Context, c peerpb.DRPCPeerClient, k kind) (wire, error) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -239,3 +239,52 @@
 		})
 	}
 }
+
+// Guards against a transaction that stays open because the caller gave up the
+// request that opened it.
+func TestLostTransactionIsAbandoned(t *testing.T) {
+	for _, late := range []time.Duration{0, 2 * cancelGrace} {
+		is := is.New(t)
+		running := make(chan struct{}, 1)
+		o := newOwner(func(ctx context.Context, _ *gypsumyard.Request, _ gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+			running <- struct{}{}
+			<-ctx.Done()
+			time.Sleep(late)
+			return gypsumyard.Result{TxStatus: 'T', Transaction: "tx", Owner: "b"}, nil
+		})
+		_, b := start(t, "b", o)
+		a, _ := start(t, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-running
+			cancel()
+		}()
+		_, err := a.Executor(b).Execute(ctx, &gypsumyard.Request{Session: "s"}, discard{})
+		is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
+		eventually(t, "transaction abandoned", func() bool { return len(o.abandonedNow()) == 1 })
+	}
+}
+
+// Guards against a withdrawn request that runs, and one that was not handed
+// over and is called unknown.
+func TestWithdrawnBeforeSent(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(func(context.Context, *gypsumyard.Request, gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		t.Error("a withdrawn request ran")
+		return gypsumyard.Result{}, nil
+	})
+	_, b := start(t, "b", o)
+	a, _ := start(t, "a")
+	l, err := a.remote(b).connect(t.Context())
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	release := make(chan struct{})
+	l.short.data <- outgoing{before: func() bool { <-release; return false }} // holds the writer
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err = a.Executor(b).Execute(ctx, &gypsumyard.Request{Messages: make([]byte, 3*partBytes)}, discard{})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+	close(release)
+	l.mu.Lock()
+	is.Equal(l.places+l.bytes+l.windows, 0)
+	l.mu.Unlock()
+}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -45,7 +46,7 @@
 	if l := r.current(); l != nil {
 		return l, nil
 	}
-	l, err = r.service.dialLink(ctx, r.to)
+	l, err = r.dialLink(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s at %s: %w", r.to.Name, r.to.Addr, err)
 	}
@@ -82,7 +83,8 @@
 	return r.link
 }
 
-func (s *Service) dialLink(ctx context.Context, to gypsumyard.Host) (l *link, err error) {
+func (r *remote) dialLink(ctx context.Context) (l *link, err error) {
+	s, to := r.service, r.to
 	id := string(newNonce())
 	short, closeShort, err := s.dial(ctx, to, kindShort, id)
 	if err != nil {
@@ -94,6 +96,7 @@
 		return nil, err
 	}
 	l = &link{
+		remote: r,
 		host:   to.Name,
 		short:  short,
 		bulk:   bulk,
@@ -101,7 +104,7 @@
 		done:   make(chan struct{}),
 		cancel: func() { closeShort(); closeBulk() },
 		calls:  map[uint64]*call{},
-		open:   map[gypsumyard.SessionID]bool{},
+		open:   map[gypsumyard.SessionID]string{},
 		used:   s.clock.Now(),
 	}
 	if !s.serveLink(l) {
@@ -135,6 +138,7 @@
 		s.links[l] = true
 		s.mu.Unlock()
 		l.run()
+		s.noteBroken(l)
 		s.mu.Lock()
 		delete(s.links, l)
 		s.mu.Unlock()
@@ -152,3 +156,13 @@
 		s.mu.Unlock()
 	})
 }
+
+// noteBroken reports a link that ended while it was in use.
+func (s *Service) noteBroken(l *link) {
+	err := l.cause()
+	if errors.Is(err, errClosed) {
+		return
+	}
+	s.metrics.Counter("peer_links_broken").Inc(1)
+	s.log.WithFields(map[string]any{"host": l.host, "address": l.remote.to.Addr}).WithError(err).Info("link to host is broken")
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"sync"
 
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
@@ -56,7 +55,7 @@
 // open authenticates the client of a new stream.
 func (v server) open(w wire, k kind) (*stream, *greeting, error) {
 	tr, _ := drpcctx.Transport(w.Context())
-	conn, ok := tr.(net.Conn)
+	conn, ok := tr.(*accepted)
 	if !ok {
 		return nil, nil, fmt.Errorf("transport is a %T", tr)
 	}
@@ -65,6 +64,7 @@
 		v.service.log.WithField("address", conn.RemoteAddr()).WithError(err).Warn("peer refused")
 		return nil, nil, err
 	}
+	conn.known()
 	return newStream(w, conn, v.service.clock), g, nil
 }
 
