--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -14,7 +14,7 @@
 // replica is a scripted service "lists".
 type replica struct {
 	applied []gypsumyard.Object
-	have    map[string]gypsumyard.Version
+	after   gypsumyard.Version
 	newer   []gypsumyard.Object
 	done    chan struct{}
 }
@@ -30,9 +30,9 @@
 	return len(objects)
 }
 
-func (r *replica) Newer(have map[string]gypsumyard.Version) []gypsumyard.Object {
-	r.have = have
-	return r.newer
+func (r *replica) Newer(after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version) {
+	r.after = after
+	return r.newer, gypsumyard.Version(len(r.newer))
 }
 
 // Guards against calls that lose fields or objects, or fail where a service is
@@ -50,16 +50,17 @@
 	var peers gypsumyard.Peers = a
 	is.NoErr(peers.PushObjects(t.Context(), b, big[:3]))
 	is.Equal(lists.applied, big[:3])
-	got, err := peers.FetchObjects(t.Context(), b, map[string]gypsumyard.Version{"x": 4})
+	got, complete, err := peers.FetchObjects(t.Context(), b, 4)
 	is.NoErr(err)
 	is.Equal(got, big)
-	is.Equal(lists.have, map[string]gypsumyard.Version{"x": 4})
+	is.Equal(complete, gypsumyard.Version(40))
+	is.Equal(lists.after, gypsumyard.Version(4))
 	st, err := peers.ProbeInstance(t.Context(), b, "db", "i")
 	is.NoErr(err)
 	is.Equal(st, gypsumyard.InstanceStatus{Role: gypsumyard.RoleReplica, FenceToken: "db/i", StreamAge: time.Second})
 	is.NoErr(peers.ReleaseDatabase(t.Context(), b, "db"))
 	is.Equal(o.released, []string{"db from a"})
-	_, err = peers.FetchObjects(t.Context(), self, nil) // host a has no lists
+	_, _, err = peers.FetchObjects(t.Context(), self, 0) // host a has no lists
 	is.True(err != nil)
 }
 
