promote, host: replace a primary whose log no longer reaches a majority

Cause: a primary cut off from replication answered its owner, so it was kept, but no write could be confirmed until the cut was healed.

--- a/internal/promote/options.go
+++ b/internal/promote/options.go
@@ -22,6 +22,7 @@
 	backoff     time.Duration
 	catchUp     time.Duration
 	newToken    func() gypsumyard.Token
+	cutOff      string
 }
 
 // An Option changes how a promotion or a Detector works.
@@ -50,6 +51,11 @@
 // the whole log. The default is 3 s.
 func WithCatchUp(d time.Duration) Option { return func(s *settings) { s.catchUp = d } }
 
+// WithCutOff names a primary that answers but whose log the replicas no longer
+// receive. It holds records that can never be confirmed, so it takes no part in
+// the choice; a majority must be fenced without it.
+func WithCutOff(instance string) Option { return func(s *settings) { s.cutOff = instance } }
+
 // WithToken sets the source of tokens. Tokens must not repeat; the default
 // ones are random.
 func WithToken(f func() gypsumyard.Token) Option { return func(s *settings) { s.newToken = f } }
--- a/internal/promote/run.go
+++ b/internal/promote/run.go
@@ -98,13 +98,20 @@
 
 // once runs the steps of a promotion in one term.
 func (p *promotion) once(ctx context.Context, term gypsumyard.Term) (r Result, err error) {
-	fenced, err := p.fence(ctx, p.instances, term)
+	fenced, err := p.fence(ctx, p.candidates(), term)
 	if err != nil {
 		return r, err
 	}
 	return p.finish(ctx, term, p.choose(fenced))
 }
 
+// candidates returns the instances that may become the primary.
+func (p *promotion) candidates() []gypsumyard.Instance {
+	return slices.DeleteFunc(slices.Clone(p.instances), func(i gypsumyard.Instance) bool {
+		return i.Upstream().Name == p.set.cutOff
+	})
+}
+
 // fence fences the instances and returns the answers of those that are fenced.
 // They are a majority of all instances, or the error tells why not.
 func (p *promotion) fence(ctx context.Context, instances []gypsumyard.Instance, term gypsumyard.Term) (fenced []answer, err error) {
