--- a/cmd/gypsumyard/bench.go
+++ b/cmd/gypsumyard/bench.go
@@ -29,7 +29,32 @@
 			&cli.StringFlag{Name: "json", Usage: "write the result to `FILE`"},
 			&cli.BoolFlag{Name: "quiet", Usage: "report no progress"},
 		},
-		Action: runBench,
+		Commands: []*cli.Command{plotCommand()},
+		Action:   runBench,
+	}
+}
+
+func plotCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "plot",
+		Usage:     "draw the latencies of results that --json has written, side by side",
+		ArgsUsage: "RESULT...",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "output", Usage: "PNG `FILE`", Value: "latency.png"}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			var results []bench.Result
+			for _, f := range c.Args().Slice() {
+				data, err := os.ReadFile(f)
+				if err != nil {
+					return usageError{err}
+				}
+				var r bench.Result
+				if err := json.Unmarshal(data, &r); err != nil {
+					return usageError{fmt.Errorf("%s: %w", f, err)}
+				}
+				results = append(results, r)
+			}
+			return bench.Plot(c.String("output"), results...)
+		},
 	}
 }
 
