caller: negotiate the protocol version like PostgreSQL

Cause: the message carried the minor version only, while PostgreSQL sends the whole number; a client that checks it would refuse the connection.

Change: send the whole number. A changed password no longer ends open sessions, a removed login does. Connections that end without a message, such as health checks, are logged at debug level.

--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -127,6 +127,13 @@
 	c, err := pgconn.Connect(t.Context(), f.url("&max_protocol_version=3.2&min_protocol_version=3.0"))
 	is.NoErr(err)
 	is.NoErr(c.Close(t.Context()))
+	conn := open(t, f)
+	_, err = conn.Write(packet(uint32(25), uint32(196610), "user\x00a\x00_pq_.x\x00y\x00\x00"))
+	is.NoErr(err)
+	answer := make([]byte, 13)
+	_, err = io.ReadFull(conn, answer)
+	is.NoErr(err)
+	is.Equal(answer, packet("v", uint32(19), uint32(196608), uint32(1)))
 }
 
 // Guards against hostile messages in a session that hang, crash or hurt other
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -154,7 +154,12 @@
 	x.conn.setBound(x.server.limits.ConnectionBuffer)
 	if err != nil {
 		x.sayFatal(err)
-		x.server.log.WithError(err).WithField("remote", x.conn.socket.RemoteAddr().String()).Info("no session started")
+		log := x.server.log.WithError(err).WithField("remote", x.conn.socket.RemoteAddr().String())
+		if hasLeft(err) {
+			log.Debug("no session started")
+		} else {
+			log.Info("no session started")
+		}
 	}
 	return err
 }
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -100,7 +100,8 @@
 		return
 	}
 	slices.Sort(unknown)
-	x.send(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: unknown})
+	// PostgreSQL sends the whole version number here, not only the minor one.
+	x.send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: pgproto3.ProtocolVersion30, UnrecognizedOptions: unknown})
 }
 
 // start runs the startup.
@@ -154,11 +155,9 @@
 	if !ok {
 		return gypsumyard.Errorf(gypsumyard.ClassAuth, "customer %q does not exist", x.customer)
 	}
-	login, ok := customer.Login(x.login.Name)
-	if !ok || login.Verifier != x.login.Verifier {
-		return gypsumyard.Errorf(gypsumyard.ClassAuth, "login %q of customer %q has changed", x.login.Name, x.customer)
+	if _, ok := customer.Login(x.login.Name); !ok {
+		return gypsumyard.Errorf(gypsumyard.ClassAuth, "login %q of customer %q does not exist", x.login.Name, x.customer)
 	}
-	x.login = login
 	_, exists := x.server.lists.Database(x.database)
 	if !exists || !slices.Contains(customer.Databases, x.database) {
 		return &gypsumyard.Error{
--- a/internal/sqltext/statement.go
+++ b/internal/sqltext/statement.go
@@ -168,14 +168,3 @@
 	classify(&s, tokens)
 	return s
 }
-
-// Combine returns the class of statements that run together outside a
-// transaction: a read if all of them are.
-func Combine(statements []Statement) gypsumyard.StatementClass {
-	for _, s := range statements {
-		if s.Class != gypsumyard.StatementRead {
-			return gypsumyard.StatementWrite
-		}
-	}
-	return gypsumyard.StatementRead
-}
