caller: bound the input of each customer

Cause: callers of one customer could take the whole input budget of the host with unfinished batches and shut out the others.

Change: the sessions of a customer share a part of the budget (128 of 512 MiB by default). sqltext: the shape is hashed without allocations and the token list starts at a usual size.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -36,21 +36,32 @@
 	errServerStops = errors.New("server stops")
 )
 
-// A budget bounds the bytes held for all connections.
+// A budget bounds the bytes held for all connections, or for those of one
+// customer as a part of them.
 type budget struct {
 	used  atomic.Int64
 	limit int64
+	// whole is the budget that this one is part of, or nil.
+	whole *budget
 }
 
 func (b *budget) take(n int) bool {
-	if b.used.Add(int64(n)) > b.limit {
+	if b == nil {
+		return true
+	}
+	if b.used.Add(int64(n)) > b.limit || !b.whole.take(n) {
 		b.used.Add(int64(-n))
 		return false
 	}
 	return true
 }
 
-func (b *budget) give(n int) { b.used.Add(int64(-n)) }
+func (b *budget) give(n int) {
+	if b != nil {
+		b.used.Add(int64(-n))
+		b.whole.give(n)
+	}
+}
 
 // A conn is a caller's connection: an io.Reader and an io.Writer for the
 // goroutine of its session.
@@ -210,11 +221,16 @@
 	return 0, nil
 }
 
-// setBound changes how much the caller may send ahead.
-func (c *conn) setBound(bound int) {
+// setLimits changes how much the caller may send ahead and what it counts
+// against.
+func (c *conn) setLimits(bound int, b *budget) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	waiting := len(c.in) - c.off
 	c.bound = bound
+	c.budget.give(waiting)
+	c.budget = b
+	b.give(-waiting)
 }
 
 // pauseReading tells the data callback that the session does not read now.
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -16,6 +16,8 @@
 	// TotalBuffer bounds the bytes received and not yet answered of all
 	// connections together, and their prepared statements.
 	TotalBuffer int
+	// CustomerBuffer is the part of TotalBuffer that one customer may take.
+	CustomerBuffer int
 	// Message is the longest message.
 	Message int
 	// Batch is the longest extended batch, counting messageOverhead for each
@@ -49,7 +51,8 @@
 func defaultLimits() Limits {
 	return Limits{
 		ConnectionBuffer: mib,
-		TotalBuffer:      256 * mib,
+		TotalBuffer:      512 * mib,
+		CustomerBuffer:   128 * mib,
 		Message:          16 * mib,
 		Batch:            64 * mib,
 		Statements:       1000,
@@ -70,6 +73,7 @@
 	}{
 		{&d.ConnectionBuffer, l.ConnectionBuffer},
 		{&d.TotalBuffer, l.TotalBuffer},
+		{&d.CustomerBuffer, l.CustomerBuffer},
 		{&d.Message, l.Message},
 		{&d.Batch, l.Batch},
 		{&d.Statements, l.Statements},
--- a/internal/caller/prepared.go
+++ b/internal/caller/prepared.go
@@ -43,7 +43,9 @@
 // fits reports whether p and n further statements of the given bytes may be
 // kept.
 func (s *preparedStore) fits(p *prepared, n, bytes int) bool {
-	if s.budget.used.Load()+int64(bytes+p.size()) > s.budget.limit {
+	if total := bytes + p.size(); s.budget.take(total) {
+		s.budget.give(total)
+	} else {
 		return false
 	}
 	return len(s.byName)+n < s.limits.Statements && s.bytes+bytes+p.size() <= s.limits.StatementBytes
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -33,6 +33,12 @@
 	attachPause = 2 * time.Millisecond
 )
 
+// customerUse is what the sessions of one customer hold on this host.
+type customerUse struct {
+	sessions int
+	budget   budget
+}
+
 // systemClock times what depends on the operating system, whatever clock the
 // server is given.
 var systemClock = clock.System()
@@ -74,9 +80,10 @@
 	done      chan struct{}
 
 	mu sync.Mutex
-	// connections counts those open, customers the sessions of each.
-	connections int
-	customers   map[string]int
+	// connections counts those open, sessionCount the authenticated ones.
+	connections  int
+	sessionCount int
+	customers    map[string]*customerUse
 }
 
 // New returns a service that listens on addr when started.
@@ -91,7 +98,7 @@
 		draining:  make(chan struct{}),
 		stopping:  make(chan struct{}),
 		done:      make(chan struct{}),
-		customers: map[string]int{},
+		customers: map[string]*customerUse{},
 	}
 	for _, o := range options {
 		o(s)
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -148,10 +148,9 @@
 	x.conn.onInterrupt = func() error { return shuttingDown() }
 	err := x.start()
 	if err == nil {
-		err = x.server.openSession(x.customer)
+		err = x.takeBudget()
 	}
 	x.conn.deadline = nil
-	x.conn.setBound(x.server.limits.ConnectionBuffer)
 	if err != nil {
 		x.sayFatal(err)
 		log := x.server.log.WithError(err).WithField("remote", x.conn.socket.RemoteAddr().String())
@@ -164,6 +163,19 @@
 	return err
 }
 
+// takeBudget opens the session and counts from now on what it holds against
+// the customer's budget.
+func (x *session) takeBudget() error {
+	b, err := x.server.openSession(x.customer)
+	if err != nil {
+		return err
+	}
+	x.frames.budget = b
+	x.prepared.budget = b
+	x.conn.setLimits(x.server.limits.ConnectionBuffer, b)
+	return nil
+}
+
 // loop handles messages until the session ends, and returns why it did.
 func (x *session) loop() error {
 	if err := x.ready(); err != nil {
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -169,41 +169,41 @@
 	return nil
 }
 
-// openSession counts the session against the customer's plan.
-func (s *Server) openSession(customerName string) error {
+// openSession counts the session against the customer's plan. It returns the
+// budget that the customer's sessions share.
+func (s *Server) openSession(customerName string) (*budget, error) {
 	customer, _ := s.lists.Customer(customerName)
 	plan, ok := s.lists.Plan(customer.Plan)
 	if !ok {
-		return gypsumyard.Errorf(gypsumyard.ClassPlan, "plan %q of customer %q does not exist", customer.Plan, customerName)
+		return nil, gypsumyard.Errorf(gypsumyard.ClassPlan, "plan %q of customer %q does not exist", customer.Plan, customerName)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.customers[customerName] >= plan.MaxSessions {
-		return gypsumyard.Errorf(gypsumyard.ClassLoad, "too many sessions: plan %q allows %d on one host", plan.Name, plan.MaxSessions)
+	use := s.customers[customerName]
+	if use == nil {
+		use = &customerUse{budget: budget{limit: int64(s.limits.CustomerBuffer), whole: &s.budget}}
 	}
-	s.customers[customerName]++
+	if use.sessions >= plan.MaxSessions {
+		return nil, gypsumyard.Errorf(gypsumyard.ClassLoad, "too many sessions: plan %q allows %d on one host", plan.Name, plan.MaxSessions)
+	}
+	s.customers[customerName] = use
+	use.sessions++
+	s.sessionCount++
 	s.metrics.opened.Inc(1)
-	s.updateSessions()
-	return nil
+	s.metrics.sessions.Update(float64(s.sessionCount))
+	return &use.budget, nil
 }
 
 func (s *Server) closeSession(customer string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.customers[customer]--
-	if s.customers[customer] == 0 {
+	use := s.customers[customer]
+	use.sessions--
+	if use.sessions == 0 {
 		delete(s.customers, customer)
 	}
-	s.updateSessions()
-}
-
-// updateSessions is called with mu held.
-func (s *Server) updateSessions() {
-	total := 0
-	for _, n := range s.customers {
-		total += n
-	}
-	s.metrics.sessions.Update(float64(total))
+	s.sessionCount--
+	s.metrics.sessions.Update(float64(s.sessionCount))
 }
 
 // greet sends what a caller is told before its first request.
--- a/internal/sqltext/shape.go
+++ b/internal/sqltext/shape.go
@@ -1,15 +1,29 @@
 package sqltext
 
-import "hash/fnv"
+// The parameters of the 64-bit FNV-1a hash.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+type shapeHash uint64
+
+func (h *shapeHash) add(text string) {
+	v := uint64(*h)
+	for i := range len(text) {
+		v = (v ^ uint64(text[i])) * fnvPrime
+	}
+	// A zero byte separates the tokens.
+	*h = shapeHash(v * fnvPrime)
+}
 
 // shapeOf returns a hash of the statement without literals, parameters,
 // comments and white space. Lists of literals count as one literal, so that
 // the number of values does not matter.
 func shapeOf(tokens []token) uint64 {
-	h := fnv.New64a()
+	h := shapeHash(fnvOffset)
 	literal, comma := false, false
 	for _, t := range tokens {
-		text := t.text
 		switch {
 		case t.kind == tokenString || t.kind == tokenNumber || t.kind == tokenParam:
 			if literal && comma {
@@ -17,20 +31,20 @@
 				continue
 			}
 			literal, comma = true, false
-			h.Write([]byte("?\x00"))
+			h.add("?")
 			continue
 		case t.punct(",") && literal && !comma:
 			comma = true
 			continue
-		case t.kind == tokenQuoted:
-			text = `"` + text
 		}
 		if comma {
-			h.Write([]byte(",\x00"))
+			h.add(",")
 		}
 		literal, comma = false, false
-		h.Write([]byte(text))
-		h.Write([]byte{0})
+		if t.kind == tokenQuoted {
+			h.add(`"`)
+		}
+		h.add(t.text)
 	}
-	return h.Sum64()
+	return uint64(h)
 }
--- a/internal/sqltext/statement.go
+++ b/internal/sqltext/statement.go
@@ -41,6 +41,8 @@
 	// largest size takes while it is read.
 	maxTokens     = 500_000
 	maxStatements = 10_000
+	// usualTokens holds most statements without growing.
+	usualTokens = 64
 )
 
 // ProxyPrefix begins the names of the parameters that the proxy handles.
@@ -108,7 +110,7 @@
 	start := l.pos
 	l.comments = nil
 	l.broken = false
-	var tokens []token
+	tokens := make([]token, 0, usualTokens)
 	depth, atomic, tooLong := 0, 0, false
 	for {
 		t := l.next()
