--- a/cmd/gypsumyard/bench.go
+++ b/cmd/gypsumyard/bench.go
@@ -26,6 +26,7 @@
 			&cli.StringFlag{Name: "scenario", Usage: "`FILE` with faults, in JSON with comments"},
 			&cli.BoolFlag{Name: "baseline", Usage: "run the naive proxy: a slice of connections on each host, first come first served, all to the primary, no promotion"},
 			&cli.DurationFlag{Name: "lag", Usage: "replication lag in place of the deployment's"},
+			&cli.StringMapFlag{Name: "boost", Usage: "`KIND=FACTOR` on the arrival rate of one kind; may be given several times"},
 			&cli.StringFlag{Name: "json", Usage: "write the result to `FILE`"},
 			&cli.BoolFlag{Name: "quiet", Usage: "report no progress"},
 		},
@@ -65,6 +66,14 @@
 	o := bench.Options{
 		Deployment: c.String("deployment"), Hosts: c.Int("hosts"), Duration: c.Duration("duration"),
 		Rate: c.Float("rate"), Seed: c.Uint64("seed"), Baseline: c.Bool("baseline"), ReplicationLag: c.Duration("lag"),
+		Boost: map[string]float64{},
+	}
+	for kind, text := range c.StringMap("boost") {
+		var factor float64
+		if _, err := fmt.Sscan(text, &factor); err != nil {
+			return usageError{fmt.Errorf("--boost %s=%s: %w", kind, text, err)}
+		}
+		o.Boost[kind] = factor
 	}
 	if f := c.String("scenario"); f != "" {
 		s, err := bench.LoadScenario(f)
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"regexp"
 	"slices"
 	"sync"
 	"time"
@@ -92,11 +93,14 @@
 	}
 }
 
+// figures matches what differs between messages of one sort of error.
+var figures = regexp.MustCompile(`[0-9][0-9.]*(ns|µs|ms|s)?`)
+
 // errorName returns a short name of an error for counting.
 func errorName(err error) string {
 	var e *pgconn.PgError
 	if errors.As(err, &e) {
-		return e.Code + " " + e.Message
+		return e.Code + " " + figures.ReplaceAllString(e.Message, "N")
 	}
 	var c *pgconn.ConnectError
 	if errors.As(err, &c) {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -27,6 +27,8 @@
 	Baseline bool
 	// ReplicationLag replaces the deployment's lag if it is above 0.
 	ReplicationLag time.Duration
+	// Boost multiplies the arrival rate of single kinds, by name.
+	Boost map[string]float64
 	// Progress receives a line now and then. It may be nil.
 	Progress func(format string, args ...any)
 }
@@ -59,6 +61,11 @@
 	if err != nil {
 		return result, err
 	}
+	for i := range profile.Kinds {
+		if factor, ok := o.Boost[profile.Kinds[i].Name]; ok {
+			profile.Kinds[i].Rate *= factor
+		}
+	}
 	d, err := site.ByName(o.Deployment)
 	if err != nil {
 		return result, err
