owner, admit: one statement ahead of each instance's slots

Cause: a slot stayed idle for a network round trip after each statement: with 2 slots, 2 ms of work and 1 ms of round trip a third of the capacity was lost, so crests queued. The same round trip was charged to customers as slot time. Change: short requests may be sent one beyond an instance's slots, long ones not; the measured round trip is not charged.

--- a/admission.go
+++ b/admission.go
@@ -51,6 +51,9 @@
 type InstanceCapacity struct {
 	Name  string
 	Slots int
+	// Ahead is how many short statements more than Slots may be sent, so that
+	// a slot does not stay idle for a network round trip.
+	Ahead int
 	// Available is false while the instance gets no new work.
 	Available bool
 }
--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -162,7 +162,7 @@
 // slotWait returns the expected time until a slot of the instance is free,
 // apart from waiters.
 func (f *fair) slotWait(now time.Time, i *instance, long bool) time.Duration {
-	if i.free() > 1 || (i.free() == 1 && !long) {
+	if i.freeSlots() > 1 || (i.free() > 0 && !long) {
 		return 0
 	}
 	shortest := forever
--- a/internal/admit/instances.go
+++ b/internal/admit/instances.go
@@ -33,7 +33,7 @@
 			i = &instance{name: c.Name}
 			f.known[c.Name] = i
 		}
-		i.slots, i.available, i.listed = c.Slots, c.Available, true
+		i.slots, i.ahead, i.available, i.listed = c.Slots, c.Ahead, c.Available, true
 		f.slots += float64(c.Slots)
 		next = append(next, i)
 	}
@@ -179,6 +179,9 @@
 		i.fair.reservedSince = time.Time{}
 		return best
 	}
+	if i.freeSlots() == 0 {
+		return short
+	}
 	if i.slots == 1 {
 		// Short work goes first where a long request would block all of it.
 		if short != nil {
@@ -186,7 +189,7 @@
 		}
 		return best
 	}
-	if i.free() >= 2 {
+	if i.freeSlots() >= 2 {
 		return best
 	}
 	return f.reserve(now, i, short)
--- a/internal/admit/waiter.go
+++ b/internal/admit/waiter.go
@@ -75,6 +75,7 @@
 type instance struct {
 	name      string
 	slots     int
+	ahead     int
 	available bool
 	// listed is false for an instance that has gone but still runs requests.
 	listed bool
@@ -88,5 +89,8 @@
 	if !i.available || !i.listed {
 		return 0
 	}
-	return max(i.slots-i.busy, 0)
+	return max(i.slots+i.ahead-i.busy, 0)
 }
+
+// freeSlots returns how many slots are idle.
+func (i *instance) freeSlots() int { return max(i.slots-i.busy, 0) }
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -150,7 +150,7 @@
 
 // release gives back the slot and charges the time since the grant.
 func (g *group) release(r *job, a *attempt, ran bool) {
-	used := g.clock.Since(a.began)
+	used := g.used(a)
 	g.admitter.Release(a.grant, used)
 	if ran {
 		g.shapes.learn(r.Shape, used)
@@ -163,6 +163,14 @@
 	a.member.running--
 }
 
+// used returns the slot time of an attempt: the time since its grant without
+// the network round trip, in which its slot was not in use.
+func (g *group) used(a *attempt) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.clock.Since(a.began)-2*a.member.view.Distance, 0)
+}
+
 // connect gets a connection to the granted instance.
 func (g *group) connect(ctx context.Context, r *job, a *attempt) (err error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, connectBound, errNoConnection)
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -135,12 +135,18 @@
 	_ = m.order.Close()
 }
 
+// statementsAhead is how many short statements may be on their way to an
+// instance beyond its slots. With none, each slot idles for a round trip after
+// each statement; one fills the gap as long as statements run longer than a
+// round trip divided by the slots.
+const statementsAhead = 1
+
 // setInstances tells the admitter the capacities. It is called with the lock
 // held.
 func (g *group) setInstances() {
 	var out []gypsumyard.InstanceCapacity
 	for _, m := range g.members {
-		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Available: m.usable()})
+		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Ahead: statementsAhead, Available: m.usable()})
 	}
 	g.admitter.SetInstances(out)
 }
