caller: forget the position after a write of unknown outcome

Cause: such a write may have committed at a position that nobody has told; the next read of the session could miss it on a replica.

Change: the position counts as unknown until a result returns one, and the caller is told an empty gypsumyard.position. set_config with the literal true as its last argument is allowed, because it ends with the transaction.

Conclusion: tests pass with -race.

--- a/internal/caller/raw_test.go
+++ b/internal/caller/raw_test.go
@@ -220,6 +220,13 @@
 	r.check("E:0A000 Z:I", &pgproto3.FunctionCall{})
 }
 
+// known runs a read and reports whether it was sent with a known position.
+func (r *raw) known(f *fixture) bool {
+	f.executor.setHook(nil)
+	r.query("select 1", "RowDescription D:select_1 C:SELECT Z:I")
+	return f.executor.last().PositionKnown
+}
+
 // Guards against a caller that takes a lost transaction for an open one, or
 // a commit of unknown outcome for a refused one.
 func TestLostTransaction(t *testing.T) {
@@ -227,10 +234,12 @@
 	f := start(t)
 	r := dial(t, f, "")
 	lose := gypsumyard.Errorf(gypsumyard.ClassUnknown, "owner is gone")
+	r.query("insert into t values (0)", "C:INSERT_0_1 S:gypsumyard.position="+testDatabase+":1/1 Z:I")
+	is.True(r.known(f))
 	r.query("begin", "C:BEGIN Z:T")
 	is.Equal(f.executor.last().Transaction, "")
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
-	r.query("insert into t values (1)", "E:GY002 Z:E")
+	r.query("insert into t values (1)", "E:GY002 S:gypsumyard.position= Z:E")
 	is.Equal(f.executor.last().Owner, "host-2")
 	is.Equal(f.executor.abandons(), 1)
 	n := f.executor.count()
@@ -240,7 +249,9 @@
 	f.executor.setHook(nil)
 	r.query("begin", "C:BEGIN Z:T")
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
+	// The caller was told already that the position is not known.
 	r.query("commit", "E:GY002 Z:I")
+	is.True(!r.known(f))
 	busy := &gypsumyard.Error{Class: gypsumyard.ClassLoad, Message: "queue is full", RetryAfter: 250 * time.Millisecond}
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return busy })
 	r.send(&pgproto3.Query{String: "select 1"})
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -86,6 +86,11 @@
 func (x *session) failed(r *gypsumyard.Request, a *answer, failure error) error {
 	e := asError(failure)
 	x.logger().WithError(failure).WithField("class", e.Class).Info("request failed")
+	if e.Class == gypsumyard.ClassUnknown && r.Class != gypsumyard.StatementRead {
+		// The write may have run, at a position that nobody has told. The next
+		// read has to see it if it did.
+		x.positionKnown = false
+	}
 	inTransaction := x.tx.open() || r.Transaction != ""
 	if inTransaction {
 		x.loseTransaction(r)
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -51,8 +51,8 @@
 
 	position      gypsumyard.Position
 	positionKnown bool
-	// reported is the position that the caller was told last.
-	reported gypsumyard.Position
+	// reported is the position token that the caller was told last.
+	reported string
 
 	maxStaleness time.Duration
 	repeatable   bool
@@ -258,7 +258,7 @@
 
 // ready tells the caller about an advanced position and that it may go on.
 func (x *session) ready() error {
-	if x.positionKnown && x.position != x.reported {
+	if x.positionToken() != x.reported {
 		x.reportPosition()
 	}
 	x.send(&pgproto3.ReadyForQuery{TxStatus: x.tx.status})
@@ -266,11 +266,12 @@
 }
 
 func (x *session) reportPosition() {
-	x.reported = x.position
-	x.send(&pgproto3.ParameterStatus{Name: paramPosition, Value: x.positionToken()})
+	x.reported = x.positionToken()
+	x.send(&pgproto3.ParameterStatus{Name: paramPosition, Value: x.reported})
 }
 
-// positionToken is the position with the database that it belongs to.
+// positionToken is the position with the database that it belongs to. It is
+// empty while the session's position is not known.
 func (x *session) positionToken() string {
 	if !x.positionKnown {
 		return ""
--- a/internal/sqltext/classify.go
+++ b/internal/sqltext/classify.go
@@ -113,7 +113,7 @@
 func sessionState(tokens []token) string {
 	for i, t := range tokens {
 		switch {
-		case (t.kind == tokenWord || t.kind == tokenQuoted) && sessionFunctions[t.text] && isCall(tokens, i):
+		case (t.kind == tokenWord || t.kind == tokenQuoted) && sessionFunctions[t.text] && isCall(tokens, i) && !setsLocally(tokens, i):
 			return "function " + t.text + leaks
 		case (t.kind == tokenWord || t.kind == tokenQuoted) && t.text == "pg_temp":
 			return "schema pg_temp" + leaks
@@ -126,6 +126,31 @@
 	return ""
 }
 
+// maxConfigTokens bounds the arguments of set_config that are looked through:
+// nested calls would take time beyond the length of the statement.
+const maxConfigTokens = 200
+
+// setsLocally reports whether the call at i is one of set_config whose last
+// argument is the word true: the effect ends with the transaction.
+func setsLocally(tokens []token, i int) bool {
+	if tokens[i].text != "set_config" {
+		return false
+	}
+	depth := 0
+	for j := i + 1; j < min(len(tokens), i+maxConfigTokens); j++ {
+		switch {
+		case tokens[j].punct("("):
+			depth++
+		case tokens[j].punct(")"):
+			depth--
+		}
+		if depth == 0 {
+			return j > i+2 && tokens[j-1].is("true") && tokens[j-2].punct(",")
+		}
+	}
+	return false
+}
+
 func isCall(tokens []token, i int) bool {
 	return i+1 < len(tokens) && tokens[i+1].punct("(")
 }
--- a/internal/sqltext/split_test.go
+++ b/internal/sqltext/split_test.go
@@ -73,7 +73,7 @@
 	const size = 4 << 20
 	for name, piece := range map[string]string{
 		"digits": "1", "parts": "'a'\n", "nested": "$a$ $b$ ", "open comments": "/*", "statements": "select 1;",
-		"tokens": "(", "tags": "$a", "temp": "or temp ", "names": "with a(a,", "dashes": "--\n'",
+		"tokens": "(", "tags": "$a", "temp": "or temp ", "names": "with a(a,", "dashes": "--\n'", "calls": "set_config(",
 	} {
 		sql := "do " + strings.Repeat(piece, size/len(piece))
 		start := time.Now()
