caller: skip everything up to Sync after a failed Flush

Cause: a simple query between a failed Flush and the Sync ended the connection; PostgreSQL ignores it.

Change: all messages but Sync and Terminate are skipped. Refusals by load or plan are logged at debug level, since they are many under overload.

--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -57,9 +57,6 @@
 
 // addToBatch keeps a message until the batch's Sync.
 func (x *session) addToBatch(f frame) error {
-	if x.skipping {
-		return nil
-	}
 	if !x.frames.charge(messageOverhead) {
 		return errOverflow
 	}
@@ -78,9 +75,8 @@
 func (x *session) sync() error {
 	batch := x.batch
 	x.batch = nil
-	skip := x.skipping
 	x.skipping = false
-	if len(batch) > 0 && !skip {
+	if len(batch) > 0 {
 		if err := x.admitRequest(); err != nil {
 			return err
 		}
@@ -95,7 +91,7 @@
 // possible only while nothing is bound or run: the implicit transaction of a
 // batch lasts until its Sync.
 func (x *session) flushBatch() error {
-	if len(x.batch) == 0 || x.skipping {
+	if len(x.batch) == 0 {
 		return nil
 	}
 	batch := x.batch
--- a/internal/caller/raw_test.go
+++ b/internal/caller/raw_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 )
 
 // raw is a caller that speaks the protocol message by message.
@@ -281,6 +282,25 @@
 	t.Fatal("condition did not become true within 5 s")
 }
 
+// Guards against statements of a read-only transaction that are routed to the
+// primary, and against metrics that count nothing.
+func TestReadOnlyTransaction(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	f := start(t, WithMetrics(scope))
+	r := dial(t, f, "")
+	r.query("begin read only; select nextval('s')", "C:BEGIN RowDescription D:select_nextval('s') C:SELECT Z:T")
+	is.Equal(f.executor.requests[0].Class, gypsumyard.StatementBeginRead)
+	is.Equal(f.executor.last().Class, gypsumyard.StatementRead)
+	r.query("savepoint a; rollback to a; commit; select nextval('s')", "C:SAVEPOINT C:ROLLBACK C:COMMIT RowDescription D:select_nextval('s') C:SELECT S:gypsumyard.position="+testDatabase+":1/2 Z:I")
+	is.Equal(f.executor.last().Class, gypsumyard.StatementWrite)
+	r.query("listen a", "E:0A000 Z:I")
+	s := scope.Snapshot()
+	is.Equal(s.Counters()["caller.requests+class=read"].Value(), int64(3))
+	is.Equal(s.Counters()["caller.errors+class=not-supported"].Value(), int64(1))
+	is.Equal(s.Gauges()["caller.sessions+"].Value(), 1.0)
+}
+
 // Guards against wrong splitting of batches with transaction control.
 func TestPipelinedTransaction(t *testing.T) {
 	f := start(t)
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -85,7 +85,13 @@
 // failed answers a request whose Execute failed.
 func (x *session) failed(r *gypsumyard.Request, a *answer, failure error) error {
 	e := asError(failure)
-	x.logger().WithError(failure).WithField("class", e.Class).Info("request failed")
+	log := x.logger().WithError(failure).WithField("class", e.Class)
+	if e.Class == gypsumyard.ClassLoad || e.Class == gypsumyard.ClassPlan {
+		// Under overload these are many; the metrics count them.
+		log.Debug("request refused")
+	} else {
+		log.Info("request failed")
+	}
 	if e.Class == gypsumyard.ClassUnknown && r.Class != gypsumyard.StatementRead {
 		// The write may have run, at a position that nobody has told. The next
 		// read has to see it if it did.
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -229,6 +229,9 @@
 
 // handle runs one message of the caller.
 func (x *session) handle(f frame) error {
+	if x.skipping && f.kind != 'S' && f.kind != 'X' {
+		return nil
+	}
 	if f.kind == 'Q' || f.kind == 'S' || f.kind == 'H' {
 		x.conn.pauseReading()
 	}
--- a/internal/caller/simple.go
+++ b/internal/caller/simple.go
@@ -11,7 +11,7 @@
 
 // simple runs a query string.
 func (x *session) simple(f frame) error {
-	if len(x.batch) > 0 || x.skipping {
+	if len(x.batch) > 0 {
 		return gypsumyard.Errorf(gypsumyard.ClassProtocol, "simple query within an extended batch")
 	}
 	var q pgproto3.Query
