--- a/internal/caller/raw_test.go
+++ b/internal/caller/raw_test.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 )
 
 // raw is a caller that speaks the protocol message by message.
@@ -220,6 +221,13 @@
 	r.check("E:0A000 Z:I", &pgproto3.FunctionCall{})
 }
 
+// known runs a read and reports whether it was sent with a known position.
+func (r *raw) known(f *fixture) bool {
+	f.executor.setHook(nil)
+	r.query("select 1", "RowDescription D:select_1 C:SELECT Z:I")
+	return f.executor.last().PositionKnown
+}
+
 // Guards against a caller that takes a lost transaction for an open one, or
 // a commit of unknown outcome for a refused one.
 func TestLostTransaction(t *testing.T) {
@@ -227,10 +235,12 @@
 	f := start(t)
 	r := dial(t, f, "")
 	lose := gypsumyard.Errorf(gypsumyard.ClassUnknown, "owner is gone")
+	r.query("insert into t values (0)", "C:INSERT_0_1 S:gypsumyard.position="+testDatabase+":1/1 Z:I")
+	is.True(r.known(f))
 	r.query("begin", "C:BEGIN Z:T")
 	is.Equal(f.executor.last().Transaction, "")
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
-	r.query("insert into t values (1)", "E:GY002 Z:E")
+	r.query("insert into t values (1)", "E:GY002 S:gypsumyard.position= Z:E")
 	is.Equal(f.executor.last().Owner, "host-2")
 	is.Equal(f.executor.abandons(), 1)
 	n := f.executor.count()
@@ -240,7 +250,9 @@
 	f.executor.setHook(nil)
 	r.query("begin", "C:BEGIN Z:T")
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return lose })
+	// The caller was told already that the position is not known.
 	r.query("commit", "E:GY002 Z:I")
+	is.True(!r.known(f))
 	busy := &gypsumyard.Error{Class: gypsumyard.ClassLoad, Message: "queue is full", RetryAfter: 250 * time.Millisecond}
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error { return busy })
 	r.send(&pgproto3.Query{String: "select 1"})
@@ -270,6 +282,25 @@
 	t.Fatal("condition did not become true within 5 s")
 }
 
+// Guards against statements of a read-only transaction that are routed to the
+// primary, and against metrics that count nothing.
+func TestReadOnlyTransaction(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	f := start(t, WithMetrics(scope))
+	r := dial(t, f, "")
+	r.query("begin read only; select nextval('s')", "C:BEGIN RowDescription D:select_nextval('s') C:SELECT Z:T")
+	is.Equal(f.executor.requests[0].Class, gypsumyard.StatementBeginRead)
+	is.Equal(f.executor.last().Class, gypsumyard.StatementRead)
+	r.query("savepoint a; rollback to a; commit; select nextval('s')", "C:SAVEPOINT C:ROLLBACK C:COMMIT RowDescription D:select_nextval('s') C:SELECT S:gypsumyard.position="+testDatabase+":1/2 Z:I")
+	is.Equal(f.executor.last().Class, gypsumyard.StatementWrite)
+	r.query("listen a", "E:0A000 Z:I")
+	s := scope.Snapshot()
+	is.Equal(s.Counters()["caller.requests+class=read"].Value(), int64(3))
+	is.Equal(s.Counters()["caller.errors+class=not-supported"].Value(), int64(1))
+	is.Equal(s.Gauges()["caller.sessions+"].Value(), 1.0)
+}
+
 // Guards against wrong splitting of batches with transaction control.
 func TestPipelinedTransaction(t *testing.T) {
 	f := start(t)
