--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -48,11 +48,10 @@
 	for n := 1; ; n++ {
 		changed := s.members.Changes()
 		host, ok := s.place(a.request)
-		log := s.logger(a, host, n)
 		switch {
 		case ok:
 			if n > 1 {
-				log.WithField("reason", a.lost).Info("request is sent again")
+				s.logger(a, host, n).Info("request is sent again")
 			}
 			err := s.runAt(a, host)
 			if err == nil || !a.repeatable(ctx, err) {
@@ -63,13 +62,13 @@
 			a.lost = gypsumyard.Errorf(gypsumyard.ClassNotRun, "host %s, which holds the transaction, is gone", a.request.Owner)
 		default:
 			a.lost = gypsumyard.Errorf(gypsumyard.ClassNotRun, "no live host owns database %q", a.request.Database)
-			s.placed.Inc(1)
+			s.unplaced.Inc(1)
 		}
 		if !ok && n == 1 {
-			log.WithField("reason", a.lost).Info("request waits for an owner")
+			s.logger(a, host, n).Info("request waits for an owner")
 		}
 		if !s.wait(ctx, a, changed) {
-			log.WithField("reason", a.lost).Info("request is given up")
+			s.logger(a, host, n).Info("request is given up")
 			return publicError(a.lost)
 		}
 	}
@@ -77,6 +76,7 @@
 
 func (s *Service) logger(a *attempt, host gypsumyard.Host, try int) logrus.FieldLogger {
 	return s.log.WithFields(logrus.Fields{
+		"reason":   a.lost,
 		"what":     a.what,
 		"session":  a.request.Session,
 		"customer": a.request.Customer,
@@ -99,9 +99,9 @@
 }
 
 func (s *Service) remember(h gypsumyard.Host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.owners[h.Name] = h
+	if old, ok := s.owners.Load(h.Name); !ok || old != h {
+		s.owners.Store(h.Name, h)
+	}
 }
 
 // findHost returns the host that holds a transaction. Hosts of this region
@@ -112,11 +112,8 @@
 	if name == self.Name {
 		return self, true
 	}
-	s.mu.Lock()
-	h, ok := s.owners[name]
-	s.mu.Unlock()
-	if ok && h.Region != self.Region {
-		return h, true
+	if h, ok := s.owners.Load(name); ok && h.(gypsumyard.Host).Region != self.Region {
+		return h.(gypsumyard.Host), true
 	}
 	for _, h := range s.members.Hosts() {
 		if h.Name == name {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,12 +46,11 @@
 	peers   Executors
 	done    chan struct{}
 
-	local, remote, placed tally.Counter
+	local, remote, unplaced tally.Counter
 
-	mu sync.Mutex
-	// owners are the hosts that were last seen to own something, by name.
+	// owners maps names to the hosts that were last seen to own something.
 	// Hosts of other regions are found here when they hold a transaction.
-	owners map[string]gypsumyard.Host
+	owners sync.Map
 }
 
 // An Option changes a Service.
@@ -73,14 +72,13 @@
 		log:     logrus.StandardLogger(),
 		metrics: tally.NoopScope,
 		done:    make(chan struct{}),
-		owners:  map[string]gypsumyard.Host{},
 	}
 	for _, o := range options {
 		o(s)
 	}
 	s.local = s.metrics.Tagged(map[string]string{"owner": "local"}).Counter("dispatch_attempts")
 	s.remote = s.metrics.Tagged(map[string]string{"owner": "remote"}).Counter("dispatch_attempts")
-	s.placed = s.metrics.Counter("dispatch_no_owner")
+	s.unplaced = s.metrics.Counter("dispatch_no_owner")
 	return s
 }
 
--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -110,9 +111,7 @@
 // BenchmarkTick measures one tick of a host in a settled region: eight
 // heartbeats sent, and eight received and answered. It leaves out the network.
 func BenchmarkTick(b *testing.B) {
-	w := newNetwork(720)
-	w.startAll()
-	w.run(20 * time.Second)
+	w := settled()
 	d := w.nodes[0]
 	d.table.mu.Lock()
 	beat := d.table.heartbeat(d.table.targets[0].host).message
@@ -130,3 +129,11 @@
 	}
 	b.ReportMetric(float64(proto.Size(beat)), "bytes/heartbeat")
 }
+
+// settled returns a region of 720 hosts that was started some time ago.
+var settled = sync.OnceValue(func() *network {
+	w := newNetwork(720)
+	w.startAll()
+	w.run(20 * time.Second)
+	return w
+})
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -230,11 +230,18 @@
 	s.merge(u)
 }
 
-// noteSynced notes that a page of another host's table has come. Hosts that
-// only the list knows are not eligible from then on.
+// noteSynced notes that a page of another host's table has come.
 func (s *Service) noteSynced(m *peerpb.Members) {
 	s.joined = true
-	if !m.More && !s.complete {
+	if !m.More {
+		s.noteComplete()
+	}
+}
+
+// noteComplete notes that this host knows what another one knows. Hosts that
+// only the list knows are not eligible from then on.
+func (s *Service) noteComplete() {
+	if !s.complete {
 		s.complete = true
 		s.invalidate()
 	}
@@ -253,6 +260,7 @@
 func (s *Service) compareDigest(m *peerpb.Members, now time.Time) []outgoing {
 	if m.Digest == s.digest {
 		s.differs = time.Time{}
+		s.noteComplete()
 		return nil
 	}
 	if s.differs.IsZero() {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -92,7 +92,7 @@
 	began    time.Time
 	// joined tells that a host or the platform's list has answered.
 	joined bool
-	// complete tells that the table of another host has been fetched.
+	// complete tells that the table of another host was equal or was fetched.
 	complete bool
 	// fresh is since when the view is up to date, zero while it is not.
 	fresh time.Time
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -202,6 +202,7 @@
 		e.RetryAfter = cancelGrace
 		return gypsumyard.Result{}, e
 	}
+	e.remote.service.sent.Inc(1)
 	if err := l.submit(ctx, c, r); err != nil {
 		return gypsumyard.Result{}, l.abort(c, err)
 	}
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -172,6 +172,7 @@
 // execute runs one request and sends its answer.
 func (in *inbound) execute(r *run, p *peerpb.Request) {
 	defer r.cancel(nil)
+	in.service.executed.Inc(1)
 	a := &answer{in: in, run: r}
 	req, err := decodeRequest(p, in.service.clock.Now())
 	var res gypsumyard.Result
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -58,6 +58,8 @@
 	metrics tally.Scope
 	kernel  *kernel.Kernel
 
+	sent, executed tally.Counter
+
 	listener net.Listener
 	slots    chan struct{}
 	unknown  chan struct{}
@@ -113,6 +115,8 @@
 	for _, o := range options {
 		o(s)
 	}
+	s.sent = s.metrics.Counter("peer_requests_sent")
+	s.executed = s.metrics.Counter("peer_requests_executed")
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -44,6 +45,25 @@
 	is.Equal(got, r)
 }
 
+// Guards against a field of an error that is lost, and a partial answer that
+// comes with it.
+func TestExecuteCarriesErrors(t *testing.T) {
+	is := is.New(t)
+	want := &gypsumyard.Error{Class: gypsumyard.ClassLoad, State: "53300", Message: "full", RetryAfter: time.Second, Err: gypsumyard.ErrFenced}
+	o := newOwner(func(_ context.Context, _ *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		_, _ = sink.Write([]byte("part"))
+		return gypsumyard.Result{TxStatus: 'E', Transaction: "tx"}, want
+	})
+	_, b := start(t, "b", o)
+	a, _ := start(t, "a")
+	var sink bytes.Buffer
+	res, err := a.Executor(b).Execute(t.Context(), &gypsumyard.Request{}, &sink)
+	is.Equal(err, error(want))
+	is.Equal(res, gypsumyard.Result{TxStatus: 'E', Transaction: "tx"})
+	is.Equal(sink.Len(), 0)
+	is.Equal(gypsumyard.ClassOf(a.Executor(b).CancelStatement(t.Context(), &gypsumyard.Request{})), gypsumyard.ClassNotSupported)
+}
+
 // Guards against answers that reach another caller, lose bytes or change their
 // order when they interleave, come late or were cancelled.
 func TestMultiplexing(t *testing.T) {
@@ -288,3 +308,27 @@
 	is.Equal(l.places+l.bytes+l.windows, 0)
 	l.mu.Unlock()
 }
+
+// Guards against goroutines that outlive their links.
+func TestGoroutinesEnd(t *testing.T) {
+	is := is.New(t)
+	o := newOwner(func(context.Context, *gypsumyard.Request, gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+		return gypsumyard.Result{}, nil
+	})
+	_, b := start(t, "b", o)
+	p := startProxy(t, b.Addr)
+	a, _ := start(t, "a")
+	via := gypsumyard.Host{Name: "b", Addr: p.addr()}
+	before := runtime.NumGoroutine()
+	for range 20 {
+		_, err := a.Executor(via).Execute(t.Context(), &gypsumyard.Request{}, discard{})
+		is.NoErr(err)
+		is.True(a.ReleaseDatabase(t.Context(), via, "db") == nil)
+		p.breakAll()
+		eventually(t, "links are gone", func() bool {
+			links, gossips, _, _ := a.snapshot()
+			return len(links)+len(gossips) == 0
+		})
+	}
+	eventually(t, "goroutines are gone", func() bool { return runtime.NumGoroutine() <= before })
+}
