--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -33,7 +33,7 @@
 	successors = 8
 	// updatesPerMessage bounds the updates on one heartbeat. An update has
 	// about 60 bytes, so that a full message still fits in one packet.
-	updatesPerMessage = 12
+	updatesPerMessage = 20
 	// seedPatience is how long a host that knows only addresses waits for an
 	// answer before it takes itself for the first one.
 	seedPatience = 2 * time.Second
