peer, host: cancel requests reach the host that runs the session

Cause: the balancer may send a cancel request to any host; only the one that gave the key could act on it. Change: a call between hosts takes the key to the hosts whose names fit it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -162,7 +162,7 @@
 	h.owner = owner.New(h.ownerOptions()...)
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.entry("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = caller.New(s.Listen.Callers, caller.WithClock(h.clock), caller.WithLogger(h.entry("caller")),
-		caller.WithMetrics(h.scope), caller.WithMockSecret([]byte(s.Peers.Secret)), caller.WithLimits(caller.Limits{
+		caller.WithMetrics(h.scope), caller.WithCancelForwarder(peers), caller.WithMockSecret([]byte(s.Peers.Secret)), caller.WithLimits(caller.Limits{
 			ConnectionBuffer: int(s.Callers.BufferPerConnection),
 			TotalBuffer:      int(s.Callers.BufferTotal),
 			Startup:          time.Duration(s.Callers.StartupTimeout),
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -79,6 +79,14 @@
 	return err
 }
 
+// ForwardCancel hands a cancel key to the host that gave it to a caller.
+func (s *Service) ForwardCancel(ctx context.Context, to gypsumyard.Host, process, secret uint32) (err error) {
+	defer annotate(&err, "forward cancel key to", to)
+	p := &peerpb.CancelSession{Process: process, Secret: secret}
+	_, err = s.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Cancel{Cancel: p}})
+	return err
+}
+
 func annotate(err *error, doing string, host gypsumyard.Host) {
 	if *err != nil {
 		*err = fmt.Errorf("%s %s: %w", doing, host.Name, *err)
@@ -160,6 +168,8 @@
 		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
 		err = g.acceptRelease(b.Released)
+	case *peerpb.Call_Cancel:
+		err = g.cancelSession(b.Cancel)
 	default:
 		err = gypsumyard.Errorf(gypsumyard.ClassNotSupported, "call %T", b)
 	}
@@ -194,6 +204,20 @@
 	return encodeStatus(st), err
 }
 
+// A sessionCanceler is the service "caller" as its peers use it.
+type sessionCanceler interface {
+	Cancel(ctx context.Context, process, secret uint32) (known bool, err error)
+}
+
+func (g *gossipServer) cancelSession(c *peerpb.CancelSession) error {
+	callers, err := kernel.Lookup[sessionCanceler](g.service.kernel, "caller")
+	if err != nil {
+		return err
+	}
+	_, err = callers.Cancel(g.ctx, c.GetProcess(), c.GetSecret())
+	return err
+}
+
 func (g *gossipServer) acceptRelease(r *peerpb.Released) error {
 	owner, err := kernel.Lookup[gypsumyard.Owner](g.service.kernel, "owner")
 	if err != nil {
