--- a/internal/owner/timeout.go
+++ b/internal/owner/timeout.go
@@ -26,24 +26,29 @@
 // answer for a fixed time. It is the baseline for measurements.
 func NewTimeoutPromoter(clock gypsumyard.Clock) Promoter { return &timeoutPromoter{clock: clock} }
 
-// Judge measures from the last answer of the primary, or from the first call
-// if this host has never seen one.
+// Judge measures from the last answer of the primary, or from when no primary
+// was seen first. A primary that answers but was fenced, for example by a
+// promotion that found no majority, must be replaced as well.
 func (p *timeoutPromoter) Judge(_ context.Context, s PromotionState) Verdict {
 	now := p.clock.Now()
-	limit := deadAfter
+	since, limit, heard := now, deadAfter, false
 	for _, v := range s.Views {
 		switch {
 		case v.Reachable && v.Status.Writable():
 			p.lost = time.Time{}
 			return Verdict{}
-		case v.Upstream.Name == s.Primary:
-			p.lost = v.SampledAt
-		case v.Reachable && v.Status.StreamAge+now.Sub(v.SampledAt) < deadAfter:
+		case v.Upstream.Name == s.Primary && !v.Reachable:
+			since = v.SampledAt
 			limit = deadWhileHeard
+		case v.Reachable && v.Status.StreamAge+now.Sub(v.SampledAt) < deadAfter:
+			heard = true
 		}
 	}
+	if !heard {
+		limit = deadAfter
+	}
 	if p.lost.IsZero() {
-		p.lost = now
+		p.lost = since
 	}
 	silent := now.Sub(p.lost)
 	if silent < limit {
