--- a/internal/promote/calls.go
+++ b/internal/promote/calls.go
@@ -58,7 +58,8 @@
 }
 
 // ask sends the call to all instances at once. It returns when all have
-// answered, or the grace period after enough have answered without an error.
+// answered, the grace period after enough have answered without an error, or
+// when so many have refused that not enough are left.
 // Calls that are still open then are cancelled and waited for.
 func (s *settings) ask(ctx context.Context, instances []gypsumyard.Instance, enough int, c call) []answer {
 	ctx, cancel := context.WithCancel(ctx)
@@ -75,13 +76,19 @@
 func (s *settings) collect(instances []gypsumyard.Instance, enough int, results <-chan answer) []answer {
 	var answers []answer
 	var grace <-chan time.Time
-	good := 0
+	good, refused := 0, 0
 	for len(answers) < len(instances) {
 		select {
 		case a := <-results:
 			answers = append(answers, a)
-			if a.err == nil {
+			switch {
+			case a.err == nil:
 				good++
+			case errors.Is(a.err, gypsumyard.ErrFenced):
+				refused++
+			}
+			if len(instances)-refused < enough {
+				return appendMissing(answers, instances)
 			}
 		case <-grace:
 			return appendMissing(answers, instances)
--- /dev/null
+++ b/internal/promote/detector_test.go
@@ -0,0 +1,64 @@
+package promote
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/matryer/is"
+)
+
+const poll = 50 * time.Millisecond
+
+// deadAfter feeds the detector every 50 ms and returns when it says dead, or
+// zero if it does not within 10 s.
+func deadAfter(feed func(d *Detector, now time.Duration)) time.Duration {
+	c := clock.NewFake(time.Unix(1000, 0))
+	d := NewDetector(WithClock(c))
+	for now := poll; now < 10*time.Second; now += poll {
+		c.Advance(poll)
+		feed(d, now)
+		if s, _ := d.State(); s == StateDead {
+			return now
+		}
+	}
+	return 0
+}
+
+// Guards against needless promotions of a slow or partly reachable primary, and
+// against a dead one that is kept too long.
+func TestDetector(t *testing.T) {
+	is := is.New(t)
+	failed := func(d *Detector) { d.OpenFailed(); d.FreshFailed() }
+	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // dead, as its replicas see
+		failed(d)
+		d.Witness("replica", now-20*time.Millisecond)
+	}), 600*time.Millisecond)
+	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // out of reach of this host
+		failed(d)
+		d.Witness("replica", poll)
+	}), 3*time.Second)
+	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // heard for another second, then dead
+		failed(d)
+		d.Witness("peer", max(now-time.Second, 0))
+	}), 1600*time.Millisecond)
+	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // answers, but a second late
+		failed(d)
+		d.Witness("replica", poll)
+		if now >= time.Second {
+			d.Answered()
+		}
+	}), time.Duration(0))
+	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // the open connection went silent
+		d.OpenFailed()
+	}), time.Duration(0))
+	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // this host was paused for 2 s
+		if now < 2*time.Second {
+			return
+		}
+		failed(d)
+		if now > 2200*time.Millisecond {
+			d.Answered()
+		}
+	}), time.Duration(0))
+}
--- a/internal/promote/options.go
+++ b/internal/promote/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"io"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -22,6 +23,7 @@
 	backoff     time.Duration
 	catchUp     time.Duration
 	newToken    func() gypsumyard.Token
+	jitter      func(d time.Duration) time.Duration
 }
 
 // An Option changes how a promotion or a Detector works.
@@ -69,6 +71,7 @@
 		backoff:  20 * time.Millisecond,
 		catchUp:  3 * time.Second,
 		newToken: func() gypsumyard.Token { return gypsumyard.Token(rand.Text()) },
+		jitter:   func(d time.Duration) time.Duration { return d/2 + mathrand.N(d) },
 	}
 	for _, o := range options {
 		o(s)
--- a/internal/promote/run.go
+++ b/internal/promote/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -52,11 +51,16 @@
 	token   gypsumyard.Token
 	// leaving is the instance that a hand-over replaces.
 	leaving string
+	// enough is how many instances must be fenced before the choice, apart
+	// from the grace period. It is at least a majority.
+	enough int
 }
 
 func newPromotion(instances []gypsumyard.Instance, options []Option) *promotion {
 	s := newSettings(options)
-	return &promotion{set: s, instances: instances, highest: s.seen}
+	p := &promotion{set: s, instances: instances, highest: s.seen}
+	p.enough = p.majority()
+	return p
 }
 
 func (p *promotion) majority() int { return len(p.instances)/2 + 1 }
@@ -93,22 +97,22 @@
 // time do not keep taking each other's term.
 func (p *promotion) delay(attempt int) time.Duration {
 	d := p.set.backoff << min(attempt, 5)
-	return d/2 + rand.N(d)
+	return p.set.jitter(d)
 }
 
 // once runs the steps of a promotion in one term.
 func (p *promotion) once(ctx context.Context, term gypsumyard.Term) (r Result, err error) {
-	fenced, err := p.fence(ctx, p.instances, term)
+	fenced, err := p.fence(ctx, term)
 	if err != nil {
 		return r, err
 	}
 	return p.finish(ctx, term, p.choose(fenced))
 }
 
-// fence fences the instances and returns the answers of those that are fenced.
+// fence fences all instances and returns the answers of those that are fenced.
 // They are a majority of all instances, or the error tells why not.
-func (p *promotion) fence(ctx context.Context, instances []gypsumyard.Instance, term gypsumyard.Term) (fenced []answer, err error) {
-	answers := p.set.ask(ctx, instances, p.majority(), func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error) {
+func (p *promotion) fence(ctx context.Context, term gypsumyard.Term) (fenced []answer, err error) {
+	answers := p.set.ask(ctx, p.instances, p.enough, func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error) {
 		return i.Fence(ctx, term, p.token)
 	})
 	p.observe(answers)
