owner: promoter on the detector, hand-over of leaving primaries

Cause: the timeout promoter asks no witnesses and plans no hand-overs, and admit grants nothing on an instance that is not available, so transactions open on a leaving instance would have waited for their deadline.

A leaving primary takes writes for at most 2 s until it is replaced. An instance with open transactions stays available to the admitter. admit.Learner replaces the own statistics of shapes. Polls have 150 ms, after four failures 300 ms.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -135,7 +135,7 @@
 	if err != nil {
 		return gypsumyard.Ticket{}, err
 	}
-	mean, long, _ := g.shapes.expect(r.Shape)
+	mean, long := g.learner.Expected(r.Shape)
 	return gypsumyard.Ticket{
 		Customer:      r.Customer,
 		Plan:          plan,
@@ -153,7 +153,7 @@
 	used := g.clock.Since(a.began)
 	g.admitter.Release(a.grant, used)
 	if ran {
-		g.shapes.learn(r.Shape, used)
+		g.learner.Observe(r.Shape, used)
 	}
 	if a.permit != nil {
 		a.permit.release()
@@ -174,11 +174,9 @@
 // exchange runs the request on the attempt's connection and makes it known to
 // CancelStatement meanwhile.
 func (g *group) exchange(ctx context.Context, r *job, a *attempt, ex *upstream.Exchange, sink gypsumyard.ResponseSink) (upstream.Outcome, error) {
-	_, _, ex.SilentBound = g.shapes.expect(r.Shape)
+	expected, long := g.learner.Expected(r.Shape)
+	ex.SilentBound = silence(expected, long || r.Long)
 	ex.Batch, ex.Settings = r.batch, r.Settings
-	if r.Long {
-		ex.SilentBound = max(ex.SilentBound, unknownSilent)
-	}
 	sent := g.clock.Now()
 	ex.Working = func() bool { return g.answeredSince(a.member, sent) }
 	g.mu.Lock()
--- a/internal/owner/failure_test.go
+++ b/internal/owner/failure_test.go
@@ -9,14 +9,28 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/admit"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/gypsumyard/gypsumyard/internal/route"
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 )
 
 func withPromoter() owner.Option {
-	return owner.WithPromoter(func(gypsumyard.Database) owner.Promoter { return owner.NewTimeoutPromoter(clock.System()) })
+	return owner.WithPromoter(func(d gypsumyard.Database) owner.Promoter {
+		return owner.NewPromoter(d, clock.System(), logrus.New())
+	})
+}
+
+// withParts replaces the naive parts by those that hosts use.
+func withParts() owner.Option {
+	return owner.Options(
+		withPromoter(),
+		owner.WithAdmitter(func(d gypsumyard.Database) gypsumyard.Admitter { return admit.New(d.Name) }),
+		owner.WithRouter(func(gypsumyard.Database) gypsumyard.Router { return route.New() }),
+	)
 }
 
 // Guards against a session that does not see its own write on a replica that
@@ -143,7 +157,8 @@
 // that they own the database and both replace the primary.
 func TestTwoOwners(t *testing.T) {
 	is := is.New(t)
-	f := start(t, []group.Option{group.WithConnections(30), group.WithSlots(2)}, withPromoter())
+	naive := owner.WithPromoter(func(gypsumyard.Database) owner.Promoter { return owner.NewTimeoutPromoter(clock.System()) })
+	f := start(t, []group.Option{group.WithConnections(30), group.WithSlots(2)}, naive)
 	other := serve(t, f.group, withPromoter())
 	l := keepWriting(f, other)
 	for range 3 {
@@ -225,6 +240,37 @@
 	is.Equal(leaving.Counters()["select"], before)
 }
 
+// Guards against a leaving primary that keeps getting work, and against writes
+// that are lost or refused while it is replaced.
+func TestLeavingPrimary(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withParts())
+	tx := f.must("open", gypsumyard.StatementBegin, "begin")
+	l := keepWriting(f)
+	time.Sleep(100 * time.Millisecond)
+	leaving := f.group.Primary()
+	leaving.SetLeaving(true)
+	eventually(t, "new primary", func() bool {
+		p := f.group.Primary()
+		return p != nil && p != leaving
+	})
+	is.NoErr(f.in(tx, "open", gypsumyard.StatementRead, "select 1").err)
+	time.Sleep(200 * time.Millisecond)
+	before := leaving.Counters()["insert"] + leaving.Counters()["select"]
+	for range 20 {
+		f.must("s", gypsumyard.StatementRead, "select 1")
+	}
+	is.Equal(leaving.Counters()["insert"]+leaving.Counters()["select"], before)
+	is.True(l.check(t, f.group) > 50)
+	refused := 0
+	for _, class := range l.outcome {
+		if class != "" && class != gypsumyard.ClassUnknown {
+			refused++
+		}
+	}
+	is.Equal(refused, 0)
+}
+
 // Guards against a deadline that the owner overlooks while a statement runs.
 func TestDeadline(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/faults_test.go
+++ b/internal/owner/faults_test.go
@@ -139,8 +139,8 @@
 // Guards against lost, repeated and invisible writes under random faults,
 // with two hosts that believe they own the database.
 func TestRandomFaults(t *testing.T) {
-	f := start(t, []group.Option{group.WithConnections(30), group.WithSlots(2)}, withPromoter(), owner.WithConfirmTimeout(2*time.Second))
-	hosts := []*fixture{f, serve(t, f.group, withPromoter(), owner.WithConfirmTimeout(2*time.Second))}
+	f := start(t, []group.Option{group.WithConnections(30), group.WithSlots(2)}, withParts(), owner.WithConfirmTimeout(2*time.Second))
+	hosts := []*fixture{f, serve(t, f.group, withParts(), owner.WithConfirmTimeout(2*time.Second))}
 	until := time.Now().Add(*faultTime)
 	var counters []*counter
 	var wg sync.WaitGroup
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/admit"
 	"github.com/gypsumyard/gypsumyard/internal/upstream"
 	"github.com/sirupsen/logrus"
 )
@@ -22,7 +23,7 @@
 	admitter gypsumyard.Admitter
 	router   gypsumyard.Router
 	promoter Promoter
-	shapes   shapes
+	learner  *admit.Learner
 	flights  flights
 	// ctx ends all work of the group.
 	ctx       context.Context
@@ -63,6 +64,7 @@
 		metrics:      newMetrics(s.scope.Tagged(map[string]string{"database": d.Name})),
 		admitter:     s.admitter(d),
 		router:       s.router(d),
+		learner:      admit.NewLearner(),
 		ctx:          ctx,
 		cancel:       cancel,
 		transactions: map[string]*transaction{},
@@ -135,16 +137,26 @@
 	_ = m.order.Close()
 }
 
-// setInstances tells the admitter the capacities. It is called with the lock
-// held.
+// setInstances tells the admitter the capacities. An instance that gets no new
+// work stays available to the transactions that are open on it: new requests
+// do not name it as a target. It is called with the lock held.
 func (g *group) setInstances() {
 	var out []gypsumyard.InstanceCapacity
 	for _, m := range g.members {
-		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Available: m.usable()})
+		m.available = m.usable() || m.pinned > 0
+		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Available: m.available})
 	}
 	g.admitter.SetInstances(out)
 }
 
+// checkAvailable tells the admitter if the availability of the instance has
+// changed. It is called with the lock held.
+func (g *group) checkAvailable(m *member) {
+	if m.available != (m.usable() || m.pinned > 0) {
+		g.setInstances()
+	}
+}
+
 // find returns the member of the given name. It is called with the lock held.
 func (g *group) find(name string) *member {
 	for _, m := range g.members {
@@ -173,7 +185,7 @@
 	var best *member
 	for _, m := range g.members {
 		s := &m.view.Status
-		if m.usable() && s.Writable() && (best == nil || s.Term() > best.view.Status.Term()) {
+		if g.takesWrites(m) && s.Writable() && (best == nil || s.Term() > best.view.Status.Term()) {
 			best = m
 		}
 	}
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -23,6 +23,9 @@
 	// pollAtLeast is the longest pause between two polls of an instance that
 	// requests keep up to date. Only polls measure its distance.
 	pollAtLeast = time.Second
+	// Polls after slowAfter failures have slowFactor times the timeout.
+	slowAfter  = 4
+	slowFactor = 2
 )
 
 // A member is one instance of a group. Its view is guarded by the lock of the
@@ -43,6 +46,12 @@
 	polledAt time.Time
 	failures int
 	running  int
+	// pinned counts the transactions open on the instance, and available is
+	// what the admitter was told.
+	pinned    int
+	available bool
+	// leavingFrom is when the instance was seen to be leaving.
+	leavingFrom time.Time
 	// followAt is when the instance was last told to follow the primary.
 	followAt time.Time
 }
@@ -58,13 +67,23 @@
 // usable reports whether the instance may get new work.
 func (m *member) usable() bool { return m.view.Reachable && !m.view.Leaving }
 
+// leavingGrace is how long a leaving primary takes writes while its hand-over
+// waits for a replica to catch up.
+const leavingGrace = 2 * time.Second
+
+// takesWrites reports whether the instance may get new writes, if it is the
+// primary. It is called with the lock held.
+func (g *group) takesWrites(m *member) bool {
+	return m.view.Reachable && (!m.view.Leaving || g.clock.Since(m.leavingFrom) < leavingGrace)
+}
+
 // watch polls the instance until ctx is done.
 func (g *group) watch(ctx context.Context, m *member) {
 	defer g.work.Done()
 	for ctx.Err() == nil {
 		sent := g.clock.Now()
 		g.noteSent(m, sent)
-		call, cancel := context.WithTimeout(ctx, g.pollTimeout)
+		call, cancel := context.WithTimeout(ctx, g.timeout(m))
 		status, err := m.poll.Status(call)
 		cancel()
 		if ctx.Err() != nil {
@@ -75,6 +94,18 @@
 	}
 }
 
+// timeout returns how long a poll may take. The first polls are short, so that
+// several fail before a silent primary counts as dead. Later ones give a slow
+// instance time to answer.
+func (g *group) timeout(m *member) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.failures >= slowAfter {
+		return slowFactor * g.pollTimeout
+	}
+	return g.pollTimeout
+}
+
 func (g *group) noteSent(m *member, sent time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,7 +162,6 @@
 func (g *group) observe(m *member, sent time.Time, status gypsumyard.InstanceStatus, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	before := m.usable()
 	m.polledAt = g.clock.Now()
 	if err != nil {
 		m.failures++
@@ -142,9 +172,7 @@
 	} else {
 		g.accept(m, sent, status)
 	}
-	if m.usable() != before {
-		g.setInstances()
-	}
+	g.checkAvailable(m)
 	g.afterChange()
 }
 
@@ -168,7 +196,10 @@
 	if sent.Before(v.SampledAt) {
 		return
 	}
-	before := m.usable()
+	if status.Leaving && !v.Leaving {
+		m.leavingFrom = g.clock.Now()
+		g.log.WithField("instance", m.name).Info("instance is leaving")
+	}
 	v.Status, v.SampledAt, v.Leaving = status, sent, status.Leaving
 	g.updateBound()
 	lag := time.Duration(0)
@@ -176,9 +207,7 @@
 		lag = g.samples.lag(status, sent)
 	}
 	v.Lag = smooth(v.Lag, lag)
-	if m.usable() != before {
-		g.setInstances()
-	}
+	g.checkAvailable(m)
 }
 
 func smooth(old, sample time.Duration) time.Duration {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -32,6 +32,15 @@
 // An Option changes how a Service works.
 type Option func(*settings)
 
+// Options combines several options.
+func Options(options ...Option) Option {
+	return func(s *settings) {
+		for _, o := range options {
+			o(s)
+		}
+	}
+}
+
 func defaults() settings {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -46,7 +55,7 @@
 		idleLimit:   60 * time.Second,
 		pollEvery:   50 * time.Millisecond,
 		pollUrgent:  2 * time.Millisecond,
-		pollTimeout: 200 * time.Millisecond,
+		pollTimeout: 150 * time.Millisecond,
 		takeover:    3 * time.Second,
 		coalesce:    true,
 	}
--- a/internal/owner/promoter.go
+++ b/internal/owner/promoter.go
@@ -15,6 +15,9 @@
 	Views []gypsumyard.InstanceView
 	// Primary is the name of the last known primary, empty if none is known.
 	Primary string
+	// Failures is how many polls of the primary have failed since the last
+	// answer: the first on the open connection, the others on fresh ones.
+	Failures int
 	// Probe asks up to two hosts in other failure domains to read the status
 	// of an instance. It returns an entry for each host that was asked.
 	Probe func(ctx context.Context, instance string) []Probe
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return res, errors.Is(err, errMoved), err
 	}
+	if !g.mayRead(a.member) {
+		g.release(r, &a, false)
+		return res, true, errMoved
+	}
 	if err := g.connect(waiting, r, &a); err != nil {
 		g.release(r, &a, false)
 		s.excluded[a.member.name] = true
@@ -80,6 +84,14 @@
 	return g.concludeRead(ctx, waiting, s, &a, &out, err)
 }
 
+// mayRead reports whether the instance still may get new work after the wait
+// for its slot.
+func (g *group) mayRead(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.usable()
+}
+
 func (g *group) logRead(s *readState, a *attempt, out *upstream.Outcome) {
 	var term gypsumyard.Term
 	counter := g.metrics.readsPrimary
--- a/internal/owner/supervise.go
+++ b/internal/owner/supervise.go
@@ -53,6 +53,9 @@
 	s := PromotionState{Database: g.database, Views: g.views(), Primary: g.lastPrimary, Probe: g.probe}
 	for _, m := range g.members {
 		s.Instances = append(s.Instances, m.order)
+		if m.name == g.lastPrimary {
+			s.Failures = m.failures
+		}
 	}
 	return s
 }
@@ -136,7 +139,12 @@
 	g.mu.Unlock()
 	for _, m := range lost {
 		err := m.order.Follow(g.ctx, term, p.name)
-		g.log.WithFields(logrus.Fields{"instance": m.name, "term": term, "error": err}).Info("told to follow " + p.name)
+		log := g.log.WithFields(logrus.Fields{"instance": m.name, "primary": p.name, "term": term})
+		if err != nil {
+			log.WithError(err).Warn("instance was not told to follow the primary")
+			continue
+		}
+		log.Info("instance told to follow the primary")
 	}
 }
 
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -62,6 +62,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.transactions[t.handle] = t
+	t.member.pinned++
 	g.metrics.transactions.Update(float64(len(g.transactions)))
 	res.Transaction, res.Owner = t.handle, g.service.self
 }
@@ -102,6 +103,8 @@
 	defer g.mu.Unlock()
 	t.ended = true
 	delete(g.transactions, t.handle)
+	t.member.pinned--
+	g.checkAvailable(t.member)
 	g.metrics.transactions.Update(float64(len(g.transactions)))
 	t.abandon(nil)
 	t.permit.release()
