--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -193,7 +193,9 @@
 		owner.WithRouter(h.router),
 	}
 	if s.Promote {
-		options = append(options, owner.WithPromoter(h.newPromoter))
+		options = append(options, owner.WithPromoter(func(d gypsumyard.Database) owner.Promoter {
+			return owner.NewPromoter(d, h.clock, h.entry("promote"), time.Duration(s.DetectTimeout))
+		}))
 	}
 	return options
 }
--- a/internal/site/cancel_test.go
+++ b/internal/site/cancel_test.go
@@ -68,4 +68,3 @@
 	_ = n.SetReadDeadline(time.Now().Add(10 * time.Second))
 	_, _ = n.Read(make([]byte, 1))
 }
-
