bench: a session that changes hosts may fail to connect

Cause: a request that failed to connect left no connection, which the client then asked whether it was closed. Change: check for it.

--- a/internal/bench/client.go
+++ b/internal/bench/client.go
@@ -108,7 +108,8 @@
 	}
 	outcome, err := c.send(ctx)
 	c.record.request(c.kind, arrived, outcome, err)
-	if c.conn.IsClosed() {
+	// A request that changes hosts may have failed to connect.
+	if c.conn == nil || c.conn.IsClosed() {
 		c.conn = nil
 	} else if p := c.conn.PgConn().ParameterStatus("gypsumyard.position"); p != "" {
 		c.position = p
