--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -179,6 +179,9 @@
 // accept takes over the result of a poll. It is called with the lock held.
 func (g *group) accept(m *member, sent time.Time, status gypsumyard.InstanceStatus) {
 	m.failures = 0
+	if !m.view.Reachable {
+		m.pool.Retry()
+	}
 	m.view.Reachable = true
 	v := &m.view
 	half := g.clock.Since(sent) / 2
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -155,6 +155,15 @@
 	p.suspect = p.clock.Now()
 }
 
+// Retry ends the pause after failures to open a connection. It is called when
+// the instance has been found to answer again.
+func (p *Pool) Retry() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backoff, p.retryAt = 0, time.Time{}
+	p.openFor(len(p.waiters))
+}
+
 // take returns an idle connection or waits for one.
 func (p *Pool) take(ctx context.Context) handover {
 	p.mu.Lock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -145,14 +145,17 @@
 }
 
 // Guards against a refused connection that looks like a broken one, and
-// against a pool that dials on while the instance refuses.
+// against a pool that dials on while the instance refuses, or that waits on
+// when it is known to answer again.
 func TestRefusedConnection(t *testing.T) {
 	is := is.New(t)
 	g := startGroup(t, group.WithConnections(2))
 	hog := startPool(t, g, 2)
+	var held []*Conn
 	for range 2 {
-		_, err := hog.Get(t.Context(), false)
+		c, err := hog.Get(t.Context(), false)
 		is.NoErr(err)
+		held = append(held, c)
 	}
 	p := startPool(t, g, 5)
 	for range 200 {
@@ -160,6 +163,15 @@
 		is.True(errors.Is(err, ErrRefused))
 	}
 	is.True(g.Instances()[0].Counters()["open"] < 20)
+	hog.Close()
+	for range 2 {
+		hog.Discard(held[0])
+		held = held[1:]
+	}
+	p.Retry()
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	p.Put(c)
 }
 
 // Guards against a request on a connection that has gone silent since it was
