owner: allow for locks in the bound of running statements

Cause: a statement that usually takes 5 ms and waits 3 s for a row lock would have been cut off after 2 s with an unknown outcome.

Change: writes and statements in transactions may be silent for at least 10 s; reads begin with 2 s, which doubles with each attempt.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -26,6 +26,8 @@
 type job struct {
 	*gypsumyard.Request
 	batch upstream.Batch
+	// attempts counts the exchanges.
+	attempts int
 }
 
 // execute runs one request.
@@ -175,7 +177,8 @@
 // CancelStatement meanwhile.
 func (g *group) exchange(ctx context.Context, r *job, a *attempt, ex *upstream.Exchange, sink gypsumyard.ResponseSink) (upstream.Outcome, error) {
 	expected, long := g.learner.Expected(r.Shape)
-	ex.SilentBound = silence(expected, long || r.Long)
+	ex.SilentBound = silence(expected, long || r.Long, ex.Check != nil, r.attempts)
+	r.attempts++
 	ex.Batch, ex.Settings = r.batch, r.Settings
 	sent := g.clock.Now()
 	ex.Working = func() bool { return g.answeredSince(a.member, sent) }
