promote: a dead replica does not stall a hand-over

A hand-over waited for every instance to be fenced, so a dead replica stalled writes for three call timeouts, 600 ms. It now waits for the instances that answered while a replica caught up. A cancelled promotion returns the cause of its context instead of a missing majority.

--- a/internal/promote/calls.go
+++ b/internal/promote/calls.go
@@ -22,8 +22,7 @@
 type call func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error)
 
 // repeat makes the call until it is answered, at most s.calls times. A refusal
-// is an answer. The calls run against the clock of s, so that a call that
-// ignores its context still ends for the promotion.
+// is an answer.
 func (s *settings) repeat(ctx context.Context, i gypsumyard.Instance, c call) answer {
 	var last answer
 	for range s.calls {
@@ -38,7 +37,8 @@
 
 var errTimeout = errors.New("no answer in time")
 
-// bounded makes the call once with the call timeout.
+// bounded makes the call once with the call timeout. Instances return when
+// their context is done.
 func (s *settings) bounded(ctx context.Context, i gypsumyard.Instance, c call) (gypsumyard.InstanceStatus, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/promote/handover.go
+++ b/internal/promote/handover.go
@@ -25,9 +25,6 @@
 		}
 	}()
 	p.leaving = leaving
-	// The replica that has caught up must be among the fenced, whichever
-	// answers first.
-	p.enough = len(instances)
 	return p.run(ctx, p.handOver)
 }
 
@@ -48,6 +45,9 @@
 		return i.Fence(ctx, term, p.token)
 	})
 	p.observe([]answer{fenced})
+	if ctx.Err() != nil {
+		return r, context.Cause(ctx)
+	}
 	switch {
 	case errors.Is(fenced.err, gypsumyard.ErrFenced):
 		return r, fmt.Errorf("fence %s for term %d: %w", p.leaving, term, errLost)
@@ -72,15 +72,23 @@
 }
 
 // caughtUp waits until one of the instances holds the position, and reports
-// whether that came true in time.
+// whether that came true in time. It notes how many instances answer.
 func (p *promotion) caughtUp(ctx context.Context, others []gypsumyard.Instance, want gypsumyard.Position) bool {
 	start := p.set.clock.Now()
 	for ctx.Err() == nil && p.set.clock.Since(start) < p.set.catchUp {
+		answered, found := 0, false
 		for _, a := range p.set.ask(ctx, others, 1, readStatus) {
-			if a.err == nil && !a.status.Leaving && a.status.Contains(want) {
-				return true
+			if a.err == nil {
+				answered++
+				found = found || (!a.status.Leaving && a.status.Contains(want))
 			}
 		}
+		// The replica that has caught up must be among the fenced, so all that
+		// answer at present are waited for.
+		p.enough = max(p.majority(), answered+1)
+		if found {
+			return true
+		}
 		if p.set.clock.Sleep(ctx, catchUpPoll) != nil {
 			return false
 		}
--- a/internal/promote/model_test.go
+++ b/internal/promote/model_test.go
@@ -201,11 +201,13 @@
 func (r *remote) send(ctx context.Context, kind string, do func() (gypsumyard.InstanceStatus, error)) (gypsumyard.InstanceStatus, error) {
 	o := &order{promoter: r.promoter, node: r.node, kind: kind, do: do, answer: make(chan func() (gypsumyard.InstanceStatus, error), 1)}
 	r.world.mu.Lock()
+	if r.direct && r.node.down {
+		r.world.mu.Unlock()
+		<-ctx.Done()
+		return gypsumyard.InstanceStatus{}, context.Cause(ctx)
+	}
 	if r.direct {
 		defer r.world.mu.Unlock()
-		if r.node.down {
-			return gypsumyard.InstanceStatus{}, errLostAnswer
-		}
 		return do()
 	}
 	r.world.pending = append(r.world.pending, o)
--- a/internal/promote/run.go
+++ b/internal/promote/run.go
@@ -116,6 +116,9 @@
 		return i.Fence(ctx, term, p.token)
 	})
 	p.observe(answers)
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
 	refused := false
 	for _, a := range answers {
 		refused = refused || errors.Is(a.err, gypsumyard.ErrFenced)
--- a/internal/promote/run_test.go
+++ b/internal/promote/run_test.go
@@ -262,9 +262,11 @@
 		w.replicate(w.nodes[2])
 		w.write(w.nodes[0]) // never confirmed
 		w.nodes[0].down = true
+		before := time.Now()
 		r, err := Run(t.Context(), w.instances(0, true), WithSeen(1))
 		is.NoErr(err)
-		is.Equal(r.Primary, "n2") // the most advanced that answers
+		is.True(time.Since(before) < 50*time.Millisecond) // it does not wait for the dead
+		is.Equal(r.Primary, "n2")                         // the most advanced that answers
 		is.Equal(r.Unfollowed, []string{"n0"})
 		w.nodes[0].down = false
 		is.NoErr(w.instances(0, true)[0].Follow(t.Context(), r.Term, r.Primary))
@@ -273,33 +275,40 @@
 	})
 }
 
-// Guards against a planned hand-over that loses records or picks the leaving
-// instance although another has caught up.
+// Guards against a planned hand-over that loses records, picks the leaving
+// instance although another has caught up, or waits long for a dead replica.
 func TestHandOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(3, mutations{})
-		for range 5 {
+	for _, dead := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) { handOver(t, dead) })
+	}
+}
+
+func handOver(t *testing.T, dead bool) {
+	is := is.New(t)
+	w := newWorld(3, mutations{})
+	w.nodes[2].down = dead
+	for range 5 {
+		w.write(w.nodes[0])
+	}
+	w.nodes[0].leaving = true
+	ctx, cancel := context.WithCancel(t.Context())
+	var world sync.WaitGroup
+	world.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(3 * time.Millisecond)
+			w.mu.Lock()
+			w.replicate(w.nodes[1])
 			w.write(w.nodes[0])
+			w.mu.Unlock()
 		}
-		w.nodes[0].leaving = true
-		ctx, cancel := context.WithCancel(t.Context())
-		var world sync.WaitGroup
-		world.Go(func() {
-			for ctx.Err() == nil {
-				time.Sleep(3 * time.Millisecond)
-				w.mu.Lock()
-				w.replicate(w.nodes[1])
-				w.write(w.nodes[0])
-				w.mu.Unlock()
-			}
-		})
-		r, err := HandOver(t.Context(), "n0", w.instances(0, true))
-		cancel()
-		world.Wait()
-		is.NoErr(err)
-		is.Equal(r.Primary, "n1")
-		is.Equal(w.nodes[0].role, gypsumyard.RoleReplica)
-		is.Equal(len(w.nodes[1].log), len(w.nodes[0].log)+1)
 	})
+	before := time.Now()
+	r, err := HandOver(t.Context(), "n0", w.instances(0, true))
+	is.True(time.Since(before) < 200*time.Millisecond)
+	cancel()
+	world.Wait()
+	is.NoErr(err)
+	is.Equal(r.Primary, "n1")
+	is.Equal(w.nodes[0].role, gypsumyard.RoleReplica)
+	is.Equal(len(w.nodes[1].log), len(w.nodes[0].log)+1)
 }
