--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -33,13 +33,30 @@
 func (v *view) Done() <-chan struct{}                       { return v.done }
 func (v *view) Self() gypsumyard.Host                       { return gypsumyard.Host{Name: "host-1"} }
 func (v *view) Hosts() []gypsumyard.Host                    { return []gypsumyard.Host{v.Self()} }
-func (v *view) Databases() []gypsumyard.Database            { return []gypsumyard.Database{v.db} }
-func (v *view) Database(string) (gypsumyard.Database, bool) { return v.db, true }
 func (v *view) Plan(string) (gypsumyard.Plan, bool)         { return gypsumyard.Plan{Limit: 1, Share: 1}, true }
 func (v *view) Customer(n string) (gypsumyard.Customer, bool) {
 	return gypsumyard.Customer{Name: n}, true
 }
 
+func (v *view) Database(string) (gypsumyard.Database, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.db, true
+}
+
+func (v *view) Databases() []gypsumyard.Database {
+	d, _ := v.Database("")
+	return []gypsumyard.Database{d}
+}
+
+func (v *view) setDatabase(d gypsumyard.Database) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.db = d
+	close(v.changes)
+	v.changes = make(chan struct{})
+}
+
 func (v *view) Owner(string) (gypsumyard.Host, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -80,6 +97,7 @@
 	group   *group.Group
 	service *owner.Service
 	members *view
+	lists   *view
 	peers   *peers
 }
 
@@ -102,10 +120,10 @@
 	newView := func(name string) *view {
 		return &view{name: name, db: g.Database("north"), owner: "host-1", changes: make(chan struct{}), done: closed()}
 	}
-	f.members = newView("members")
+	f.members, f.lists = newView("members"), newView("lists")
 	f.peers = &peers{view: view{name: "peer", done: closed()}, released: make(chan string, 8)}
 	f.service = owner.New(options...)
-	k, err := kernel.New(newView("lists"), f.members, f.service, f.peers)
+	k, err := kernel.New(f.lists, f.members, f.service, f.peers)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -39,6 +39,31 @@
 	})
 }
 
+// Guards against an instance that was taken off the list and still gets work,
+// and against a change of the list that interrupts service.
+func TestInstanceRemoved(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withParts())
+	l := keepWriting(f)
+	all, _ := f.lists.Database("")
+	fewer := all
+	fewer.Instances = all.Instances[:2]
+	f.lists.setDatabase(fewer)
+	eventually(t, "connections closed", func() bool {
+		open, _ := f.group.Instances()[2].Connections()
+		return open == 0
+	})
+	all.Slots++
+	f.lists.setDatabase(all)
+	eventually(t, "reads on the instance", func() bool {
+		return f.exec("s", gypsumyard.StatementRead, "select 1").result.Instance == all.Instances[2].Name
+	})
+	is.True(l.check(t, f.group) > 20)
+	for _, class := range l.outcome {
+		is.Equal(class, gypsumyard.ErrorClass(""))
+	}
+}
+
 // rateAdmitter records the rate factors.
 type rateAdmitter struct {
 	gypsumyard.Admitter
