--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -50,6 +50,8 @@
 	// refused tells that nothing listened at the address at the last poll.
 	refused bool
 	running int
+	// early counts those that run without a slot.
+	early int
 	// pinned counts the transactions open on the instance, and available is
 	// what the admitter was told.
 	pinned    int
