upstream: wait for the instance in the test of refusals

The test dialled before the emulated instance had seen the closed connections: it failed in 1 of 5 runs under load. It now waits until the instance holds none and still asks for a connection at once.

--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -168,6 +168,9 @@
 		hog.Discard(held[0])
 		held = held[1:]
 	}
+	for open := 2; open > 0; time.Sleep(time.Millisecond) {
+		open, _ = g.Instances()[0].Connections()
+	}
 	p.Retry()
 	c, err := p.Get(t.Context(), false)
 	is.NoErr(err)
