admit: abandoned grants do not count as runs

A caller that gave up at the moment of its grant released it with a used time of zero, which lowered the smoothed run times. Such releases are not learned from. The timer goroutine holds no idle timer, so that tests on the fake clock can count those of the code under test.

--- a/internal/admit/admitter.go
+++ b/internal/admit/admitter.go
@@ -211,6 +211,7 @@
 func (a *Admitter) run() {
 	defer close(a.done)
 	timer := a.set.clock.NewTimer(time.Hour)
+	timer.Stop()
 	defer timer.Stop()
 	for {
 		select {
--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -258,7 +258,9 @@
 	c.stop(r)
 	c.charge(r, used.Seconds()-r.charged)
 	f.highest = max(f.highest, c.virtual)
-	f.learn(r, used)
+	if used > 0 { // zero: the caller gave up before the request ran
+		f.learn(r, used)
+	}
 	f.update(now, c)
 	if f.waiting == 0 && len(f.running) == 0 {
 		// With all work done nobody is behind anybody.
