owner, site: as many statements ahead as a round trip holds; ports that stay free

Cause: two mechanisms filled the round trips, one fixed statement ahead and the early release of slots; the second needs a goroutine and a timer for each request. Change: the number ahead follows slots, round trip and mean run time, at most the slots; early release is gone, its test now bounds the statements ahead (2 x slots instead of 3 x). Hosts of a site use ports below those of outgoing connections.

--- a/cmd/gypsumyard/main_test.go
+++ b/cmd/gypsumyard/main_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/gypsumyard/gypsumyard/internal/site"
 	"github.com/jackc/pgx/v5"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -34,10 +34,9 @@
 // freePorts sets each named variable to a loopback address that is free.
 func freePorts(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		a, err := site.FreeAddress()
 		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		ts.Setenv(name, a.String())
 	}
 }
 
--- a/internal/owner/bench_test.go
+++ b/internal/owner/bench_test.go
@@ -55,10 +55,10 @@
 // slots for each instance, with 1 ms of run time and 2 ms of round trip.
 func BenchmarkPeak(b *testing.B) { peak(b, true) }
 
-// BenchmarkPeakFullSlot is BenchmarkPeak with slots held until the answer.
-func BenchmarkPeakFullSlot(b *testing.B) { peak(b, false) }
+// BenchmarkPeakNoneAhead is BenchmarkPeak with no statements ahead of the slots.
+func BenchmarkPeakNoneAhead(b *testing.B) { peak(b, false) }
 
-func peak(b *testing.B, early bool) {
+func peak(b *testing.B, ahead bool) {
 	emulator := []group.Option{
 		group.WithJournal(0),
 		group.WithRoundTrip(2 * time.Millisecond),
@@ -66,7 +66,7 @@
 		group.WithConnections(30),
 		group.WithStatementCost(time.Millisecond),
 	}
-	f := start(b, emulator, withParts(), owner.WithEarlyRelease(early))
+	f := start(b, emulator, withParts(), owner.WithStatementsAhead(ahead))
 	w := f.must("s", gypsumyard.StatementWrite, insert(1))
 	time.Sleep(100 * time.Millisecond)
 	var n atomic.Int64
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -90,7 +90,6 @@
 	member *member
 	conn   *upstream.Conn
 	began  time.Time
-	slot   *slot
 	// permit is that of the transaction which the request begins.
 	permit *permit
 }
@@ -118,7 +117,7 @@
 		return a, notRun(err)
 	}
 	g.metrics.queueWait.Record(a.grant.Waited)
-	a.began, a.slot = g.clock.Now(), &slot{}
+	a.began = g.clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a.member = pinned
@@ -153,12 +152,10 @@
 
 // release gives back the slot and charges the time since the grant.
 func (g *group) release(r *job, a *attempt, ran bool) {
-	total := g.clock.Since(a.began)
-	if a.slot.released.CompareAndSwap(false, true) {
-		g.admitter.Release(a.grant, g.used(a))
-	}
+	used := g.used(a)
+	g.admitter.Release(a.grant, used)
 	if ran {
-		g.learner.Observe(r.Shape, total)
+		g.learner.Observe(r.Shape, used)
 	}
 	if a.permit != nil {
 		a.permit.release()
@@ -166,8 +163,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a.member.running--
-	if a.slot.early.Load() {
-		a.member.early--
+	if ran && used < shortRun {
+		g.meanRun = smooth(g.meanRun, used)
 	}
 }
 
@@ -199,9 +196,7 @@
 	g.mu.Lock()
 	g.running[r.Session] = a.conn
 	g.mu.Unlock()
-	stop := g.releaseEarly(a, expected, long || r.Long)
 	out, err := a.conn.Run(ctx, ex, sink)
-	stop()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.running[r.Session] == a.conn {
--- a/internal/owner/failure_test.go
+++ b/internal/owner/failure_test.go
@@ -240,13 +240,13 @@
 	is.Equal(leaving.Counters()["select"], before)
 }
 
-// Guards against requests that pile up on an instance without slots when they
-// run longer than learned.
-func TestEarlyReleaseIsBounded(t *testing.T) {
+// Guards against requests that pile up on an instance beyond its slots when they
+// run longer than learned: at most as many as the slots may be on their way.
+func TestStatementsAheadAreBounded(t *testing.T) {
 	is := is.New(t)
 	const slots, control = 2, 2
 	f := start(t, []group.Option{group.WithSlots(slots), group.WithConnections(60), group.WithRoundTrip(2 * time.Millisecond)},
-		owner.WithRouter(func(gypsumyard.Database) gypsumyard.Router { return owner.NewPrimaryRouter() }))
+		withParts(), owner.WithRouter(func(gypsumyard.Database) gypsumyard.Router { return owner.NewPrimaryRouter() }))
 	run := func(sql string) {
 		r := request("s", gypsumyard.StatementRead, sql)
 		r.PositionKnown, r.Shape, r.Customer = true, 1, sql
@@ -264,7 +264,7 @@
 	time.Sleep(150 * time.Millisecond)
 	open, _ := f.group.Primary().Connections()
 	is.True(open > control+slots)
-	is.True(open <= control+3*slots+1)
+	is.True(open <= control+2*slots+1)
 	wg.Wait()
 }
 
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,9 @@
 	transactions map[string]*transaction
 	running      map[gypsumyard.SessionID]*upstream.Conn
 	inFlight     int
-	lastRequest  time.Time
+	// meanRun is the smoothed run time of short statements.
+	meanRun     time.Duration
+	lastRequest time.Time
 	// owned ends with the ownership of the database.
 	owned  context.Context
 	disown context.CancelCauseFunc
@@ -137,11 +140,35 @@
 	_ = m.order.Close()
 }
 
-// statementsAhead is how many short statements may be on their way to an
-// instance beyond its slots. With none, each slot idles for a round trip after
-// each statement; one fills the gap as long as statements run longer than a
-// round trip divided by the slots.
-const statementsAhead = 1
+// shortRun is the longest run time that counts for the mean by which statements
+// are sent ahead.
+const shortRun = 50 * time.Millisecond
+
+// aheadFor returns how many short statements may be on their way to an instance
+// beyond its slots. Without any, each slot idles for a round trip after each
+// statement; as many as the slots run in one round trip fill the gap. It is
+// called with the lock held.
+func (g *group) aheadFor(m *member) int {
+	slots := g.database.Slots
+	switch {
+	case !g.ahead:
+		return 0
+	case g.meanRun <= 0:
+		return 1
+	}
+	trip := 2 * m.view.Distance
+	n := int(math.Ceil(float64(slots) * float64(trip) / float64(g.meanRun)))
+	return min(max(n, 1), slots)
+}
+
+// checkAhead tells the admitter if the number has changed. It is called with
+// the lock held.
+func (g *group) checkAhead(m *member) {
+	if n := g.aheadFor(m); n != m.ahead {
+		m.ahead = n
+		g.setInstances()
+	}
+}
 
 // setInstances tells the admitter the capacities. An instance that gets no new
 // work stays available to the transactions that are open on it: new requests
@@ -150,7 +177,7 @@
 	var out []gypsumyard.InstanceCapacity
 	for _, m := range g.members {
 		m.available = m.usable() || m.pinned > 0
-		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Ahead: statementsAhead, Available: m.available})
+		out = append(out, gypsumyard.InstanceCapacity{Name: m.name, Slots: g.database.Slots, Ahead: m.ahead, Available: m.available})
 	}
 	g.admitter.SetInstances(out)
 }
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -50,8 +50,8 @@
 	// refused tells that nothing listened at the address at the last poll.
 	refused bool
 	running int
-	// early counts those that run without a slot.
-	early int
+	// ahead is how many statements may be sent beyond the slots.
+	ahead int
 	// pinned counts the transactions open on the instance, and available is
 	// what the admitter was told.
 	pinned    int
@@ -196,6 +196,7 @@
 		v.Distance = half
 	}
 	v.Distance = smooth(v.Distance, half)
+	g.checkAhead(m)
 	g.takeStatus(m, sent, status)
 }
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -27,7 +27,7 @@
 	pollTimeout time.Duration
 	takeover    time.Duration
 	coalesce    bool
-	early       bool
+	ahead       bool
 }
 
 // An Option changes how a Service works.
@@ -59,7 +59,7 @@
 		pollTimeout: 150 * time.Millisecond,
 		takeover:    3 * time.Second,
 		coalesce:    true,
-		early:       true,
+		ahead:       true,
 	}
 	s.instance = func(d gypsumyard.Database, u gypsumyard.Upstream) gypsumyard.Instance {
 		return upstream.NewControl(s.clock, d, u)
@@ -125,6 +125,6 @@
 // same time are answered by one run. The default is true.
 func WithCoalescing(on bool) Option { return func(s *settings) { s.coalesce = on } }
 
-// WithEarlyRelease sets whether the slot of a short request is given on one
-// round trip before its answer is complete. The default is true.
-func WithEarlyRelease(on bool) Option { return func(s *settings) { s.early = on } }
+// WithStatementsAhead sets whether short statements are sent beyond an
+// instance's slots to fill the network round trips. The default is true.
+func WithStatementsAhead(on bool) Option { return func(s *settings) { s.ahead = on } }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -271,21 +273,36 @@
 			*a = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), s.options.basePort+uint16(10*i+n))
 			continue
 		}
-		if *a, err = freeAddress(); err != nil {
+		if *a, err = FreeAddress(); err != nil {
 			return l, err
 		}
 	}
 	return l, nil
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+// firstPort and portRange bound the ports of hosts. They lie below those that
+// Linux gives to outgoing connections, which could take a port between the
+// choice and its use.
+const (
+	firstPort = 12000
+	portRange = 20000
+)
+
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32N(portRange)) }
+
+// FreeAddress returns a loopback address on which nothing listens.
+func FreeAddress() (netip.AddrPort, error) {
+	for range portRange {
+		port := firstPort + nextPort.Add(1)%portRange
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
+		if err == nil {
+			return a, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, errors.New("no free port")
 }
 
 func memberOf(c config.Settings) gypsumyard.Host {
