--- a/cmd/gypsumyard/bench.go
+++ b/cmd/gypsumyard/bench.go
@@ -24,6 +24,7 @@
 			&cli.FloatFlag{Name: "rate", Usage: "`FACTOR` on all arrival rates", Value: 1},
 			&cli.Uint64Flag{Name: "seed", Usage: "`NUMBER` from which arrivals and choices are drawn", Value: 1},
 			&cli.StringFlag{Name: "scenario", Usage: "`FILE` with faults, in JSON with comments"},
+			&cli.BoolFlag{Name: "random-faults", Usage: "draw faults of instances, hosts and store from the seed"},
 			&cli.BoolFlag{Name: "baseline", Usage: "run the naive proxy: a slice of connections on each host, first come first served, all to the primary, no promotion"},
 			&cli.DurationFlag{Name: "lag", Usage: "replication lag in place of the deployment's"},
 			&cli.StringMapFlag{Name: "boost", Usage: "`KIND=FACTOR` on the arrival rate of one kind; may be given several times"},
@@ -66,7 +67,7 @@
 	o := bench.Options{
 		Deployment: c.String("deployment"), Hosts: c.Int("hosts"), Duration: c.Duration("duration"),
 		Rate: c.Float("rate"), Seed: c.Uint64("seed"), Baseline: c.Bool("baseline"), ReplicationLag: c.Duration("lag"),
-		Boost: map[string]float64{},
+		Boost: map[string]float64{}, RandomFaults: c.Bool("random-faults"),
 	}
 	for kind, text := range c.StringMap("boost") {
 		var factor float64
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -27,6 +27,8 @@
 	Baseline bool
 	// ReplicationLag replaces the deployment's lag if it is above 0.
 	ReplicationLag time.Duration
+	// RandomFaults draws the scenario from the seed.
+	RandomFaults bool
 	// Boost multiplies the arrival rate of single kinds, by name.
 	Boost map[string]float64
 	// Progress receives a line now and then. It may be nil.
@@ -73,6 +75,9 @@
 	if o.ReplicationLag > 0 {
 		d.ReplicationLag = o.ReplicationLag
 	}
+	if o.RandomFaults {
+		o.Scenario = RandomScenario(d, o.Hosts, o.Duration, o.Seed)
+	}
 	addMarks(&d)
 	s, err := site.Start(ctx, d, siteOptions(o)...)
 	if err != nil {
