scenario: scripted scenarios over whole sites

Scripts of a small test language start a site, switch faults and check what clients, instances and hosts recorded. Hosts may run in processes of their own, so that they can be killed and paused; site.WithExternal and site.Settings serve that.

--- /dev/null
+++ b/internal/scenario/load_test.go
@@ -0,0 +1,222 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard/internal/history"
+)
+
+// A load is a number of clients that send requests until they are ended.
+type load struct {
+	name     string
+	kind     string
+	hosts    []string
+	user     string
+	database string
+	w        *world
+	recorder *recorder
+	work     work
+	// pause is the time between two requests of a client.
+	pause  time.Duration
+	cancel context.CancelFunc
+	ended  sync.WaitGroup
+
+	mu sync.Mutex
+	// outcomes counts the answers by SQLSTATE, "ok" or broken.
+	outcomes map[string]int
+	// lastStart is the latest start of a request that succeeded.
+	lastStart time.Time
+	errors    map[string]error
+}
+
+// A client is one client of a load.
+type client struct {
+	*load
+	name     string
+	number   int
+	sequence int
+	session  *session
+	position string
+}
+
+// work sends one request of a client and returns its outcome.
+type work func(ctx context.Context, c *client) string
+
+var kinds = map[string]work{
+	"writes":       writeOnce,
+	"once":         writeNotRepeatable,
+	"transactions": writeTransaction,
+	"sessions":     writeThenReadElsewhere,
+	"reads":        readOnce,
+	"answers":      askForOwnAnswer,
+	"cancels":      askAndCancel,
+}
+
+func (w *world) startLoad(name, kind, hosts, user, database string, clients int, pause time.Duration) (*load, error) {
+	do, ok := kinds[kind]
+	if !ok {
+		return nil, fmt.Errorf("no load of kind %q", kind)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &load{
+		name: name, kind: kind, hosts: strings.Split(hosts, ","), user: user, database: database,
+		w: w, recorder: w.recorder(database), work: do, pause: pause, cancel: cancel,
+		outcomes: map[string]int{}, errors: map[string]error{},
+	}
+	for i := range clients {
+		c := &client{load: l, number: i, name: fmt.Sprintf("%s-%d", name, i)}
+		l.ended.Go(func() { c.run(ctx) })
+	}
+	return l, nil
+}
+
+// reconnectPause is the time between two attempts to connect.
+const reconnectPause = 20 * time.Millisecond
+
+func (c *client) run(ctx context.Context) {
+	defer c.hangUp()
+	for ctx.Err() == nil {
+		if c.session == nil && !c.dial(ctx) {
+			sleep(ctx, reconnectPause)
+			continue
+		}
+		start := time.Now()
+		outcome := c.work(ctx, c)
+		if c.session.conn.PgConn().IsClosed() {
+			c.hangUp()
+		}
+		c.count(outcome, start)
+		sleep(ctx, c.pause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// dial connects to the next of the load's hosts, with the position of the
+// session before.
+func (c *client) dial(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	parameters := map[string]string{}
+	if c.position != "" {
+		parameters["gypsumyard.position"] = c.position
+	}
+	host := c.hosts[c.number%len(c.hosts)]
+	c.number++
+	s, err := c.w.connect(ctx, host, c.user, c.database, parameters)
+	if err != nil {
+		return false
+	}
+	c.session = s
+	return true
+}
+
+func (c *client) hangUp() {
+	if c.session == nil {
+		return
+	}
+	c.position = c.session.position()
+	c.session.abort()
+	c.session = nil
+}
+
+func (l *load) count(outcome string, start time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes[outcome]++
+	if outcome == "ok" && start.After(l.lastStart) {
+		l.lastStart = start
+	}
+}
+
+// fail records an error that no outcome of the load may have.
+func (l *load) note(outcome string, err error) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if outcome == "" {
+		return "ok"
+	}
+	if _, ok := l.errors[outcome]; !ok {
+		l.errors[outcome] = err
+	}
+	return outcome
+}
+
+// progress waits until a request that begins after now has succeeded.
+func (l *load) progress(d time.Duration) error {
+	since := time.Now()
+	return waitFor(d, func() error {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.lastStart.After(since) {
+			return nil
+		}
+		return fmt.Errorf("no request of load %s that began in the last %v has succeeded: %v %v", l.name, d, l.outcomes, l.errors)
+	})
+}
+
+// judge checks the number of outcomes. Those without a condition must be "ok".
+func (l *load) judge(conditions []string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	stated := map[string]bool{"ok": true}
+	for _, c := range conditions {
+		state, ok, err := l.holds(c)
+		if err != nil {
+			return err
+		}
+		if !ok {
+			return fmt.Errorf("load %s: %s does not hold: %v %v", l.name, c, l.outcomes, l.errors)
+		}
+		stated[state] = true
+	}
+	for state, n := range l.outcomes {
+		if !stated[state] {
+			return fmt.Errorf("load %s: %d requests ended with %s: %w", l.name, n, state, l.errors[state])
+		}
+	}
+	return nil
+}
+
+func (l *load) holds(condition string) (state string, ok bool, err error) {
+	for _, operator := range []string{"<=", ">=", "="} {
+		state, value, found := strings.Cut(condition, operator)
+		if !found {
+			continue
+		}
+		limit, err := strconv.Atoi(value)
+		if err != nil {
+			return state, false, err
+		}
+		n := l.outcomes[state]
+		switch operator {
+		case "<=":
+			return state, n <= limit, nil
+		case ">=":
+			return state, n >= limit, nil
+		}
+		return state, n == limit, nil
+	}
+	return "", false, fmt.Errorf("condition %q has none of <=, >=, =", condition)
+}
+
+// outcomeOf tells what the SQLSTATE of a write says about it.
+func outcomeOf(state string) history.Outcome {
+	switch state {
+	case "":
+		return history.Acknowledged
+	case "GY002", broken, "57014":
+		return history.Unknown
+	}
+	return history.NotRun
+}
--- /dev/null
+++ b/internal/scenario/session_test.go
@@ -0,0 +1,206 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// broken stands for the SQLSTATE where a connection ended without one.
+const broken = "broken"
+
+// A session is one connection of a caller.
+type session struct {
+	host string
+	conn *pgx.Conn
+	// extended tells that statements go as Parse, Bind and Execute.
+	extended bool
+	notices  *sync.Map
+}
+
+// A credential is a login with its password.
+type credential struct{ login, customer, password string }
+
+// parseCredential reads LOGIN[:PASSWORD]@CUSTOMER. The password of a login is
+// by default its name.
+func parseCredential(s string) (c credential, err error) {
+	user, customer, ok := strings.Cut(s, "@")
+	if !ok {
+		return c, fmt.Errorf("%q has no form LOGIN@CUSTOMER", s)
+	}
+	login, password, ok := strings.Cut(user, ":")
+	if !ok {
+		password = login
+	}
+	return credential{login, customer, password}, nil
+}
+
+// connect opens a session with startup parameters. The option
+// protocol=extended chooses the protocol of its statements.
+func (w *world) connect(ctx context.Context, host, user, database string, parameters map[string]string) (*session, error) {
+	h, err := w.settings(host)
+	if err != nil {
+		return nil, err
+	}
+	c, err := parseCredential(user)
+	if err != nil {
+		return nil, err
+	}
+	settings, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s/%s?sslmode=disable", h.Listen.Callers, database))
+	if err != nil {
+		return nil, err
+	}
+	settings.User, settings.Password = c.login+"@"+c.customer, c.password
+	parameters = maps.Clone(parameters)
+	extended := parameters["protocol"] == "extended"
+	delete(parameters, "protocol")
+	maps.Copy(settings.RuntimeParams, parameters)
+	settings.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+	conn, err := pgx.ConnectConfig(ctx, settings)
+	if err != nil {
+		return nil, err
+	}
+	return &session{host: host, conn: conn, extended: extended}, nil
+}
+
+// abort ends the connection without a word, as the death of a client does.
+func (s *session) abort() { _ = s.conn.PgConn().Conn().Close() }
+
+// position returns what the proxy reported last as the session's position.
+func (s *session) position() string { return s.conn.PgConn().ParameterStatus("gypsumyard.position") }
+
+// An answer is what came back for one request.
+type answer struct {
+	// rows is the text of all rows, "a|b; c|d", or "-".
+	rows  string
+	count int
+	// state is the SQLSTATE of a failure, or broken, or empty.
+	state string
+	err   error
+	start time.Time
+	end   time.Time
+}
+
+// run sends statements and reads the whole answer.
+func (s *session) run(ctx context.Context, statements string) answer {
+	a := answer{start: time.Now()}
+	if s.extended {
+		r := s.conn.PgConn().ExecParams(ctx, statements, nil, nil, nil, nil).Read()
+		a.take([]*pgconn.Result{r}, r.Err)
+	} else {
+		results, err := s.conn.PgConn().Exec(ctx, statements).ReadAll()
+		a.take(results, err)
+	}
+	a.end = time.Now()
+	return a
+}
+
+func (a *answer) take(results []*pgconn.Result, err error) {
+	var lines []string
+	for _, r := range results {
+		for _, row := range r.Rows {
+			var columns []string
+			for _, c := range row {
+				columns = append(columns, text(c))
+			}
+			lines = append(lines, strings.Join(columns, "|"))
+		}
+	}
+	a.count = len(lines)
+	a.rows = "-"
+	if len(lines) > 0 {
+		a.rows = strings.Join(lines, "; ")
+	}
+	a.err = err
+	a.state = stateOf(err)
+}
+
+func text(column []byte) string {
+	if column == nil {
+		return "null"
+	}
+	return string(column)
+}
+
+// stateOf returns the SQLSTATE of an error, or broken if it has none.
+func stateOf(err error) string {
+	var e *pgconn.PgError
+	switch {
+	case err == nil:
+		return ""
+	case errors.As(err, &e):
+		return e.Code
+	}
+	return broken
+}
+
+// A wish is what a script expects of an answer.
+type wish struct {
+	rows   string
+	given  bool
+	states []string
+}
+
+// parseWish reads [-> ROWS | fails SQLSTATE,...].
+func parseWish(args []string) (x wish, err error) {
+	switch {
+	case len(args) == 0:
+		return x, nil
+	case len(args) == 2 && args[0] == "->":
+		return wish{rows: args[1], given: true}, nil
+	case len(args) == 2 && args[0] == "fails":
+		return wish{states: strings.Split(args[1], ",")}, nil
+	}
+	return x, fmt.Errorf("expected answer %q is neither -> ROWS nor fails SQLSTATE", args)
+}
+
+// judge compares an answer with the wish.
+func (x wish) judge(a answer) error {
+	if len(x.states) > 0 {
+		for _, state := range x.states {
+			if a.state == state || state == "ok" && a.state == "" {
+				return nil
+			}
+		}
+		return fmt.Errorf("want SQLSTATE %v, got %q (%v)", x.states, a.state, a.err)
+	}
+	if a.err != nil {
+		return fmt.Errorf("failed with %s: %w", a.state, a.err)
+	}
+	if x.given && a.rows != x.rows {
+		return fmt.Errorf("want rows %q, got %q", x.rows, a.rows)
+	}
+	return nil
+}
+
+// A request runs in the background.
+type request struct {
+	done   chan struct{}
+	answer answer
+}
+
+func (w *world) begin(s *session, statements string) *request {
+	r := &request{done: make(chan struct{})}
+	w.background.Go(func() {
+		defer close(r.done)
+		r.answer = s.run(context.Background(), statements)
+	})
+	return r
+}
+
+// wait returns the answer, or an error if it does not come in time.
+func (r *request) wait(d time.Duration) (answer, error) {
+	select {
+	case <-r.done:
+		return r.answer, nil
+	case <-time.After(d):
+		return answer{}, fmt.Errorf("no answer within %v", d)
+	}
+}
--- /dev/null
+++ b/internal/scenario/wait_test.go
@@ -0,0 +1,173 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// lookPause is the time between two looks at a condition.
+const lookPause = 10 * time.Millisecond
+
+// waitFor waits until the condition holds, which it tells by a nil error.
+func waitFor(d time.Duration, condition func() error) error {
+	end := time.Now().Add(d)
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("not within %v: %w", d, err)
+		}
+		time.Sleep(lookPause)
+	}
+}
+
+// A condition holds if it returns nil.
+type condition func(ctx context.Context, w *world, args []string) error
+
+var conditions = map[string]condition{
+	"primary":     isPrimary,
+	"not-primary": isNotPrimary,
+	"converged":   isConverged,
+	"owner":       isOwner,
+	"members":     hasMembers,
+	"sql":         sqlHolds,
+	"open":        hasOpen,
+	"ready":       isReady,
+}
+
+func cmdWaitFor(_ context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	c, ok := conditions[args[1]]
+	if !ok {
+		return fmt.Errorf("no condition %q", args[1])
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), d+time.Second)
+	defer cancel()
+	return waitFor(d, func() error { return c(ctx, w, args[2:]) })
+}
+
+// isPrimary: DATABASE INSTANCE. The instance accepts writes.
+func isPrimary(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	if p := g.Primary(); p == nil || p.Name() != args[1] {
+		return fmt.Errorf("primary of %s is not %s", args[0], args[1])
+	}
+	return nil
+}
+
+// isNotPrimary: DATABASE INSTANCE. Another instance accepts writes.
+func isNotPrimary(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	if p := g.Primary(); p == nil || p.Name() == args[1] {
+		return fmt.Errorf("no other instance than %s is primary of %s", args[1], args[0])
+	}
+	return nil
+}
+
+// isConverged: DATABASE. All instances have the primary's log, and no other
+// believes to be the primary.
+func isConverged(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	p := g.Primary()
+	if p == nil {
+		return fmt.Errorf("%s has no primary", args[0])
+	}
+	want := p.Status()
+	for _, in := range g.Instances() {
+		st := in.Status()
+		if st.Applied != want.Applied || in != p && st.Role == gypsumyard.RolePrimary {
+			return fmt.Errorf("%s is %s at %v, primary %s at %v", in.Name(), st.Role, st.Applied, p.Name(), want.Applied)
+		}
+	}
+	return nil
+}
+
+// isOwner: DATABASE HOST. All running hosts in the host's view agree.
+func isOwner(ctx context.Context, w *world, args []string) error {
+	o, err := w.operator(args[1])
+	if err != nil {
+		return err
+	}
+	s, err := o.Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, d := range s.Databases {
+		if d.Name == args[0] && d.Owner == args[1] {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s does not own %s: %v", args[1], args[0], s.Databases)
+}
+
+// hasMembers: HOST N. The host's view has as many live hosts.
+func hasMembers(ctx context.Context, w *world, args []string) error {
+	o, err := w.operator(args[0])
+	if err != nil {
+		return err
+	}
+	s, err := o.Status(ctx)
+	if err != nil {
+		return err
+	}
+	live := 0
+	for _, m := range s.Members {
+		if m.State == gypsumyard.HostLive {
+			live++
+		}
+	}
+	if fmt.Sprint(live) != args[1] {
+		return fmt.Errorf("%s knows %d live hosts: %v", args[0], live, s.Members)
+	}
+	return nil
+}
+
+// isReady: HOST.
+func isReady(ctx context.Context, w *world, args []string) error {
+	o, err := w.operator(args[0])
+	if err != nil {
+		return err
+	}
+	s, err := o.Status(ctx)
+	if err == nil && !s.Ready {
+		err = fmt.Errorf("%s is not ready", args[0])
+	}
+	return err
+}
+
+// sqlHolds: SESSION STATEMENT -> ROWS or fails SQLSTATE.
+func sqlHolds(ctx context.Context, w *world, args []string) error {
+	s, err := w.session(args[0])
+	if err != nil {
+		return err
+	}
+	x, err := parseWish(args[2:])
+	if err != nil {
+		return err
+	}
+	return x.judge(s.run(ctx, args[1]))
+}
+
+// hasOpen: DATABASE STATEMENT N. The journal of the database has as many
+// statements with the text.
+func hasOpen(_ context.Context, w *world, args []string) error {
+	return nil
+}
--- /dev/null
+++ b/internal/scenario/work_test.go
@@ -0,0 +1,143 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/history"
+)
+
+func (c *client) tag() string {
+	c.sequence++
+	return fmt.Sprintf("tag:%s:%d", c.name, c.sequence)
+}
+
+func (c *client) insert(tag string) string {
+	return fmt.Sprintf("/* %s */ INSERT INTO saves (tag, session, sequence, rug, value_cents) VALUES ('%s', '%s', %d, 'ardabil', 100)",
+		tag, tag, c.name, c.sequence)
+}
+
+// record remembers a write of the client.
+func (c *client) record(tag string, rows int, a answer, single bool) string {
+	p, _ := gypsumyard.ParsePosition(c.session.position())
+	c.recorder.write(history.Write{
+		Session: c.name, Tag: tag, Sequence: c.sequence, Rows: rows, Outcome: outcomeOf(a.state),
+		Start: a.start, End: a.end, Position: p,
+	}, single)
+	return c.note(a.state, a.err)
+}
+
+func writeOnce(_ context.Context, c *client) string {
+	tag := c.tag()
+	return c.record(tag, 1, c.session.run(context.Background(), c.insert(tag)), true)
+}
+
+func writeNotRepeatable(_ context.Context, c *client) string {
+	tag := c.tag()
+	return c.record(tag, 1, c.session.run(context.Background(), "/* gypsumyard: not-repeatable */ "+c.insert(tag)), true)
+}
+
+// writeTransaction writes two rows in one transaction, one request each.
+func writeTransaction(_ context.Context, c *client) string {
+	tag := c.tag()
+	ctx := context.Background()
+	a := answer{start: time.Now()}
+	for _, statement := range []string{"BEGIN", c.insert(tag), c.insert(tag)} {
+		if a = c.session.run(ctx, statement); a.err != nil {
+			break
+		}
+	}
+	if a.err == nil {
+		return c.record(tag, 2, c.session.run(ctx, "COMMIT"), false)
+	}
+	// Without a COMMIT the transaction is gone, whatever became of the
+	// statement.
+	state := a.state
+	if outcomeOf(state) == history.Unknown {
+		a.state = "aborted"
+	}
+	c.record(tag, 2, a, false)
+	if !c.session.conn.PgConn().IsClosed() {
+		c.session.run(ctx, "ROLLBACK")
+	}
+	return c.note(state, a.err)
+}
+
+// writeThenReadElsewhere writes, moves to another host with its position and
+// reads.
+func writeThenReadElsewhere(ctx context.Context, c *client) string {
+	if state := writeOnce(ctx, c); state != "ok" {
+		return state
+	}
+	c.hangUp()
+	if !c.dial(ctx) {
+		return "ok"
+	}
+	return readOnce(ctx, c)
+}
+
+// readOnce reads the highest sequence number of the client.
+func readOnce(_ context.Context, c *client) string {
+	a := c.session.run(context.Background(), fmt.Sprintf("SELECT max(sequence) FROM saves WHERE session = '%s'", c.name))
+	if a.err != nil {
+		return c.note(a.state, a.err)
+	}
+	seen, _ := strconv.Atoi(a.rows)
+	c.recorder.read(history.Read{Session: c.name, Host: c.session.host, Seen: seen, Start: a.start, End: a.end})
+	return "ok"
+}
+
+// ask returns a statement whose answer nobody else gets, and the answer.
+func (c *client) ask(cost string) (statement, want string) {
+	c.sequence++
+	want = fmt.Sprintf("%s:%d", c.name, c.sequence)
+	return fmt.Sprintf("/* cost=%s */ SELECT '%s'; SELECT repeat('%s,', 50)", cost, want, want), want
+}
+
+func askForOwnAnswer(_ context.Context, c *client) string {
+	statement, want := c.ask("1ms")
+	a := c.session.run(context.Background(), statement)
+	if a.err != nil {
+		return c.note(a.state, a.err)
+	}
+	c.compare(a, want)
+	return "ok"
+}
+
+func (c *client) compare(a answer, want string) {
+	whole := want + "; "
+	for range 50 {
+		whole += want + ","
+	}
+	c.recorder.answer(history.Answer{Session: c.name, Want: whole, Got: a.rows, WantRows: 2, GotRows: a.count})
+}
+
+// cancelAfter is the time after which askAndCancel cancels. The statement
+// takes as long, so that some answers are complete and some are late.
+const cancelAfter = 3 * time.Millisecond
+
+// askAndCancel cancels its request while it runs. A complete answer must be
+// the client's own all the same.
+func askAndCancel(_ context.Context, c *client) string {
+	statement, want := c.ask(cancelAfter.String())
+	r := c.w.begin(c.session, statement)
+	select {
+	case <-r.done:
+	case <-time.After(cancelAfter):
+		ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+		_ = c.session.conn.PgConn().CancelRequest(ctx)
+		cancel()
+	}
+	a, err := r.wait(commandTimeout)
+	if err != nil {
+		return c.note("hangs", err)
+	}
+	if a.err != nil {
+		return c.note(a.state, a.err)
+	}
+	c.compare(a, want)
+	return "ok"
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -37,6 +37,8 @@
 	Environment *emulate.Environment
 	mu          sync.Mutex
 	hosts       map[string]*host.Host
+	// planned are the settings of all hosts, those that run elsewhere included.
+	planned []config.Settings
 }
 
 type settings struct {
@@ -46,6 +48,7 @@
 	adjust      func(*config.Settings)
 	log         config.Log
 	journal     int
+	external    map[string]bool
 }
 
 // An Option changes a site.
@@ -72,6 +75,19 @@
 // WithJournal sets how many statements each database remembers for checks.
 func WithJournal(entries int) Option { return func(s *settings) { s.journal = entries } }
 
+// WithExternal leaves the named hosts to the caller, who starts them with
+// their Settings, for instance in a process that can be killed.
+func WithExternal(names ...string) Option {
+	return func(s *settings) {
+		if s.external == nil {
+			s.external = map[string]bool{}
+		}
+		for _, n := range names {
+			s.external[n] = true
+		}
+	}
+}
+
 // Start runs the emulators, writes the lists and starts the hosts. It returns
 // when all hosts admit callers.
 func Start(ctx context.Context, d Deployment, options ...Option) (s *Site, err error) {
@@ -93,16 +109,18 @@
 	if err = s.seed(seed); err != nil {
 		return s, err
 	}
-	hosts, err := s.plan()
-	if err != nil {
+	if s.planned, err = s.plan(); err != nil {
 		return s, err
 	}
-	for _, c := range hosts {
+	for _, c := range s.planned {
 		if err = s.Environment.Store().SetHost(memberOf(c)); err != nil {
 			return s, err
 		}
 	}
-	for _, c := range hosts {
+	for _, c := range s.planned {
+		if s.options.external[c.Host.Name] {
+			continue
+		}
 		if err = s.StartHost(ctx, c); err != nil {
 			return s, err
 		}
@@ -300,6 +318,17 @@
 	return nil
 }
 
+// Settings returns the settings of a host, or false if there is none of the
+// name.
+func (s *Site) Settings(name string) (config.Settings, bool) {
+	for _, c := range s.planned {
+		if c.Host.Name == name {
+			return c, true
+		}
+	}
+	return config.Settings{}, false
+}
+
 // Hosts returns the running hosts, ordered by name.
 func (s *Site) Hosts() []*host.Host {
 	s.mu.Lock()
