owner: Stop may be called twice

A drain stops the owner first and the rest of the host afterwards, which stops the owner again and closed its done channel a second time: a panic at the end of every drain. The second call now waits for the first.

host, peer: the way to open connections between hosts can be replaced, for scenarios that cut hosts from each other.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -41,6 +43,7 @@
 	log      *logrus.Logger
 	admitter func(gypsumyard.Database, tally.Scope) gypsumyard.Admitter
 	router   func(gypsumyard.Database) gypsumyard.Router
+	dialer   PeerDialer
 
 	registry *prometheus.Registry
 	scope    tally.Scope
@@ -78,6 +81,13 @@
 	return func(h *Host) { h.router = f }
 }
 
+// A PeerDialer opens a connection from one host to another.
+type PeerDialer func(ctx context.Context, from string, to netip.AddrPort) (net.Conn, error)
+
+// WithPeerDialer replaces the way to open connections to other hosts, for
+// tests that cut hosts from each other.
+func WithPeerDialer(d PeerDialer) Option { return func(h *Host) { h.dialer = d } }
+
 // New assembles a host.
 func New(s config.Settings, options ...Option) (h *Host, err error) {
 	defer func() {
@@ -149,7 +159,7 @@
 	h.members = member.New(self, member.WithClock(h.clock), member.WithLogger(h.entry("members")),
 		member.WithMetrics(h.scope), member.WithSeeds(s.Peers.Seeds...))
 	h.lists = planlist.New(planlist.WithClock(h.clock), planlist.WithLogger(h.entry("lists")), planlist.WithMetrics(h.scope))
-	peers := peer.New(self, []byte(s.Peers.Secret), peer.WithClock(h.clock), peer.WithLogger(h.entry("peer")), peer.WithMetrics(h.scope))
+	peers := peer.New(self, []byte(s.Peers.Secret), h.peerOptions()...)
 	h.owner = owner.New(h.ownerOptions()...)
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.entry("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = caller.New(s.Listen.Callers, caller.WithClock(h.clock), caller.WithLogger(h.entry("caller")),
@@ -165,6 +175,16 @@
 	return []kernel.Service{store, peers, h.members, h.lists, h.owner, dispatcher, h.caller, h.operator}
 }
 
+func (h *Host) peerOptions() []peer.Option {
+	options := []peer.Option{peer.WithClock(h.clock), peer.WithLogger(h.entry("peer")), peer.WithMetrics(h.scope)}
+	if h.dialer != nil {
+		options = append(options, peer.WithDialer(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+			return h.dialer(ctx, h.settings.Host.Name, to)
+		}))
+	}
+	return options
+}
+
 func (h *Host) ownerOptions() []owner.Option {
 	s := h.settings.Owner
 	options := []owner.Option{
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -89,6 +89,10 @@
 // transactions have ended. What is left when ctx is done is cut off.
 func (s *Service) Stop(ctx context.Context) error {
 	s.mu.Lock()
+	if s.stopping {
+		s.mu.Unlock()
+		return s.awaitDone(ctx)
+	}
 	s.stopping = true
 	groups := s.all()
 	s.mu.Unlock()
@@ -105,6 +109,16 @@
 	return err
 }
 
+// awaitDone waits for the call of Stop that came first.
+func (s *Service) awaitDone(ctx context.Context) error {
+	select {
+	case <-s.done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // drainCheck is the pause between two looks whether the groups are empty.
 const drainCheck = 20 * time.Millisecond
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,7 @@
 	kernel  *kernel.Kernel
 
 	listener net.Listener
+	dialer   func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	slots    chan struct{}
 	stopping context.Context
 	stop     context.CancelFunc
@@ -88,6 +89,12 @@
 // host's address.
 func WithListener(l net.Listener) Option { return func(s *Service) { s.listener = l } }
 
+// WithDialer replaces the way to open connections to other hosts, for tests
+// that cut hosts from each other.
+func WithDialer(dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)) Option {
+	return func(s *Service) { s.dialer = dial }
+}
+
 // New returns the service of the host self, which listens on self.Addr. Hosts
 // must share the secret.
 func New(self gypsumyard.Host, secret []byte, options ...Option) *Service {
@@ -97,6 +104,7 @@
 		clock:   clock.System(),
 		log:     logrus.StandardLogger(),
 		metrics: tally.NoopScope,
+		dialer:  dialTCP,
 		slots:   make(chan struct{}, maxConnections),
 		done:    make(chan struct{}),
 		remotes: map[netip.AddrPort]*remote{},
@@ -112,6 +120,11 @@
 	return s
 }
 
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	d := net.Dialer{Timeout: handshakeTimeout}
+	return d.DialContext(ctx, "tcp", to.String())
+}
+
 // Name returns "peer".
 func (s *Service) Name() string { return "peer" }
 
@@ -238,8 +251,7 @@
 // dial opens a stream to a host. The returned function frees its resources and
 // must be called once the stream has ended.
 func (s *Service) dial(ctx context.Context, to gypsumyard.Host, k kind, link string) (st *stream, closeStream func(), err error) {
-	d := net.Dialer{Timeout: handshakeTimeout}
-	conn, err := d.DialContext(ctx, "tcp", to.Addr.String())
+	conn, err := s.dialer(ctx, to.Addr)
 	if err != nil {
 		return nil, nil, err
 	}
