--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/config"
 	"github.com/gypsumyard/gypsumyard/internal/emulate"
+	"github.com/gypsumyard/gypsumyard/internal/host"
 	"github.com/gypsumyard/gypsumyard/internal/site"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -26,28 +27,40 @@
 func commands() scriptCommands {
 	all := scriptCommands{}
 	for name, c := range map[string]command{
-		"site":        {1, cmdSite},
-		"connect":     {4, cmdConnect},
-		"refuse":      {4, cmdRefuse},
-		"disconnect":  {1, cmdDisconnect},
-		"sql":         {2, cmdSQL},
-		"begin-sql":   {3, cmdBeginSQL},
-		"end-sql":     {1, cmdEndSQL},
-		"cancel":      {1, cmdCancel},
-		"load":        {5, cmdLoad},
-		"progress":    {2, cmdProgress},
-		"end-load":    {1, cmdEndLoad},
-		"outcomes":    {1, cmdOutcomes},
-		"fault":       {2, cmdFault},
-		"wait-for":    {2, cmdWaitFor},
-		"check":       {1, cmdCheck},
-		"stop-host":   {1, cmdStopHost},
-		"kill-host":   {1, cmdKillHost},
-		"pause-host":  {1, cmdPauseHost},
-		"resume-host": {1, cmdResumeHost},
-		"drain-host":  {1, cmdDrainHost},
-		"start-host":  {1, cmdStartHost},
-		"position":    {2, cmdPosition},
+		"site":           {1, cmdSite},
+		"connect":        {4, cmdConnect},
+		"refuse":         {4, cmdRefuse},
+		"disconnect":     {1, cmdDisconnect},
+		"sql":            {2, cmdSQL},
+		"begin-sql":      {3, cmdBeginSQL},
+		"end-sql":        {1, cmdEndSQL},
+		"cancel":         {1, cmdCancel},
+		"load":           {5, cmdLoad},
+		"progress":       {2, cmdProgress},
+		"end-load":       {1, cmdEndLoad},
+		"outcomes":       {1, cmdOutcomes},
+		"fault":          {2, cmdFault},
+		"wait-for":       {2, cmdWaitFor},
+		"check":          {1, cmdCheck},
+		"stop-host":      {1, cmdStopHost},
+		"kill-host":      {1, cmdKillHost},
+		"pause-host":     {1, cmdPauseHost},
+		"resume-host":    {1, cmdResumeHost},
+		"drain-host":     {1, cmdDrainHost},
+		"start-host":     {1, cmdStartHost},
+		"position":       {2, cmdPosition},
+		"owner-of":       {1, cmdOwnerOf},
+		"cut":            {0, cmdCut},
+		"edit":           {4, cmdEdit},
+		"race":           {9, cmdRace},
+		"entry":          {4, cmdEntry},
+		"save-lists":     {1, cmdSaveLists},
+		"replay-lists":   {1, cmdReplayLists},
+		"check-lists":    {0, cmdCheckLists},
+		"hostile":        {3, cmdHostile},
+		"silent-callers": {2, cmdSilentCallers},
+		"journal":        {3, cmdJournal},
+		"hold":           {1, cmdHold},
 	} {
 		all[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			if neg || len(args) < c.least {
@@ -70,7 +83,7 @@
 		return err
 	}
 	hosts, databases := 3, 1
-	o := []site.Option{site.WithJournal(journalEntries)}
+	o := []site.Option{site.WithJournal(journalEntries), site.WithHostOptions(host.WithPeerDialer(w.network.dial))}
 	for key, value := range options {
 		switch key {
 		case "hosts":
@@ -88,6 +101,10 @@
 				w.external[name] = nil
 				o = append(o, site.WithExternal(name))
 			}
+		case "slots":
+			for i := range d.Databases {
+				d.Databases[i].Slots, err = strconv.Atoi(value)
+			}
 		case "log":
 			o = append(o, site.WithLog(config.Log{Level: value, Format: "text"}))
 		default:
@@ -106,6 +123,14 @@
 			return err
 		}
 	}
+	for i := range hosts {
+		if c, err := w.settings(fmt.Sprintf("entry-%d", i+1)); err == nil {
+			w.network.name(c.Listen.Peers, c.Host.Name)
+		}
+	}
+	follow, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	w.background.Go(func() { w.followLists(follow) })
 	return waitFor(commandTimeout, func() error { return w.settled(ctx, hosts) })
 }
 
--- a/internal/scenario/hosts_test.go
+++ b/internal/scenario/hosts_test.go
@@ -69,3 +69,36 @@
 	}
 	return w.site.StartHost(ctx, c)
 }
+
+// cmdOwnerOf: DATABASE. Sets OWNER, and OTHER1, OTHER2 and so on.
+func cmdOwnerOf(ctx context.Context, ts *testscript.TestScript, w *world, args []string) error {
+	o, err := w.operator("entry-1")
+	if err != nil {
+		return err
+	}
+	s, err := o.Status(ctx)
+	if err != nil {
+		return err
+	}
+	owner := ""
+	for _, d := range s.Databases {
+		if d.Name == args[0] {
+			owner = d.Owner
+		}
+	}
+	ts.Setenv("OWNER", owner)
+	others := 0
+	for _, m := range s.Members {
+		if m.Name != owner {
+			others++
+			ts.Setenv(fmt.Sprintf("OTHER%d", others), m.Name)
+		}
+	}
+	return nil
+}
+
+// cmdCut: [HOST]... Cuts these hosts from the others; without any ends the cut.
+func cmdCut(_ context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	w.network.cut(args)
+	return nil
+}
--- /dev/null
+++ b/internal/scenario/lists_test.go
@@ -0,0 +1,224 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/history"
+	"github.com/gypsumyard/gypsumyard/internal/operator"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// An edit is what a script asks an operator's host to change.
+type edit struct {
+	host     string
+	kind     planlist.Kind
+	entry    string
+	expected uint64
+	value    []byte
+}
+
+// parseEdit reads HOST KIND ENTRY EXPECTED [FILE]. EXPECTED is a version of
+// the entry or any.
+func parseEdit(ts *testscript.TestScript, args []string) (e edit, err error) {
+	if len(args) < 4 {
+		return e, fmt.Errorf("%q has no form HOST KIND ENTRY EXPECTED [FILE]", args)
+	}
+	e = edit{host: args[0], entry: args[2], expected: planlist.AnyVersion}
+	if e.kind, err = planlist.ParseKind(args[1]); err != nil {
+		return e, err
+	}
+	if args[3] != "any" {
+		if e.expected, err = strconv.ParseUint(args[3], 10, 64); err != nil {
+			return e, err
+		}
+	}
+	if len(args) > 4 {
+		e.value = []byte(ts.ReadFile(args[4]))
+	}
+	return e, nil
+}
+
+func (w *world) apply(ctx context.Context, e edit) (planlist.Applied, error) {
+	o, err := w.operator(e.host)
+	if err != nil {
+		return planlist.Applied{}, err
+	}
+	if e.value == nil {
+		return o.Delete(ctx, e.kind, e.entry, e.expected)
+	}
+	return o.Put(ctx, e.kind, e.entry, e.expected, e.value)
+}
+
+func kindOf(err error) string {
+	var a *operator.AnswerError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &a):
+		return a.Kind
+	}
+	return err.Error()
+}
+
+// cmdEdit: HOST KIND ENTRY EXPECTED [FILE] [fails KIND].
+func cmdEdit(ctx context.Context, ts *testscript.TestScript, w *world, args []string) error {
+	want := "ok"
+	if n := len(args); args[n-2] == "fails" {
+		want, args = args[n-1], args[:n-2]
+	}
+	e, err := parseEdit(ts, args)
+	if err != nil {
+		return err
+	}
+	a, err := w.apply(ctx, e)
+	if kind := kindOf(err); !strings.Contains(","+want+",", ","+kind+",") {
+		return fmt.Errorf("want %s, got %s: %w", want, kind, err)
+	}
+	if err == nil {
+		w.edited = a
+	}
+	return nil
+}
+
+// cmdRace: N HOST HOST KIND ENTRY ENTRY EXPECTED FILE FILE. Two operators edit
+// at the same time, and N of the edits succeed. The others get a conflict.
+func cmdRace(ctx context.Context, ts *testscript.TestScript, w *world, args []string) error {
+	results := make(chan error, 2)
+	for i := range 2 {
+		e, err := parseEdit(ts, []string{args[1+i], args[3], args[4+i], args[6], args[7+i]})
+		if err != nil {
+			return err
+		}
+		w.background.Go(func() {
+			_, err := w.apply(ctx, e)
+			results <- err
+		})
+	}
+	won := 0
+	for range 2 {
+		switch kind := kindOf(<-results); kind {
+		case "ok":
+			won++
+		case "conflict":
+		default:
+			return fmt.Errorf("edit failed with %s", kind)
+		}
+	}
+	if fmt.Sprint(won) != args[0] {
+		return fmt.Errorf("%d edits succeeded, not %s", won, args[0])
+	}
+	return nil
+}
+
+// cmdEntry: HOST KIND ENTRY VERSION [TEXT]. The entry has the version in the
+// store, and its value contains the text.
+func cmdEntry(ctx context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	o, err := w.operator(args[0])
+	if err != nil {
+		return err
+	}
+	e, err := o.Get(ctx, planlist.Kind(args[1]), args[2])
+	if err != nil {
+		return err
+	}
+	if fmt.Sprint(e.Version) != args[3] || len(args) > 4 && !strings.Contains(string(e.Value), args[4]) {
+		return fmt.Errorf("entry has version %d and value %s", e.Version, e.Value)
+	}
+	return nil
+}
+
+// isInForce: HOST. The host tells that the last edit is in force on all hosts
+// of the region.
+func isInForce(ctx context.Context, w *world, args []string) error {
+	o, err := w.operator(args[0])
+	if err != nil {
+		return err
+	}
+	a, err := o.InForce(ctx, w.edited.Object, w.edited.Version)
+	if err == nil && !a.Everywhere {
+		err = fmt.Errorf("version %d of %s is not in force everywhere: %v", w.edited.Version, w.edited.Object, a.Hosts)
+	}
+	return err
+}
+
+// hasPlan: HOST CUSTOMER PLAN. The host of this process has the customer hold
+// the plan. A PLAN of - means that the customer does not exist.
+func hasPlan(_ context.Context, w *world, args []string) error {
+	h := w.site.Host(args[0])
+	if h == nil {
+		return fmt.Errorf("no host %q in this process", args[0])
+	}
+	c, ok := h.Lists().Customer(args[1])
+	switch {
+	case !ok && args[2] == "-", ok && c.Plan == args[2]:
+		return nil
+	case !ok:
+		return fmt.Errorf("%s knows no customer %s", args[0], args[1])
+	}
+	return fmt.Errorf("%s has customer %s with plan %s", args[0], args[1], c.Plan)
+}
+
+// cmdSaveLists: HOST. Remembers the host's copies.
+func cmdSaveLists(_ context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	h := w.site.Host(args[0])
+	if h == nil {
+		return fmt.Errorf("no host %q in this process", args[0])
+	}
+	w.saved, _ = h.Lists().Newer(0)
+	return nil
+}
+
+// cmdReplayLists: HOST. Gives the host the remembered copies, as a peer that
+// lags would.
+func cmdReplayLists(_ context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	h := w.site.Host(args[0])
+	if h == nil {
+		return fmt.Errorf("no host %q in this process", args[0])
+	}
+	h.Lists().Apply(w.saved)
+	return nil
+}
+
+// listLook is the time between two looks at the versions in force.
+const listLook = 5 * time.Millisecond
+
+// followLists records the versions in force on the hosts of this process. A
+// host that starts again counts as the same host once it knows the lists.
+func (w *world) followLists(ctx context.Context) {
+	type key struct{ host, object string }
+	last := map[key]gypsumyard.Version{}
+	for ctx.Err() == nil {
+		for _, h := range w.site.Hosts() {
+			name := h.Settings().Host.Name
+			select {
+			case <-h.Ready():
+			default:
+				continue
+			}
+			for object, v := range h.Lists().Versions() {
+				if k := (key{name, object}); last[k] != v {
+					last[k] = v
+					w.versions.list(history.ListVersion{Host: name, Object: object, Version: v, At: time.Now()})
+				}
+			}
+		}
+		sleep(ctx, listLook)
+	}
+}
+
+// cmdCheckLists verifies that no host went back to an older version.
+func cmdCheckLists(_ context.Context, _ *testscript.TestScript, w *world, _ []string) error {
+	w.versions.mu.Lock()
+	defer w.versions.mu.Unlock()
+	if all := history.Check(&w.versions.history); len(all) > 0 {
+		return fmt.Errorf("%d violations: %v", len(all), all)
+	}
+	return nil
+}
--- a/internal/scenario/load_test.go
+++ b/internal/scenario/load_test.go
@@ -55,6 +55,7 @@
 	"reads":        readOnce,
 	"answers":      askForOwnAnswer,
 	"cancels":      askAndCancel,
+	"settings":     keepSetting,
 }
 
 func (w *world) startLoad(name, kind, hosts, user, database string, clients int, pause time.Duration) (*load, error) {
@@ -87,7 +88,7 @@
 		}
 		start := time.Now()
 		outcome := c.work(ctx, c)
-		if c.session.conn.PgConn().IsClosed() {
+		if c.session != nil && c.session.conn.PgConn().IsClosed() {
 			c.hangUp()
 		}
 		c.count(outcome, start)
@@ -107,7 +108,7 @@
 func (c *client) dial(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	parameters := map[string]string{}
+	parameters := map[string]string{"application_name": "start"}
 	if c.position != "" {
 		parameters["gypsumyard.position"] = c.position
 	}
--- a/internal/scenario/session_test.go
+++ b/internal/scenario/session_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -22,7 +21,6 @@
 	conn *pgx.Conn
 	// extended tells that statements go as Parse, Bind and Execute.
 	extended bool
-	notices  *sync.Map
 }
 
 // A credential is a login with its password.
--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -37,7 +38,13 @@
 	"owner":       isOwner,
 	"members":     hasMembers,
 	"sql":         sqlHolds,
-	"open":        hasOpen,
+	"quiet":       isQuiet,
+	"busy":        isBusy,
+	"term":        isTerm,
+	"journal":     inJournal,
+	"within-caps": withinCaps,
+	"in-force":    isInForce,
+	"plan":        hasPlan,
 	"ready":       isReady,
 }
 
@@ -166,8 +173,94 @@
 	return x.judge(s.run(ctx, args[1]))
 }
 
-// hasOpen: DATABASE STATEMENT N. The journal of the database has as many
-// statements with the text.
-func hasOpen(_ context.Context, w *world, args []string) error {
+// isQuiet: DATABASE INSTANCE DURATION. The instance has begun no statement for
+// that long.
+func isQuiet(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	since := time.Now().Add(-d)
+	for _, e := range g.Journal(0) {
+		if e.Instance == args[1] && e.Start.After(since) {
+			return fmt.Errorf("%s ran %q %v ago", args[1], e.Statement, time.Since(e.Start))
+		}
+	}
+	return nil
+}
+
+// isBusy: DATABASE INSTANCE DURATION. It has begun a statement since.
+func isBusy(ctx context.Context, w *world, args []string) error {
+	if isQuiet(ctx, w, args) == nil {
+		return fmt.Errorf("%s has begun nothing for %s", args[1], args[2])
+	}
+	return nil
+}
+
+// isTerm: DATABASE TERM. The primary's log is of that term.
+func isTerm(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	p := g.Primary()
+	if p == nil {
+		return fmt.Errorf("%s has no primary", args[0])
+	}
+	if st := p.Status(); fmt.Sprint(st.Term()) != args[1] {
+		return fmt.Errorf("term of %s is %d", args[0], st.Term())
+	}
+	return nil
+}
+
+// inJournal: DATABASE TEXT N. N statements with the text have run, those that
+// an instance refused not counted.
+func inJournal(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, e := range g.Journal(0) {
+		if strings.Contains(e.Statement, args[1]) && !refusedByInstance[e.Error] {
+			n++
+		}
+	}
+	if fmt.Sprint(n) != args[2] {
+		return fmt.Errorf("%d statements with %q ran, not %s", n, args[1], args[2])
+	}
+	return nil
+}
+
+func cmdJournal(ctx context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	return inJournal(ctx, w, args)
+}
+
+// withinCaps: DATABASE. No instance ever held more connections than it takes.
+func withinCaps(_ context.Context, w *world, args []string) error {
+	g, err := w.group(args[0])
+	if err != nil {
+		return err
+	}
+	limit := g.Database("").Connections
+	for _, in := range g.Instances() {
+		if _, peak := in.Connections(); peak > limit {
+			return fmt.Errorf("%s held %d connections of %d", in.Name(), peak, limit)
+		}
+	}
 	return nil
 }
+
+// cmdHold: DURATION. Lets a fault last. It must never decide a verdict: what
+// follows holds however long the pause takes.
+func cmdHold(_ context.Context, _ *testscript.TestScript, _ *world, args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err == nil {
+		time.Sleep(d)
+	}
+	return err
+}
--- a/internal/scenario/work_test.go
+++ b/internal/scenario/work_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -141,3 +142,24 @@
 	c.compare(a, want)
 	return "ok"
 }
+
+// keepSetting sets a parameter of the session to a value of its own, or, every
+// second client, verifies that it has none.
+func keepSetting(_ context.Context, c *client) string {
+	c.sequence++
+	want := "start"
+	if strings.HasSuffix(c.name, "1") || strings.HasSuffix(c.name, "3") {
+		want = fmt.Sprintf("%s:%d", c.name, c.sequence)
+		if a := c.session.run(context.Background(), fmt.Sprintf("SET application_name = '%s'", want)); a.err != nil {
+			return c.note(a.state, a.err)
+		}
+	}
+	for range 2 {
+		a := c.session.run(context.Background(), "SELECT current_setting('application_name'), 1")
+		if a.err != nil {
+			return c.note(a.state, a.err)
+		}
+		c.recorder.answer(history.Answer{Session: c.name, Want: want + "|1", Got: a.rows, WantRows: 1, GotRows: a.count})
+	}
+	return "ok"
+}
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/config"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/gypsumyard/gypsumyard/internal/operator"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
 	"github.com/gypsumyard/gypsumyard/internal/site"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -26,13 +28,19 @@
 
 // A world is what one script works on.
 type world struct {
-	dir        string
-	site       *site.Site
-	external   map[string]*process
-	sessions   map[string]*session
-	requests   map[string]*request
-	loads      map[string]*load
-	recorders  map[string]*recorder
+	dir       string
+	site      *site.Site
+	external  map[string]*process
+	sessions  map[string]*session
+	requests  map[string]*request
+	loads     map[string]*load
+	recorders map[string]*recorder
+	network   *network
+	// edited is the last edit of the lists, saved are remembered copies.
+	edited     planlist.Applied
+	saved      []gypsumyard.Object
+	versions   recorder
+	stop       context.CancelFunc
 	background sync.WaitGroup
 }
 
@@ -46,6 +54,7 @@
 		requests:  map[string]*request{},
 		loads:     map[string]*load{},
 		recorders: map[string]*recorder{},
+		network:   newNetwork(),
 	}
 }
 
@@ -53,6 +62,10 @@
 
 // close ends everything that the script started.
 func (w *world) close(ctx context.Context) {
+	w.network.cut(nil)
+	if w.stop != nil {
+		w.stop()
+	}
 	for _, l := range w.loads {
 		l.cancel()
 	}
@@ -60,7 +73,9 @@
 		s.abort()
 	}
 	for _, p := range w.external {
-		p.kill()
+		if p != nil {
+			p.kill()
+		}
 	}
 	w.background.Wait()
 	if w.site != nil {
