--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -76,11 +76,13 @@
 	queue   queue
 	changes chan struct{}
 
-	// dirty tells that ring, targets and digest do not reflect the table.
+	suspects map[string]*record
+	// digest is the same in equal tables.
+	digest uint64
+	// dirty tells that ring and targets do not reflect the table.
 	dirty   bool
 	ring    []*record
 	targets []*record
-	digest  uint64
 
 	sequence uint64
 	ticked   time.Time
@@ -120,14 +122,15 @@
 // New returns the service of the host self.
 func New(self gypsumyard.Host, options ...Option) *Service {
 	s := &Service{
-		clock:   clock.System(),
-		log:     logrus.StandardLogger(),
-		metrics: tally.NoopScope,
-		done:    make(chan struct{}),
-		records: map[string]*record{},
-		queue:   queue{sent: map[string]int{}},
-		changes: make(chan struct{}),
-		helping: map[string][]helped{},
+		clock:    clock.System(),
+		log:      logrus.StandardLogger(),
+		metrics:  tally.NoopScope,
+		done:     make(chan struct{}),
+		records:  map[string]*record{},
+		queue:    queue{sent: map[string]int{}},
+		changes:  make(chan struct{}),
+		helping:  map[string][]helped{},
+		suspects: map[string]*record{},
 	}
 	for _, o := range options {
 		o(s)
--- a/internal/member/suspect.go
+++ b/internal/member/suspect.go
@@ -40,10 +40,7 @@
 			s.declare(r, peerpb.MemberState_DEAD)
 		}
 	}
-	for _, r := range s.records {
-		if r.state != peerpb.MemberState_SUSPECT {
-			continue
-		}
+	for _, r := range s.suspects {
 		switch age := now.Sub(r.changed); {
 		case age > giveUpAfter:
 			s.declare(r, peerpb.MemberState_DEAD)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math/bits"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -36,6 +36,10 @@
 	probed time.Time
 	// indirect is when the host was last reached only through others.
 	indirect time.Time
+	// counted is the record's part in the table's digest, and inRing tells
+	// whether it is on the ring.
+	counted uint64
+	inRing  bool
 	// listed is the state in the platform's list at the last poll.
 	listed gypsumyard.HostState
 }
@@ -116,6 +120,9 @@
 	case u.Incarnation < r.incarnation:
 		return
 	case u.Incarnation == r.incarnation && u.State <= r.state:
+		if u.State == r.state {
+			s.queue.seen(h.Name)
+		}
 		return
 	}
 	keepLeaving := known && u.Incarnation == r.incarnation && r.leaving
@@ -161,10 +168,22 @@
 	s.noteChange(s.self)
 }
 
-// noteChange spreads the record and invalidates what is derived from the table.
+// noteChange spreads the record and updates what is derived from the table.
 func (s *Service) noteChange(r *record) {
 	s.queue.add(r.host.Name)
-	s.dirty = true
+	present := !r.gone() || r == s.self
+	part := uint64(0)
+	if present {
+		part = r.digest()
+	}
+	s.digest ^= r.counted ^ part
+	r.counted = part
+	s.dirty = s.dirty || r.inRing != (present && r.host.Region == s.self.host.Region)
+	if r.state == peerpb.MemberState_SUSPECT {
+		s.suspects[r.host.Name] = r
+	} else {
+		delete(s.suspects, r.host.Name)
+	}
 	s.invalidate()
 }
 
@@ -175,20 +194,16 @@
 	s.changes = make(chan struct{})
 }
 
-// refresh rebuilds the ring and the digest after a change.
+// refresh rebuilds the ring after hosts have come or gone.
 func (s *Service) refresh() {
 	if !s.dirty {
 		return
 	}
 	s.dirty = false
 	s.ring = s.ring[:0]
-	s.digest = 0
 	for _, r := range s.records {
-		if r.gone() && r != s.self {
-			continue
-		}
-		s.digest ^= r.digest()
-		if r.host.Region == s.self.host.Region {
+		r.inRing = r.host.Region == s.self.host.Region && (!r.gone() || r == s.self)
+		if r.inRing {
 			s.ring = append(s.ring, r)
 		}
 	}
@@ -205,8 +220,8 @@
 	old := s.targets
 	s.targets = nil
 	at := slices.Index(s.ring, s.self)
-	for i := 1; i < len(s.ring) && len(s.targets) < successors; i++ {
-		r := s.ring[(at+i)%len(s.ring)]
+	for _, d := range distances(len(s.ring)) {
+		r := s.ring[(at+d)%len(s.ring)]
 		if !slices.Contains(old, r) {
 			r.heard = now
 			r.probed = time.Time{}
@@ -215,6 +230,24 @@
 	}
 }
 
+// distances returns how far along a ring of n hosts the targets of heartbeats
+// are. They grow geometrically up to half the ring, so that an update reaches
+// all hosts in a number of hops that grows with log n. With the next 8 hosts as
+// targets it takes n/8 hops.
+func distances(n int) []int {
+	var ds []int
+	last := min(successors, n-1)
+	for i := 1; i <= last; i++ {
+		d := i
+		if n > successors+1 {
+			exponent := float64(i-1) / (successors - 1)
+			d = max(i, int(math.Pow(float64(n)/2, exponent)))
+		}
+		ds = append(ds, d)
+	}
+	return ds
+}
+
 // buildView copies the table for readers.
 func (s *Service) buildView() *view {
 	v := &view{regions: map[string][]candidate{}}
@@ -252,40 +285,3 @@
 	}
 	return true
 }
-
-// A queue holds the names of the hosts whose records are to be spread. A name
-// goes to the back after each message that carried it.
-type queue struct {
-	names []string
-	sent  map[string]int
-}
-
-// add puts the name in front, with all its transmissions to come.
-func (q *queue) add(name string) {
-	if _, ok := q.sent[name]; ok {
-		q.names = slices.DeleteFunc(q.names, func(n string) bool { return n == name })
-	}
-	q.names = slices.Insert(q.names, 0, name)
-	q.sent[name] = 0
-}
-
-// take returns up to n names for one message. Each name is returned limit times
-// in all.
-func (q *queue) take(n, limit int) []string {
-	n = min(n, len(q.names))
-	taken := slices.Clone(q.names[:n])
-	q.names = q.names[n:]
-	for _, name := range taken {
-		q.sent[name]++
-		if q.sent[name] < limit {
-			q.names = append(q.names, name)
-		} else {
-			delete(q.sent, name)
-		}
-	}
-	return taken
-}
-
-// transmissions is how often an update is sent by each host: about 3 log2(n),
-// after which it has reached all hosts with high probability.
-func transmissions(hosts int) int { return 3 * bits.Len(uint(hosts)) }
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -52,6 +52,7 @@
 		"owner-of":       {1, cmdOwnerOf},
 		"cut":            {0, cmdCut},
 		"edit":           {4, cmdEdit},
+		"assign":         {3, cmdAssign},
 		"race":           {9, cmdRace},
 		"entry":          {4, cmdEntry},
 		"save-lists":     {1, cmdSaveLists},
--- a/internal/scenario/lists_test.go
+++ b/internal/scenario/lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
@@ -87,6 +88,29 @@
 	return nil
 }
 
+// cmdAssign: HOST CUSTOMER PLAN. Gives the customer another plan.
+func cmdAssign(ctx context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	o, err := w.operator(args[0])
+	if err != nil {
+		return err
+	}
+	entry, err := o.Get(ctx, planlist.Customers, args[1])
+	if err != nil {
+		return err
+	}
+	var c gypsumyard.Customer
+	if err := json.Unmarshal(entry.Value, &c); err != nil {
+		return err
+	}
+	c.Plan = args[2]
+	value, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	w.edited, err = o.Put(ctx, planlist.Customers, args[1], entry.Version, value)
+	return err
+}
+
 // cmdRace: N HOST HOST KIND ENTRY ENTRY EXPECTED FILE FILE. Two operators edit
 // at the same time, and N of the edits succeed. The others get a conflict.
 func cmdRace(ctx context.Context, ts *testscript.TestScript, w *world, args []string) error {
