peer: a failed handshake ends the stream, not the host

The deferred clean-up of dial called its named result, which a return with an error had set to nil. Every host that dialed a peer which died during the handshake panicked.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -257,13 +257,14 @@
 	}
 	dc := drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()})
 	sctx, cancel := context.WithCancel(s.stopping)
-	closeStream = func() {
+	// end is no named result: a return with an error would clear it.
+	end := func() {
 		cancel()
 		_ = dc.Close()
 	}
 	defer func() {
 		if err != nil {
-			closeStream()
+			end()
 		}
 	}()
 	stopWatching := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -276,7 +277,7 @@
 		return nil, nil, err
 	}
 	s.metrics.Tagged(map[string]string{"stream": string(k)}).Counter("peer_dials").Inc(1)
-	return newStream(w, conn, s.clock), closeStream, nil
+	return newStream(w, conn, s.clock), end, nil
 }
 
 func openStream(ctx context.Context, c peerpb.DRPCPeerClient, k kind) (wire, error) {
