--- a/internal/scenario/process_test.go
+++ b/internal/scenario/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -28,6 +29,7 @@
 }
 
 func startProcess(dir string, c config.Settings) (*process, error) {
+	c.Peers.Seeds = append([]netip.AddrPort{}, c.Peers.Seeds...) // Not null.
 	value, err := json.Marshal(c)
 	if err != nil {
 		return nil, err
