--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -53,6 +53,8 @@
 		"cut":            {0, cmdCut},
 		"edit":           {4, cmdEdit},
 		"assign":         {3, cmdAssign},
+		"begin-edit":     {5, cmdBeginEdit},
+		"end-edit":       {2, cmdEndEdit},
 		"race":           {9, cmdRace},
 		"entry":          {4, cmdEntry},
 		"save-lists":     {1, cmdSaveLists},
--- a/internal/scenario/lists_test.go
+++ b/internal/scenario/lists_test.go
@@ -88,6 +88,40 @@
 	return nil
 }
 
+// editTimeout is longer than a host tries to make an edit.
+const editTimeout = 30 * time.Second
+
+// cmdBeginEdit: NAME HOST KIND ENTRY EXPECTED [FILE]. The edit goes on in the
+// background.
+func cmdBeginEdit(_ context.Context, ts *testscript.TestScript, w *world, args []string) error {
+	e, err := parseEdit(ts, args[1:])
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	w.edits[args[0]] = done
+	w.background.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), editTimeout)
+		defer cancel()
+		_, err := w.apply(ctx, e)
+		done <- err
+	})
+	return nil
+}
+
+// cmdEndEdit: NAME KIND,... The edit must end with one of the kinds.
+func cmdEndEdit(_ context.Context, _ *testscript.TestScript, w *world, args []string) error {
+	done, ok := w.edits[args[0]]
+	if !ok {
+		return fmt.Errorf("no edit %q", args[0])
+	}
+	err := <-done
+	if kind := kindOf(err); !strings.Contains(","+args[1]+",", ","+kind+",") {
+		return fmt.Errorf("want %s, got %s: %w", args[1], kind, err)
+	}
+	return nil
+}
+
 // cmdAssign: HOST CUSTOMER PLAN. Gives the customer another plan.
 func cmdAssign(ctx context.Context, _ *testscript.TestScript, w *world, args []string) error {
 	o, err := w.operator(args[0])
--- a/internal/scenario/work_test.go
+++ b/internal/scenario/work_test.go
@@ -116,23 +116,22 @@
 	c.recorder.answer(history.Answer{Session: c.name, Want: whole, Got: a.rows, WantRows: 2, GotRows: a.count})
 }
 
-// cancelAfter is the time after which askAndCancel cancels. Every second
-// statement takes about as long, so that some answers are complete and some
-// are late.
-const cancelAfter = 3 * time.Millisecond
+// cancelSteps are the times after which askAndCancel cancels, in turn, and the
+// times that its statements take. Some answers are complete, some are late.
+var cancelSteps = []struct {
+	after time.Duration
+	cost  string
+}{{3 * time.Millisecond, "3ms"}, {3 * time.Millisecond, "100ms"}, {60 * time.Millisecond, "500ms"}, {200 * time.Millisecond, "1s"}}
 
 // askAndCancel cancels its request while it runs. A complete answer must be
 // the client's own all the same.
 func askAndCancel(_ context.Context, c *client) string {
-	cost := "100ms"
-	if c.sequence%2 == 0 {
-		cost = cancelAfter.String()
-	}
-	statement, want := c.ask(cost)
+	step := cancelSteps[c.sequence%len(cancelSteps)]
+	statement, want := c.ask(step.cost)
 	r := c.w.begin(c.session, statement)
 	select {
 	case <-r.done:
-	case <-time.After(cancelAfter):
+	case <-time.After(step.after):
 		ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 		_ = c.session.conn.PgConn().CancelRequest(ctx)
 		cancel()
--- a/internal/scenario/world_test.go
+++ b/internal/scenario/world_test.go
@@ -39,6 +39,7 @@
 	// edited is the last edit of the lists, saved are remembered copies.
 	edited   planlist.Applied
 	saved    []gypsumyard.Object
+	edits    map[string]chan error
 	versions recorder
 	// target is what the instances must reach in the present wait.
 	target struct {
@@ -59,6 +60,7 @@
 		requests:  map[string]*request{},
 		loads:     map[string]*load{},
 		recorders: map[string]*recorder{},
+		edits:     map[string]chan error{},
 		network:   newNetwork(),
 	}
 }
