--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -127,6 +127,13 @@
 	c, err := pgconn.Connect(t.Context(), f.url("&max_protocol_version=3.2&min_protocol_version=3.0"))
 	is.NoErr(err)
 	is.NoErr(c.Close(t.Context()))
+	conn := open(t, f)
+	_, err = conn.Write(packet(uint32(25), uint32(196610), "user\x00a\x00_pq_.x\x00y\x00\x00"))
+	is.NoErr(err)
+	answer := make([]byte, 13)
+	_, err = io.ReadFull(conn, answer)
+	is.NoErr(err)
+	is.Equal(answer, packet("v", uint32(19), uint32(196608), uint32(1)))
 }
 
 // Guards against hostile messages in a session that hang, crash or hurt other
@@ -245,8 +252,10 @@
 	}()
 	_, err = c.Exec(t.Context(), "select pg_sleep(100)").ReadAll()
 	is.NoErr(err)
+	f.executor.mu.Lock()
+	defer f.executor.mu.Unlock()
 	is.Equal(len(f.executor.canceled), 1)
-	is.Equal(f.executor.canceled[0].Session, f.executor.last().Session)
+	is.Equal(f.executor.canceled[0].Session, f.executor.requests[0].Session)
 }
 
 // Guards against a drain that interrupts a request or a transaction, or that
@@ -273,7 +282,7 @@
 	open.query("commit", "C:COMMIT S:gypsumyard.position="+testDatabase+":1/2 Z:I")
 	is.Equal(open.script(), "E:57P01 end")
 	is.Equal(stuck.script(), "E:57P01 end")
-	is.Equal(len(f.executor.abandoned), 1)
+	is.Equal(f.executor.abandons(), 1)
 	_, err := net.Dial("tcp", f.server.Addr().String())
 	is.True(err != nil)
 	select {
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -16,6 +16,8 @@
 	// TotalBuffer bounds the bytes received and not yet answered of all
 	// connections together, and their prepared statements.
 	TotalBuffer int
+	// CustomerBuffer is the part of TotalBuffer that one customer may take.
+	CustomerBuffer int
 	// Message is the longest message.
 	Message int
 	// Batch is the longest extended batch, counting messageOverhead for each
@@ -49,7 +51,8 @@
 func defaultLimits() Limits {
 	return Limits{
 		ConnectionBuffer: mib,
-		TotalBuffer:      256 * mib,
+		TotalBuffer:      512 * mib,
+		CustomerBuffer:   128 * mib,
 		Message:          16 * mib,
 		Batch:            64 * mib,
 		Statements:       1000,
@@ -70,6 +73,7 @@
 	}{
 		{&d.ConnectionBuffer, l.ConnectionBuffer},
 		{&d.TotalBuffer, l.TotalBuffer},
+		{&d.CustomerBuffer, l.CustomerBuffer},
 		{&d.Message, l.Message},
 		{&d.Batch, l.Batch},
 		{&d.Statements, l.Statements},
@@ -112,3 +116,7 @@
 // WithMockSecret sets the key from which the salts of unknown logins are made.
 // Hosts that share it answer alike; the default is random for each process.
 func WithMockSecret(secret []byte) Option { return func(s *Server) { s.mockSecret = secret } }
+
+// WithCancelForwarder sets the way of cancel keys to other hosts. Without one,
+// a cancel request has an effect only at the host of the session.
+func WithCancelForwarder(f CancelForwarder) Option { return func(s *Server) { s.forwarder = f } }
--- a/internal/caller/session.go
+++ b/internal/caller/session.go
@@ -51,8 +51,8 @@
 
 	position      gypsumyard.Position
 	positionKnown bool
-	// reported is the position that the caller was told last.
-	reported gypsumyard.Position
+	// reported is the position token that the caller was told last.
+	reported string
 
 	maxStaleness time.Duration
 	repeatable   bool
@@ -78,9 +78,8 @@
 
 func (t *transaction) open() bool { return t.status != statusIdle }
 
-// serve runs a connection from its start to its end. It reports whether the
-// caller was told an error last.
-func (s *Server) serve(c *conn) (told bool) {
+// serve runs a connection from its start to its end.
+func (s *Server) serve(c *conn) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	x := newSession(s, c, ctx)
@@ -93,7 +92,7 @@
 	defer x.frames.release()
 	defer x.prepared.clear()
 	if err := x.begin(); err != nil {
-		return !hasLeft(err)
+		return
 	}
 	defer s.closeSession(x.customer)
 	defer x.abandon()
@@ -103,13 +102,13 @@
 	log := x.logger()
 	log.WithField("remote", c.socket.RemoteAddr().String()).Info("session started")
 	err := x.loop()
+	x.abandon()
 	x.sayFatal(err)
 	log.WithFields(logrus.Fields{
 		"reason":   err,
 		"requests": x.requests,
 		"duration": s.clock.Since(x.began),
 	}).Info("session ended")
-	return !hasLeft(err)
 }
 
 func newSession(s *Server, c *conn, ctx context.Context) *session {
@@ -149,17 +148,34 @@
 	x.conn.onInterrupt = func() error { return shuttingDown() }
 	err := x.start()
 	if err == nil {
-		err = x.server.openSession(x.customer)
+		err = x.takeBudget()
 	}
 	x.conn.deadline = nil
-	x.conn.setBound(x.server.limits.ConnectionBuffer)
 	if err != nil {
 		x.sayFatal(err)
-		x.server.log.WithError(err).WithField("remote", x.conn.socket.RemoteAddr().String()).Info("no session started")
+		log := x.server.log.WithError(err).WithField("remote", x.conn.socket.RemoteAddr().String())
+		if hasLeft(err) {
+			log.Debug("no session started")
+		} else {
+			log.Info("no session started")
+		}
 	}
 	return err
 }
 
+// takeBudget opens the session and counts from now on what it holds against
+// the customer's budget.
+func (x *session) takeBudget() error {
+	b, err := x.server.openSession(x.customer)
+	if err != nil {
+		return err
+	}
+	x.frames.budget = b
+	x.prepared.budget = b
+	x.conn.setLimits(x.server.limits.ConnectionBuffer, b)
+	return nil
+}
+
 // loop handles messages until the session ends, and returns why it did.
 func (x *session) loop() error {
 	if err := x.ready(); err != nil {
@@ -213,6 +229,12 @@
 
 // handle runs one message of the caller.
 func (x *session) handle(f frame) error {
+	if x.skipping && f.kind != 'S' && f.kind != 'X' {
+		return nil
+	}
+	if f.kind == 'Q' || f.kind == 'S' || f.kind == 'H' {
+		x.conn.pauseReading()
+	}
 	switch f.kind {
 	case 'Q':
 		return x.simple(f)
@@ -239,7 +261,7 @@
 
 // ready tells the caller about an advanced position and that it may go on.
 func (x *session) ready() error {
-	if x.positionKnown && x.position != x.reported {
+	if x.positionToken() != x.reported {
 		x.reportPosition()
 	}
 	x.send(&pgproto3.ReadyForQuery{TxStatus: x.tx.status})
@@ -247,11 +269,12 @@
 }
 
 func (x *session) reportPosition() {
-	x.reported = x.position
-	x.send(&pgproto3.ParameterStatus{Name: paramPosition, Value: x.positionToken()})
+	x.reported = x.positionToken()
+	x.send(&pgproto3.ParameterStatus{Name: paramPosition, Value: x.reported})
 }
 
-// positionToken is the position with the database that it belongs to.
+// positionToken is the position with the database that it belongs to. It is
+// empty while the session's position is not known.
 func (x *session) positionToken() string {
 	if !x.positionKnown {
 		return ""
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -172,7 +172,7 @@
 	h.owner = owner.New(h.ownerOptions()...)
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.entry("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = caller.New(s.Listen.Callers, caller.WithClock(h.clock), caller.WithLogger(h.entry("caller")),
-		caller.WithMetrics(h.scope), caller.WithMockSecret([]byte(s.Peers.Secret)), caller.WithLimits(caller.Limits{
+		caller.WithMetrics(h.scope), caller.WithCancelForwarder(peers), caller.WithMockSecret([]byte(s.Peers.Secret)), caller.WithLimits(caller.Limits{
 			ConnectionBuffer: int(s.Callers.BufferPerConnection),
 			TotalBuffer:      int(s.Callers.BufferTotal),
 			Startup:          time.Duration(s.Callers.StartupTimeout),
@@ -213,7 +213,9 @@
 		owner.WithRouter(h.router),
 	}
 	if s.Promote {
-		options = append(options, owner.WithPromoter(h.newPromoter))
+		options = append(options, owner.WithPromoter(func(d gypsumyard.Database) owner.Promoter {
+			return owner.NewPromoter(d, h.clock, h.entry("promote"), time.Duration(s.DetectTimeout))
+		}))
 	}
 	return options
 }
@@ -255,7 +257,7 @@
 		h.entry("host").Info("drain begins")
 		h.operator.SetDraining()
 		h.members.Announce(gypsumyard.HostLeaving)
-		err = errors.Join(h.caller.Drain(ctx), h.owner.Stop(ctx))
+		err = errors.Join(h.caller.Drain(ctx), h.owner.Drain(ctx))
 		h.members.Announce(gypsumyard.HostDead)
 		err = errors.Join(err, h.Stop(ctx))
 	})
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -26,6 +26,8 @@
 type job struct {
 	*gypsumyard.Request
 	batch upstream.Batch
+	// attempts counts the exchanges.
+	attempts int
 }
 
 // execute runs one request.
@@ -135,7 +137,7 @@
 	if err != nil {
 		return gypsumyard.Ticket{}, err
 	}
-	mean, long, _ := g.shapes.expect(r.Shape)
+	mean, long := g.learner.Expected(r.Shape)
 	return gypsumyard.Ticket{
 		Customer:      r.Customer,
 		Plan:          plan,
@@ -150,10 +152,10 @@
 
 // release gives back the slot and charges the time since the grant.
 func (g *group) release(r *job, a *attempt, ran bool) {
-	used := g.clock.Since(a.began)
+	used := g.used(a)
 	g.admitter.Release(a.grant, used)
 	if ran {
-		g.shapes.learn(r.Shape, used)
+		g.learner.Observe(r.Shape, used)
 	}
 	if a.permit != nil {
 		a.permit.release()
@@ -163,6 +165,14 @@
 	a.member.running--
 }
 
+// used returns the slot time of an attempt: the time since its grant without
+// the network round trip, in which its slot was not in use.
+func (g *group) used(a *attempt) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.clock.Since(a.began)-2*a.member.view.Distance, 0)
+}
+
 // connect gets a connection to the granted instance.
 func (g *group) connect(ctx context.Context, r *job, a *attempt) (err error) {
 	ctx, cancel := context.WithTimeoutCause(ctx, connectBound, errNoConnection)
@@ -174,11 +184,10 @@
 // exchange runs the request on the attempt's connection and makes it known to
 // CancelStatement meanwhile.
 func (g *group) exchange(ctx context.Context, r *job, a *attempt, ex *upstream.Exchange, sink gypsumyard.ResponseSink) (upstream.Outcome, error) {
-	_, _, ex.SilentBound = g.shapes.expect(r.Shape)
+	expected, long := g.learner.Expected(r.Shape)
+	ex.SilentBound = silence(expected, long || r.Long, ex.Check != nil, r.attempts)
+	r.attempts++
 	ex.Batch, ex.Settings = r.batch, r.Settings
-	if r.Long {
-		ex.SilentBound = max(ex.SilentBound, unknownSilent)
-	}
 	sent := g.clock.Now()
 	ex.Working = func() bool { return g.answeredSince(a.member, sent) }
 	g.mu.Lock()
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -172,6 +172,7 @@
 // execute runs one request and sends its answer.
 func (in *inbound) execute(r *run, p *peerpb.Request) {
 	defer r.cancel(nil)
+	in.service.executed.Inc(1)
 	a := &answer{in: in, run: r}
 	req, err := decodeRequest(p, in.service.clock.Now())
 	var res gypsumyard.Result
@@ -206,7 +207,9 @@
 	in.mu.Lock()
 	switch {
 	case op == peerpb.Operation_ABANDON:
-		delete(in.open, r.Session)
+		if o, ok := in.open[r.Session]; ok && o.Transaction == r.Transaction {
+			delete(in.open, r.Session)
+		}
 	case op != peerpb.Operation_EXECUTE:
 	case res.Transaction != "":
 		t := *r
--- a/internal/promote/options.go
+++ b/internal/promote/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"io"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -22,6 +23,9 @@
 	backoff     time.Duration
 	catchUp     time.Duration
 	newToken    func() gypsumyard.Token
+	cutOff      string
+	silence     time.Duration
+	jitter      func(d time.Duration) time.Duration
 }
 
 // An Option changes how a promotion or a Detector works.
@@ -50,6 +54,15 @@
 // the whole log. The default is 3 s.
 func WithCatchUp(d time.Duration) Option { return func(s *settings) { s.catchUp = d } }
 
+// WithCutOff names a primary that answers but whose log the replicas no longer
+// receive. It holds records that can never be confirmed, so it takes no part in
+// the choice; a majority must be fenced without it.
+func WithCutOff(instance string) Option { return func(s *settings) { s.cutOff = instance } }
+
+// WithSilence sets how long a primary that no witness hears may be silent
+// before a Detector holds it for dead. The default is 600 ms.
+func WithSilence(d time.Duration) Option { return func(s *settings) { s.silence = d } }
+
 // WithToken sets the source of tokens. Tokens must not repeat; the default
 // ones are random.
 func WithToken(f func() gypsumyard.Token) Option { return func(s *settings) { s.newToken = f } }
@@ -60,6 +73,7 @@
 	s := &settings{
 		clock:       clock.System(),
 		log:         discard,
+		silence:     defaultSilence,
 		callTimeout: 200 * time.Millisecond,
 		calls:       3,
 		// An instance that answers this long after the majority still takes
@@ -69,6 +83,7 @@
 		backoff:  20 * time.Millisecond,
 		catchUp:  3 * time.Second,
 		newToken: func() gypsumyard.Token { return gypsumyard.Token(rand.Text()) },
+		jitter:   func(d time.Duration) time.Duration { return d/2 + mathrand.N(d) },
 	}
 	for _, o := range options {
 		o(s)
--- a/internal/scenario/verdict_test.go
+++ b/internal/scenario/verdict_test.go
@@ -97,7 +97,7 @@
 	for _, e := range journal {
 		runs = append(runs, history.Run{
 			Instance: e.Instance, Transaction: e.Transaction, Tag: tagPattern.FindString(e.Statement),
-			Start: e.Start, End: e.End,
+			Used: e.SlotTime, End: e.End,
 		})
 	}
 	return runs
--- a/internal/scenario/work_test.go
+++ b/internal/scenario/work_test.go
@@ -136,9 +136,9 @@
 		_ = c.session.conn.PgConn().CancelRequest(ctx)
 		cancel()
 	}
-	a, err := r.wait(7*time.Second)
+	a, err := r.wait(commandTimeout)
 	if err != nil {
-		dumpHang(c.name); return c.note("hangs", err)
+		return c.note("hangs", err)
 	}
 	if a.err != nil {
 		return c.note(a.state, a.err)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,9 @@
 	log         config.Log
 	journal     int
 	external    map[string]bool
+	platform    netip.AddrPort
+	control     netip.AddrPort
+	members     []config.Settings
 }
 
 // An Option changes a site.
@@ -88,6 +92,17 @@
 	}
 }
 
+// WithPlatform sets the address of the emulated platform.
+func WithPlatform(a netip.AddrPort) Option { return func(s *settings) { s.platform = a } }
+
+// WithControl sets the address at which faults are switched.
+func WithControl(a netip.AddrPort) Option { return func(s *settings) { s.control = a } }
+
+// WithMembers puts hosts that run elsewhere on the platform's list.
+func WithMembers(members ...config.Settings) Option {
+	return func(s *settings) { s.members = append(s.members, members...) }
+}
+
 // Start runs the emulators, writes the lists and starts the hosts. It returns
 // when all hosts admit callers.
 func Start(ctx context.Context, d Deployment, options ...Option) (s *Site, err error) {
@@ -112,7 +127,7 @@
 	if s.planned, err = s.plan(); err != nil {
 		return s, err
 	}
-	for _, c := range s.planned {
+	for _, c := range slices.Concat(s.planned, s.options.members) {
 		if err = s.Environment.Store().SetHost(memberOf(c)); err != nil {
 			return s, err
 		}
@@ -131,6 +146,12 @@
 func (s *Site) emulators() []emulate.Option {
 	d := s.deployment
 	options := []emulate.Option{emulate.WithStore(store.WithHostLag(hostListLag))}
+	if s.options.platform.IsValid() {
+		options = append(options, emulate.WithStore(store.WithAddr(s.options.platform)))
+	}
+	if s.options.control.IsValid() {
+		options = append(options, emulate.WithControl(s.options.control))
+	}
 	for _, b := range d.Databases {
 		options = append(options, emulate.WithGroup(b.Name,
 			group.WithInstances(b.Instances),
@@ -355,7 +376,11 @@
 	if h == nil {
 		return fmt.Errorf("no host %q runs", name)
 	}
-	return h.Stop(ctx)
+	// With a context that is done, services cut off what they are doing.
+	ctx, cancel := context.WithCancel(ctx)
+	cancel()
+	_ = h.Stop(ctx)
+	return nil
 }
 
 // DrainHost shuts a host down gracefully and forgets it.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -144,14 +145,17 @@
 }
 
 // Guards against a refused connection that looks like a broken one, and
-// against a pool that dials on while the instance refuses.
+// against a pool that dials on while the instance refuses, or that waits on
+// when it is known to answer again.
 func TestRefusedConnection(t *testing.T) {
 	is := is.New(t)
 	g := startGroup(t, group.WithConnections(2))
 	hog := startPool(t, g, 2)
+	var held []*Conn
 	for range 2 {
-		_, err := hog.Get(t.Context(), false)
+		c, err := hog.Get(t.Context(), false)
 		is.NoErr(err)
+		held = append(held, c)
 	}
 	p := startPool(t, g, 5)
 	for range 200 {
@@ -159,6 +163,15 @@
 		is.True(errors.Is(err, ErrRefused))
 	}
 	is.True(g.Instances()[0].Counters()["open"] < 20)
+	hog.Close()
+	for range 2 {
+		hog.Discard(held[0])
+		held = held[1:]
+	}
+	p.Retry()
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	p.Put(c)
 }
 
 // Guards against a request on a connection that has gone silent since it was
@@ -233,3 +246,31 @@
 	is.True(!out.Delivered && len(out.Answer) > 2*bufferLimit)
 	p.Put(c)
 }
+
+// slowConn stalls before a read like a paused process, so that the deadline
+// passes while the answer arrives.
+type slowConn struct {
+	net.Conn
+	stall time.Duration
+}
+
+func (c *slowConn) Read(b []byte) (int, error) {
+	time.Sleep(c.stall)
+	c.stall = 0
+	return c.Conn.Read(b)
+}
+
+// Guards against an answer that counts as missing because the process was
+// paused while it arrived.
+func TestAnswerDuringPause(t *testing.T) {
+	is := is.New(t)
+	p := startPool(t, startGroup(t), 1)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	defer p.Put(c)
+	slow := &slowConn{Conn: c.net, stall: 300 * time.Millisecond}
+	c.net, c.front = slow, pgproto3.NewFrontend(slow, slow)
+	out, err := c.Run(t.Context(), query(t, "select 1"), io.Discard)
+	is.NoErr(err)
+	is.True(out.Completed)
+}
