upstream: open connections without an application_name

A session that had set none was shown the proxy's own name by SHOW and by current_setting, while its ParameterStatus said that it was empty.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -94,9 +94,9 @@
 	c.front.Send(&pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
-			"user":             c.address.User,
-			"database":         c.address.Database,
-			"application_name": "gypsumyard",
+			"user":     c.address.User,
+			"database": c.address.Database,
+			// No application_name: sessions that set none would see it.
 		},
 	})
 	if err := c.front.Flush(); err != nil {
