owner: requests before the start are refused, not fatal

A host listens for its peers before its owner has started. A peer that had it in its view sent a request in between, and the owner used its membership before it was set: the host panicked. Until the start every request now gets not-owner, which the sender repeats. Seen in the scenarios that restart a host under load.

--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -35,6 +35,9 @@
 	// since.
 	stale    bool
 	stopping bool
+	// started is set once the fields that Start sets can be used: peers call
+	// as soon as the host listens, which is before.
+	started bool
 }
 
 var (
@@ -69,6 +72,8 @@
 
 // Start begins to run the databases that this host owns.
 func (s *Service) Start(_ context.Context, k *kernel.Kernel) (err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.kernel = k
 	s.lists, err = kernel.Lookup[gypsumyard.Lists](k, "lists")
 	if err != nil {
@@ -79,6 +84,7 @@
 		return fmt.Errorf("owner: %w", err)
 	}
 	s.self = s.members.Self().Name
+	s.started = true
 	s.work.Add(2)
 	go s.follow()
 	go s.watchPauses()
@@ -153,6 +159,9 @@
 func (s *Service) enter(r *gypsumyard.Request) (*group, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.started {
+		return nil, errNotOwner
+	}
 	g := s.groups[r.Database]
 	if r.Transaction != "" {
 		return s.enterTransaction(g, r)
@@ -204,8 +213,17 @@
 	return c.Cancel(ctx)
 }
 
+func (s *Service) isStarted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
 // ProbeInstance reads the status of an instance over a fresh connection.
 func (s *Service) ProbeInstance(ctx context.Context, database, instance string) (st gypsumyard.InstanceStatus, err error) {
+	if !s.isStarted() {
+		return st, fmt.Errorf("owner: probe %s of %s: not started", instance, database)
+	}
 	d, ok := s.lists.Database(database)
 	if !ok {
 		return st, fmt.Errorf("owner: probe %s of %s: %w", instance, database, gypsumyard.ErrNotFound)
