--- a/internal/scenario/lists_test.go
+++ b/internal/scenario/lists_test.go
@@ -223,6 +223,19 @@
 	return fmt.Errorf("%s has customer %s with plan %s", args[0], args[1], c.Plan)
 }
 
+// hasLimit: HOST PLAN LIMIT. The host of this process has the plan's limit.
+func hasLimit(_ context.Context, w *world, args []string) error {
+	h := w.site.Host(args[0])
+	if h == nil {
+		return fmt.Errorf("no host %q in this process", args[0])
+	}
+	p, ok := h.Lists().Plan(args[1])
+	if !ok || fmt.Sprint(p.Limit) != args[2] {
+		return fmt.Errorf("%s has plan %s with limit %v", args[0], args[1], p.Limit)
+	}
+	return nil
+}
+
 // cmdSaveLists: HOST. Remembers the host's copies.
 func cmdSaveLists(_ context.Context, _ *testscript.TestScript, w *world, args []string) error {
 	h := w.site.Host(args[0])
--- a/internal/scenario/load_test.go
+++ b/internal/scenario/load_test.go
@@ -199,7 +199,10 @@
 		if err != nil {
 			return state, false, err
 		}
-		n := l.outcomes[state]
+		n := 0
+		for s := range strings.SplitSeq(state, "+") {
+			n += l.outcomes[s]
+		}
 		switch operator {
 		case "<=":
 			return state, n <= limit, nil
--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -49,6 +49,7 @@
 	"journal":     inJournal,
 	"within-caps": withinCaps,
 	"in-force":    isInForce,
+	"limit":       hasLimit,
 	"plan":        hasPlan,
 	"ready":       isReady,
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -296,14 +297,29 @@
 	return l, nil
 }
 
+// Hosts of a site listen below the range from which the system takes the ports
+// of outgoing connections. Otherwise one of those could take the port of a host
+// that has not started yet, or that starts again.
+const (
+	firstFreePort = 10_000
+	lastFreePort  = 32_000
+	portAttempts  = 100
+)
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	var last error
+	for range portAttempts {
+		port := firstFreePort + rand.N(lastFreePort-firstFreePort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			last = err
+			continue
+		}
+		defer l.Close()
+		return l.Addr().(*net.TCPAddr).AddrPort(), nil
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+	return netip.AddrPort{}, last
 }
 
 func memberOf(c config.Settings) gypsumyard.Host {
