--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -45,6 +45,8 @@
 	"sql":         sqlHolds,
 	"quiet":       isQuiet,
 	"busy":        isBusy,
+	"role":        hasRole,
+	"connects":    connects,
 	"term":        isTerm,
 	"journal":     inJournal,
 	"within-caps": withinCaps,
@@ -226,6 +228,28 @@
 	return nil
 }
 
+// hasRole: INSTANCE ROLE.
+func hasRole(_ context.Context, w *world, args []string) error {
+	for _, g := range w.site.Environment.Groups() {
+		if in := g.Instance(args[0]); in != nil {
+			if st := in.Status(); string(st.Role) != args[1] {
+				return fmt.Errorf("%s is %s", args[0], st.Role)
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("no instance %q", args[0])
+}
+
+// connects: HOST LOGIN@CUSTOMER DATABASE. A connection is accepted.
+func connects(ctx context.Context, w *world, args []string) error {
+	s, err := w.connect(ctx, args[0], args[1], args[2], nil)
+	if err == nil {
+		s.abort()
+	}
+	return err
+}
+
 // inJournal: DATABASE TEXT N. N statements with the text have run, those that
 // an instance refused not counted.
 func inJournal(_ context.Context, w *world, args []string) error {
