--- a/internal/scenario/doc.go
+++ b/internal/scenario/doc.go
@@ -4,23 +4,33 @@
 //
 // The commands of the scripts, all with the standard quoting of testscript:
 //
-//	site NAME [hosts=N] [databases=N] [lag=D] [cost=D] [process=HOST,HOST]
+//	site NAME [hosts=N] [databases=N] [lag=D] [cost=D] [slots=N] [process=HOST,...] [log=LEVEL]
+//	owner-of DATABASE                  sets OWNER, OTHER1, OTHER2 and so on
 //	connect SESSION HOST LOGIN@CUSTOMER DATABASE [PARAMETER=VALUE]...
 //	refuse SQLSTATE HOST LOGIN[:PASSWORD]@CUSTOMER DATABASE
 //	disconnect SESSION
-//	sql SESSION 'STATEMENTS' [-> 'ROWS' | fails SQLSTATE,...]
-//	begin-sql REQUEST SESSION 'STATEMENTS'
-//	end-sql REQUEST [-> 'ROWS' | fails SQLSTATE,...]
+//	position SESSION VARIABLE
+//	sql SESSION STATEMENTS [-> ROWS | fails SQLSTATE,...]
+//	begin-sql REQUEST SESSION STATEMENTS
+//	end-sql REQUEST [within=D] [-> ROWS | fails SQLSTATE,...]
 //	cancel SESSION
-//	load NAME KIND HOST,... LOGIN@CUSTOMER DATABASE [sessions=N] [allow=SQLSTATE,...]
-//	progress NAME DURATION
+//	load NAME KIND HOST,... LOGIN@CUSTOMER DATABASE [sessions=N] [pause=D]
+//	progress NAME D                    a request that begins now succeeds in time
 //	end-load NAME
-//	outcomes NAME (SQLSTATE|ok|broken)(<=|>=|=)N...
+//	outcomes NAME CONDITION...         such as ok>=1 GY002<=4; others must not occur
 //	fault KIND TARGET [off] [delay=D] [jitter=D] [count=N]
 //	stop-host, kill-host, pause-host, resume-host, drain-host, start-host HOST
-//	wait-for DURATION CONDITION
-//	plans-put, customers-put [-> VAR] ENTRY EXPECTED JSON
-//	check DATABASE
+//	cut [HOST]...                      cuts hosts of this process from the others
+//	edit HOST KIND ENTRY EXPECTED [FILE] [fails KIND]
+//	begin-edit NAME HOST KIND ENTRY EXPECTED [FILE]; end-edit NAME KIND,...
+//	race N HOST HOST KIND ENTRY ENTRY EXPECTED FILE FILE
+//	assign HOST CUSTOMER PLAN; entry HOST KIND ENTRY VERSION [TEXT]
+//	save-lists, replay-lists HOST; check-lists
+//	hostile HOST LOGIN@CUSTOMER DATABASE; silent-callers HOST N
+//	wait-for D CONDITION...            the conditions are in wait_test.go
+//	journal DATABASE TEXT N
+//	hold D                             lets a fault last
+//	check DATABASE                     verdict of history and journal
 //
 // Rows are written as 'a|b; c|d', and no rows as '-'. A process=HOST runs in a
 // process of its own, so that it can be killed and paused.
