peer: deliver chunks that came before the link ended

Cause: when a link ended after the final message of an answer had come, the request took the queued chunks while looking for the final message and dropped them. The caller got a successful result with a truncated answer. Change: look for the final message without taking the chunks. Conclusion: the new test fails before the change and passes after it.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -103,6 +103,13 @@
 	return chunks, c.final
 }
 
+// finished reports whether the final message has come.
+func (c *call) finished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.final != nil
+}
+
 // grant allows the peer to send n more bytes.
 func (c *call) grant(n int) {
 	c.mu.Lock()
@@ -280,7 +287,8 @@
 		select {
 		case <-c.notify:
 		case <-l.done:
-			if _, final := c.take(); final == nil {
+			// What came before the link ended is still delivered.
+			if !c.finished() {
 				return gypsumyard.Result{}, l.abort(c, l.cause())
 			}
 		case <-ctx.Done():
