member: drop expired probes before counting them

Cause: a host helps at most 16 others to reach a target. Probes that the target never answered stayed in the count for good, so that after 16 of them the host refused every later probe of that target until the target answered it directly. The entries also outlived the record of the target. Change: expired probes are removed before the count, and those of a forgotten host with its record. Conclusion: the new test fails before the change and passes after it.

--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -164,6 +164,7 @@
 	for name, r := range s.records {
 		if r.gone() && r != s.self && now.Sub(r.changed) > forgetAfter {
 			delete(s.records, name)
+			delete(s.helping, name)
 		}
 	}
 }
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -206,6 +206,22 @@
 	is.True(w.nodes[0].table.Fresh())
 }
 
+// Guards against probes that were never answered and keep a host from helping
+// with later ones.
+func TestHelpAfterUnansweredProbes(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(3)
+	w.startAll()
+	w.run(time.Second)
+	helper, target := w.nodes[0].table, w.nodes[1].host.Name
+	probe := &peerpb.Members{Kind: peerpb.MemberKind_PROBE, From: w.nodes[2].host.Name, Target: target}
+	for range maxHelped {
+		is.Equal(len(helper.help(probe, w.clock.Now())), 1)
+	}
+	is.Equal(len(helper.help(probe, w.clock.Now())), 0)
+	is.Equal(len(helper.help(probe, w.clock.Now().Add(helpTimeout+1))), 1)
+}
+
 // Guards against loss that makes hosts dead.
 func TestLoss(t *testing.T) {
 	w := newNetwork(9)
--- a/internal/member/suspect.go
+++ b/internal/member/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
@@ -91,10 +92,15 @@
 // help sends a heartbeat to the target of a probe.
 func (s *Service) help(m *peerpb.Members, now time.Time) []outgoing {
 	r, ok := s.records[m.Target]
-	if !ok || r == s.self || len(s.helping[m.Target]) >= maxHelped {
+	if !ok || r == s.self {
 		return nil
 	}
-	s.helping[m.Target] = append(s.helping[m.Target], helped{m.From, now.Add(helpTimeout)})
+	waiting := slices.DeleteFunc(s.helping[m.Target], func(w helped) bool { return now.After(w.until) })
+	s.helping[m.Target] = waiting
+	if len(waiting) >= maxHelped {
+		return nil
+	}
+	s.helping[m.Target] = append(waiting, helped{m.From, now.Add(helpTimeout)})
 	return []outgoing{s.heartbeat(r.host)}
 }
 
