upstream: bound the wait for settings sent ahead of a request

Cause: settings that an instance has not accepted before are applied in round trips of their own. These had no bound but the request's context, so on a silent connection a request without a deadline waited without end. Change: each of them ends with ErrSilent after FirstBound. Nothing of the request has been sent by then.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -49,7 +49,8 @@
 	// Hold keeps everything from the first CommandComplete on in
 	// Outcome.Answer, however long it gets.
 	Hold bool
-	// FirstBound limits the wait for the first answer of the batch, and
+	// FirstBound limits the wait for the answer to each setting that is sent
+	// ahead of the batch and for the first answer of the batch, and
 	// SilentBound each later wait. The status before the request is answered
 	// at once by a working connection, however long the request runs.
 	FirstBound, SilentBound time.Duration
@@ -141,12 +142,7 @@
 	}
 	c.settings, c.dirty = "", true
 	for _, sql := range append([]string{discardSQL}, setStatements(r.ex.Settings)...) {
-		err := c.query(ctx, sql, func(msg pgproto3.BackendMessage) {
-			if m, ok := msg.(*pgproto3.ErrorResponse); ok && r.out.Setup == nil {
-				r.out.Setup = serverError(m)
-			}
-		})
-		if err != nil {
+		if err := r.applySetting(ctx, sql); err != nil {
 			return fmt.Errorf("apply settings: %w", err)
 		}
 		if r.out.Setup != nil {
@@ -158,6 +154,21 @@
 	return nil
 }
 
+// applySetting runs one statement of prove within FirstBound, since an instance
+// answers it at once.
+func (r *run) applySetting(ctx context.Context, sql string) error {
+	if r.ex.FirstBound > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeoutCause(ctx, r.ex.FirstBound, ErrSilent)
+		defer cancel()
+	}
+	return r.conn.query(ctx, sql, func(msg pgproto3.BackendMessage) {
+		if m, ok := msg.(*pgproto3.ErrorResponse); ok && r.out.Setup == nil {
+			r.out.Setup = serverError(m)
+		}
+	})
+}
+
 // encode fills the connection's buffer with the batch and returns where the
 // request begins in it.
 func (r *run) encode(key string) (start int) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -226,6 +226,26 @@
 	is.True(err != nil)
 }
 
+// Guards against a request that waits without a bound when its connection has
+// gone silent before settings that are sent ahead of it.
+func TestSilentBeforeSettings(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	p := startPool(t, g, 1)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	defer p.Discard(c)
+	g.Instances()[0].Silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	ex := query(t, "select 1")
+	ex.Settings = []gypsumyard.Setting{{Name: "application_name", Value: "loom"}}
+	out, err := c.Run(ctx, ex, io.Discard)
+	is.True(errors.Is(err, ErrSilent))
+	is.True(!out.Sent)
+	is.NoErr(ctx.Err())
+}
+
 // Guards against an answer that reaches the sink although the status before it
 // was refused, and against a held answer that does.
 func TestRejectedAndHeldAnswers(t *testing.T) {
