upstream: end a cancel request with its context

Cause: the wait for the instance to close the connection of a CancelRequest ignored the end of the context, so that Close of a pool took up to 1 s longer. Change: the end of the context ends the connection's reads and writes.

--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -196,10 +196,8 @@
 		return err
 	}
 	defer n.Close()
-	deadline, _ := ctx.Deadline()
-	if err := n.SetDeadline(deadline); err != nil {
-		return err
-	}
+	stop := context.AfterFunc(ctx, func() { _ = n.SetDeadline(past) })
+	defer stop()
 	buf, err := (&pgproto3.CancelRequest{ProcessID: processID, SecretKey: secretKey}).Encode(nil)
 	if err != nil {
 		return err
