dispatch: remember only owners of other regions

Cause: the service kept every owner it had ever seen by name, although hosts of this region are looked up in the membership view. Names of replaced hosts accumulated, and every request compared the entry of its owner. Change: only owners of other regions are kept. The host's own name and region are read once at the start. The log field is named for the operation, and the sink for what it tracks.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -13,22 +13,24 @@
 
 // An attempt is one request while it looks for its owner.
 type attempt struct {
-	request  *gypsumyard.Request
-	what     string
-	deadline time.Time
-	pause    time.Duration
-	run      func(gypsumyard.Executor) error
+	request *gypsumyard.Request
+	// operation names the call for the log.
+	operation string
+	deadline  time.Time
+	// pause is the longest pause before the next try.
+	pause time.Duration
+	run   func(gypsumyard.Executor) error
 	// delivered reports whether the caller has received a part of the answer.
 	delivered func() bool
 	// lost is the last error of a try.
 	lost error
 }
 
-func (s *Service) newAttempt(r *gypsumyard.Request, what string) *attempt {
+func (s *Service) newAttempt(r *gypsumyard.Request, operation string) *attempt {
 	now := s.clock.Now()
 	a := &attempt{
 		request:   r,
-		what:      what,
+		operation: operation,
 		deadline:  r.Deadline,
 		pause:     backoffMin,
 		delivered: func() bool { return false },
@@ -77,7 +79,7 @@
 func (s *Service) logger(a *attempt, host gypsumyard.Host, try int) logrus.FieldLogger {
 	return s.log.WithFields(logrus.Fields{
 		"reason":   a.lost,
-		"what":     a.what,
+		"what":     a.operation,
 		"session":  a.request.Session,
 		"customer": a.request.Customer,
 		"database": a.request.Database,
@@ -92,15 +94,17 @@
 		return s.findHost(r.Owner)
 	}
 	h, ok := s.members.Owner(r.Database)
-	if ok {
-		s.remember(h)
+	if ok && h.Region != s.self.Region {
+		s.noteDistantOwner(h)
 	}
 	return h, ok
 }
 
-func (s *Service) remember(h gypsumyard.Host) {
-	if old, ok := s.owners.Load(h.Name); !ok || old != h {
-		s.owners.Store(h.Name, h)
+// noteDistantOwner keeps the address of an owner in another region, which
+// findHost needs when the owner holds a transaction.
+func (s *Service) noteDistantOwner(h gypsumyard.Host) {
+	if old, ok := s.distantOwners.Load(h.Name); !ok || old != h {
+		s.distantOwners.Store(h.Name, h)
 	}
 }
 
@@ -108,23 +112,22 @@
 // must be in the view; those of other regions were remembered when the
 // transaction was opened.
 func (s *Service) findHost(name string) (gypsumyard.Host, bool) {
-	self := s.members.Self()
-	if name == self.Name {
-		return self, true
-	}
-	if h, ok := s.owners.Load(name); ok && h.(gypsumyard.Host).Region != self.Region {
-		return h.(gypsumyard.Host), true
+	if name == s.self.Name {
+		return s.self, true
 	}
 	for _, h := range s.members.Hosts() {
 		if h.Name == name {
 			return h, true
 		}
 	}
+	if h, ok := s.distantOwners.Load(name); ok {
+		return h.(gypsumyard.Host), true
+	}
 	return gypsumyard.Host{}, false
 }
 
 func (s *Service) runAt(a *attempt, host gypsumyard.Host) error {
-	if host.Name != s.members.Self().Name {
+	if host.Name != s.self.Name {
 		s.remote.Inc(1)
 		return a.run(s.peers.Executor(host))
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,14 +43,16 @@
 	metrics tally.Scope
 	kernel  *kernel.Kernel
 	members gypsumyard.Membership
-	peers   Executors
-	done    chan struct{}
+	// self is this host. Its name and region never change.
+	self  gypsumyard.Host
+	peers Executors
+	done  chan struct{}
 
 	local, remote, unplaced tally.Counter
 
-	// owners maps names to the hosts that were last seen to own something.
-	// Hosts of other regions are found here when they hold a transaction.
-	owners sync.Map
+	// distantOwners maps names to the hosts of other regions that were last
+	// seen to own a database.
+	distantOwners sync.Map
 }
 
 // An Option changes a Service.
@@ -99,6 +101,7 @@
 	if err != nil {
 		return fmt.Errorf("dispatch: %w", err)
 	}
+	s.self = s.members.Self()
 	s.peers, err = kernel.Lookup[Executors](k, "peer")
 	if err != nil {
 		return fmt.Errorf("dispatch: %w", err)
@@ -116,7 +119,7 @@
 // holds its open transaction. Only requests that certainly did not run, and
 // reads of which nothing was delivered, are sent again.
 func (s *Service) Execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (res gypsumyard.Result, err error) {
-	out := &countingSink{sink: sink}
+	out := &trackingSink{sink: sink}
 	a := s.newAttempt(r, "execute")
 	a.delivered = func() bool { return out.written }
 	a.run = func(e gypsumyard.Executor) (err error) {
@@ -141,13 +144,13 @@
 	return s.try(ctx, a)
 }
 
-// A countingSink knows whether anything of an answer was delivered.
-type countingSink struct {
+// A trackingSink notes whether a part of the answer was delivered.
+type trackingSink struct {
 	sink    gypsumyard.ResponseSink
 	written bool
 }
 
-func (c *countingSink) Write(b []byte) (int, error) {
+func (c *trackingSink) Write(b []byte) (int, error) {
 	c.written = c.written || len(b) > 0
 	return c.sink.Write(b)
 }
--- a/internal/dispatch/hosts_test.go
+++ b/internal/dispatch/hosts_test.go
@@ -128,7 +128,7 @@
 		return res.Owner
 	}
 	for _, p := range ps {
-		for !p.members.Fresh() {
+		for _, ok := p.members.FreshSince(); !ok; _, ok = p.members.FreshSince() {
 			time.Sleep(10 * time.Millisecond)
 		}
 	}
