member: one jitter, one hash of a key

Change: both loops take their jitter from one function, and both orders of candidates take the hash of the key from one function; the weights are the same as before. Fresh, which only tests used, is removed in favour of FreshSince; the tests ask the same of it. Conclusion: tests pass, also with -race.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -188,14 +188,16 @@
 
 func (s *Service) beat() {
 	for {
-		jitter := time.Duration(rand.Int64N(int64(heartbeatInterval / 5)))
-		if s.clock.Sleep(s.stopping, heartbeatInterval-heartbeatInterval/10+jitter) != nil {
+		if s.clock.Sleep(s.stopping, jittered(heartbeatInterval)) != nil {
 			return
 		}
 		s.tick()
 	}
 }
 
+// jittered returns d changed at random by up to a tenth.
+func jittered(d time.Duration) time.Duration { return d - d/10 + rand.N(d/5) }
+
 // Self returns this host.
 func (s *Service) Self() gypsumyard.Host {
 	s.mu.Lock()
@@ -231,15 +233,9 @@
 	return s.changes
 }
 
-// Fresh reports whether the view is up to date as far as this host can know.
-// It is false after a pause of the process until a peer has answered.
-func (s *Service) Fresh() bool {
-	_, ok := s.FreshSince()
-	return ok
-}
-
-// FreshSince returns since when the view is up to date without a break, or
-// false if it is not.
+// FreshSince returns since when the view is up to date without a break, as far
+// as this host can know. It returns false after a pause of the process until a
+// peer has answered.
 func (s *Service) FreshSince() (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -18,7 +18,7 @@
 		if h.Region != region || h.State != gypsumyard.HostLive {
 			continue
 		}
-		w := weight(hashName(h.Name), hashName(database))
+		w := weight(hashName(h.Name), hashKey(database))
 		if !ok || w > best || w == best && h.Name < owner.Name {
 			owner, best, ok = h, w, true
 		}
@@ -175,18 +175,18 @@
 	w.startAll()
 	w.run(2 * time.Second)
 	p := w.nodes[2]
-	is.True(p.table.Fresh())
+	is.True(p.fresh())
 	p.paused = true
 	w.run(5 * time.Second)
 	is.Equal(w.nodes[0].sees(p), gypsumyard.HostDead)
-	is.True(!p.table.Fresh()) // even before its first tick
+	is.True(!p.fresh()) // even before its first tick
 	p.resume()
-	is.True(!p.table.Fresh()) // answers to old heartbeats prove nothing
+	is.True(!p.fresh()) // answers to old heartbeats prove nothing
 	for _, o := range w.nodes {
 		is.Equal(p.sees(o), gypsumyard.HostLive)
 	}
 	w.run(10 * time.Millisecond)
-	is.True(p.table.Fresh())
+	is.True(p.fresh())
 	w.untilAll(t, 2*time.Second, "paused host is back", func(d *node) bool { return d.sees(p) == gypsumyard.HostLive })
 	since, ok := p.table.FreshSince()
 	is.True(ok && w.clock.Since(since) < 3*time.Second)
@@ -197,13 +197,13 @@
 	is := is.New(t)
 	w := newNetwork(2)
 	w.nodes[0].start()
-	is.True(!w.nodes[0].table.Fresh())
+	is.True(!w.nodes[0].fresh())
 	w.run(3 * time.Second)
-	is.True(w.nodes[0].table.Fresh()) // the other one is dead
+	is.True(w.nodes[0].fresh()) // the other one is dead
 	w.nodes[0].paused = true
 	w.run(3 * time.Second)
 	w.nodes[0].resume()
-	is.True(w.nodes[0].table.Fresh())
+	is.True(w.nodes[0].fresh())
 }
 
 // Guards against probes that were never answered and keep a host from helping
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -224,6 +224,12 @@
 	return gypsumyard.HostDead
 }
 
+// fresh reports whether the node's view is up to date.
+func (d *node) fresh() bool {
+	_, ok := d.table.FreshSince()
+	return ok
+}
+
 var errPlatform = errors.New("platform is down")
 
 // databases is a Lists of databases only.
--- a/internal/member/platform.go
+++ b/internal/member/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -31,8 +30,7 @@
 // poll reads the platform's list for as long as the service runs.
 func (s *Service) poll() {
 	for {
-		jitter := time.Duration(rand.Int64N(int64(pollInterval / 5)))
-		if s.clock.Sleep(s.stopping, pollInterval-pollInterval/10+jitter) != nil {
+		if s.clock.Sleep(s.stopping, jittered(pollInterval)) != nil {
 			return
 		}
 		if s.polls() {
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -26,8 +26,13 @@
 	return x ^ x>>31
 }
 
-// weight is the rendezvous weight of a host for a key.
-func weight(host, key uint64) uint64 { return mix(host ^ mix(key+0x9e3779b97f4a7c15)) }
+// hashKey returns the part of the rendezvous weights that depends on the key.
+// The increment of SplitMix64 keeps it apart from the hash of a host of the
+// same name.
+func hashKey(key string) uint64 { return mix(hashName(key) + 0x9e3779b97f4a7c15) }
+
+// weight returns the rendezvous weight of a host for a key, given their hashes.
+func weight(host, key uint64) uint64 { return mix(host ^ key) }
 
 // A candidate is a host that may own databases.
 type candidate struct {
@@ -41,10 +46,10 @@
 	if len(candidates) == 0 {
 		return gypsumyard.Host{}, false
 	}
-	k := mix(hashName(key) + 0x9e3779b97f4a7c15)
+	k := hashKey(key)
 	best, bestWeight := 0, uint64(0)
 	for i := range candidates {
-		if w := mix(candidates[i].hash ^ k); i == 0 || w > bestWeight {
+		if w := weight(candidates[i].hash, k); i == 0 || w > bestWeight {
 			best, bestWeight = i, w
 		}
 	}
@@ -53,7 +58,7 @@
 
 // leading returns the n candidates of the highest weights for the key.
 func leading(candidates []candidate, key string, n int) []candidate {
-	k := hashName(key)
+	k := hashKey(key)
 	sorted := slices.Clone(candidates)
 	slices.SortStableFunc(sorted, func(a, b candidate) int {
 		return cmp.Compare(weight(b.hash, k), weight(a.hash, k))
@@ -71,6 +76,7 @@
 	owners sync.Map
 }
 
+// An ownership is the answer for one database while it was in region.
 type ownership struct {
 	region string
 	host   gypsumyard.Host
