peer: one place for the first error of a connection

Change: streams, links and Gossip streams keep the error that ended them in one type; waiting for the turn to dial and looking up the owner stand once each. A refused link ends its context, which stayed registered until the service stopped. Conclusion: tests pass, also with -race.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -19,6 +19,7 @@
 
 // A gossip is the client's side of a Gossip stream.
 type gossip struct {
+	firstError
 	service *Service
 	stream  *stream
 	done    chan struct{}
@@ -28,7 +29,6 @@
 	next  uint64
 	calls map[uint64]*gossipCall
 	used  time.Time
-	err   error
 }
 
 // A gossipCall collects the replies to one call.
@@ -39,21 +39,10 @@
 }
 
 func (g *gossip) fail(err error) {
-	g.mu.Lock()
-	if g.err != nil {
-		g.mu.Unlock()
-		return
+	if g.set(err) {
+		g.stream.fail(err)
+		close(g.done)
 	}
-	g.err = err
-	g.mu.Unlock()
-	g.stream.fail(err)
-	close(g.done)
-}
-
-func (g *gossip) cause() error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.err
 }
 
 func (g *gossip) idle(now time.Time) time.Duration {
@@ -166,12 +155,8 @@
 	if g := r.currentGossip(); g != nil {
 		return g, nil
 	}
-	select {
-	case r.greeting <- struct{}{}:
-	case <-ctx.Done():
-		return nil, context.Cause(ctx)
-	case <-r.service.stopping.Done():
-		return nil, errClosed
+	if err := r.acquire(ctx, r.greeting); err != nil {
+		return nil, err
 	}
 	defer func() { <-r.greeting }()
 	return r.dialGossip(ctx)
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
-	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 )
 
@@ -187,7 +186,7 @@
 }
 
 func (in *inbound) perform(ctx context.Context, op peerpb.Operation, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
-	owner, err := kernel.Lookup[gypsumyard.Owner](in.service.kernel, "owner")
+	owner, err := in.service.owner()
 	if err != nil {
 		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassNotRun, "host %s serves no databases: %w", in.service.self.Name, err)
 	}
@@ -248,7 +247,7 @@
 	if len(open) == 0 {
 		return
 	}
-	owner, err := kernel.Lookup[gypsumyard.Owner](in.service.kernel, "owner")
+	owner, err := in.service.owner()
 	if err != nil {
 		return
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,6 +34,7 @@
 // A link is the client's side of a Short and a Bulk stream to one host. Both
 // end together.
 type link struct {
+	firstError
 	remote *remote
 	host   string
 	short  *stream
@@ -51,29 +52,18 @@
 	windows int
 	bytes   int
 	used    time.Time
-	err     error
 }
 
 // fail ends the link and both of its streams.
 func (l *link) fail(err error) {
-	l.mu.Lock()
-	if l.err != nil {
-		l.mu.Unlock()
+	if !l.set(err) {
 		return
 	}
-	l.err = err
-	l.mu.Unlock()
 	l.short.fail(err)
 	l.bulk.fail(err)
 	close(l.done)
 }
 
-func (l *link) cause() error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.err
-}
-
 // run serves the link until one of its streams ends.
 func (l *link) run() {
 	var wg sync.WaitGroup
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -194,6 +194,11 @@
 	}
 }
 
+// owner returns the service that runs this host's databases, if it is there.
+func (s *Service) owner() (gypsumyard.Owner, error) {
+	return kernel.Lookup[gypsumyard.Owner](s.kernel, "owner")
+}
+
 // spawn runs f in a goroutine that Stop waits for. It returns false after Stop.
 func (s *Service) spawn(f func()) bool {
 	s.mu.Lock()
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -196,7 +196,7 @@
 }
 
 func (g *gossipServer) probe(p *peerpb.ProbeInstance) (*peerpb.InstanceStatus, error) {
-	owner, err := kernel.Lookup[gypsumyard.Owner](g.service.kernel, "owner")
+	owner, err := g.service.owner()
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +219,7 @@
 }
 
 func (g *gossipServer) acceptRelease(r *peerpb.Released) error {
-	owner, err := kernel.Lookup[gypsumyard.Owner](g.service.kernel, "owner")
+	owner, err := g.service.owner()
 	if err != nil {
 		return err
 	}
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -17,8 +17,8 @@
 type remote struct {
 	service *Service
 	to      gypsumyard.Host
-	// dialling and greeting are held by the goroutine that dials the link and
-	// the Gossip stream.
+	// dialling and greeting hold one element while a goroutine dials the link
+	// and the Gossip stream.
 	dialling chan struct{}
 	greeting chan struct{}
 
@@ -35,12 +35,8 @@
 	if l := r.current(); l != nil {
 		return l, nil
 	}
-	select {
-	case r.dialling <- struct{}{}:
-	case <-ctx.Done():
-		return nil, context.Cause(ctx)
-	case <-r.service.stopping.Done():
-		return nil, errClosed
+	if err := r.acquire(ctx, r.dialling); err != nil {
+		return nil, err
 	}
 	defer func() { <-r.dialling }()
 	if l := r.current(); l != nil {
@@ -56,6 +52,18 @@
 	return l, nil
 }
 
+// acquire waits for the turn to dial. The holder frees it by receiving from it.
+func (r *remote) acquire(ctx context.Context, turn chan<- struct{}) error {
+	select {
+	case turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-r.service.stopping.Done():
+		return errClosed
+	}
+}
+
 // checkedLink returns a link that is known to work. Nothing has been sent when
 // an old link turns out to be broken, so another one is dialled.
 func (r *remote) checkedLink(ctx context.Context) (l *link, err error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,6 +20,7 @@
 	in := newInbound(v.service, g.client, st)
 	key := g.client + "/" + g.link
 	if !v.service.addInbound(key, in) {
+		in.cancel(errMalformed)
 		return fmt.Errorf("%w: link exists", errMalformed)
 	}
 	defer v.service.removeInbound(key)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -31,6 +31,30 @@
 	errClosed   = errors.New("closed")
 )
 
+// A firstError keeps why a connection ended. Later errors are consequences.
+type firstError struct {
+	mu  sync.Mutex
+	err error
+}
+
+// set reports whether err is the first error.
+func (f *firstError) set(err error) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return false
+	}
+	f.err = err
+	return true
+}
+
+// cause returns the first error, or nil while there is none.
+func (f *firstError) cause() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
 // A wire is a generated stream of either side.
 type wire interface {
 	drpc.Stream
@@ -40,6 +64,7 @@
 
 // A stream is one drpc stream with its connection, its reader and its writer.
 type stream struct {
+	firstError
 	wire    wire
 	conn    net.Conn
 	clock   gypsumyard.Clock
@@ -55,7 +80,6 @@
 	mu      sync.Mutex
 	control []*peerpb.Frame
 	heard   chan struct{}
-	err     error
 }
 
 // An outgoing frame is written unless before says that it is not wanted any
@@ -77,22 +101,12 @@
 	}
 }
 
-// fail ends the stream. Only the first error counts.
+// fail ends the stream.
 func (s *stream) fail(err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.err != nil {
-		return
+	if s.set(err) {
+		close(s.done)
+		_ = s.conn.Close()
 	}
-	s.err = err
-	close(s.done)
-	_ = s.conn.Close()
-}
-
-func (s *stream) cause() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.err
 }
 
 // post queues a small frame without waiting, ahead of all data.
