platform: remove the unused Backoff

Cause: no caller repeated calls with Backoff; the copies of the lists read at jittered intervals. Change: Backoff and its test are removed, defaults that only the package uses are not exported, options name their defaults, and figures have names and units. Conclusion: the remaining tests pass, also with -race.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -13,8 +13,13 @@
 	"github.com/gypsumyard/gypsumyard"
 )
 
-// maxAnswer bounds the size of an answer: a list of the largest objects.
-const maxAnswer = 256 << 20
+const (
+	// maxAnswer bounds the bytes of an answer. It holds a list of about
+	// 190 objects of the largest size, which base64 makes a third longer.
+	maxAnswer = 256 * MaxValue
+	// maxErrorText bounds the bytes of an answer that an error quotes.
+	maxErrorText = 200
+)
 
 func (c *Client) read(ctx context.Context, url string, out any) error {
 	return c.do(ctx, http.MethodGet, url, nil, out)
@@ -32,7 +37,7 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return fmt.Errorf("make request: %w", err)
 	}
 	c.calls.Add(1)
 	resp, err := c.http.Do(r)
@@ -86,7 +91,7 @@
 
 // statusError returns the error that an HTTP status stands for.
 func statusError(method string, status int, data []byte) error {
-	text := string(bytes.TrimSpace(data[:min(len(data), 200)]))
+	text := string(bytes.TrimSpace(data[:min(len(data), maxErrorText)]))
 	switch {
 	case status == http.StatusOK:
 		return nil
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,17 +17,18 @@
 	"golang.org/x/time/rate"
 )
 
-// Defaults of a client.
 const (
-	// DefaultRate is the sustained calls a second.
-	DefaultRate = 2.0
-	// DefaultBurst is how many calls may be made at once.
-	DefaultBurst = 10
-	// DefaultTimeout bounds each call but a watch, with its wait for the
+	// defaultRate is the sustained calls a second.
+	defaultRate = 2.0
+	// defaultBurst is how many calls may be made at once.
+	defaultBurst = 10
+	// defaultTimeout bounds each call but a watch, with its wait for the
 	// budget.
-	DefaultTimeout = 5 * time.Second
-	// DefaultWatchWait is how long the server may hold a watch.
-	DefaultWatchWait = 30 * time.Second
+	defaultTimeout = 5 * time.Second
+	// defaultWatchWait is how long the server may hold a watch.
+	defaultWatchWait = 30 * time.Second
+	// idleTimeout is how long an unused connection stays open.
+	idleTimeout = time.Minute
 )
 
 // MaxValue is the size of the largest value, in bytes.
@@ -36,22 +37,24 @@
 // An Option changes how a client is built.
 type Option func(*Client)
 
-// WithBudget sets the sustained calls a second and the burst.
+// WithBudget sets the sustained calls a second and how many calls may be made
+// at once. The default is 2 a second and 10 at once.
 func WithBudget(perSecond float64, burst int) Option {
 	return func(c *Client) { c.budget = rate.NewLimiter(rate.Limit(perSecond), burst) }
 }
 
-// WithTimeout bounds each call but a watch, with its wait for the budget.
+// WithTimeout bounds each call but a watch, with its wait for the budget. The
+// default is 5 s.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
-// WithWatchWait sets how long the server may hold a watch.
+// WithWatchWait sets how long the server may hold a watch. The default is 30 s.
 func WithWatchWait(d time.Duration) Option { return func(c *Client) { c.watchWait = d } }
 
-// WithClock sets the clock.
+// WithClock sets the clock. The default is the system's.
 func WithClock(k gypsumyard.Clock) Option { return func(c *Client) { c.clock = k } }
 
-// A Client calls the platform's service. It makes each call once: callers
-// repeat failed ones with a Backoff.
+// A Client calls the platform's service. It makes each call once; callers
+// decide whether to repeat a failed one.
 type Client struct {
 	base      url.URL
 	http      *http.Client
@@ -78,15 +81,15 @@
 // New returns a client of the service at addr. It must be closed.
 func New(addr netip.AddrPort, options ...Option) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	t := &http.Transport{MaxIdleConnsPerHost: DefaultBurst, IdleConnTimeout: time.Minute}
+	t := &http.Transport{MaxIdleConnsPerHost: defaultBurst, IdleConnTimeout: idleTimeout}
 	c := &Client{
 		base:      url.URL{Scheme: "http", Host: addr.String()},
 		http:      &http.Client{Transport: t, CheckRedirect: noRedirect},
 		transport: t,
 		clock:     clock.System(),
-		budget:    rate.NewLimiter(DefaultRate, DefaultBurst),
-		timeout:   DefaultTimeout,
-		watchWait: DefaultWatchWait,
+		budget:    rate.NewLimiter(defaultRate, defaultBurst),
+		timeout:   defaultTimeout,
+		watchWait: defaultWatchWait,
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -236,6 +239,7 @@
 	return c.url("/objects/"+name, query)
 }
 
+// annotate adds the call and the name that it concerns to an error.
 func annotate(err *error, call, name string) {
 	if *err != nil {
 		*err = fmt.Errorf("platform: %s %q: %w", call, name, *err)
