sqltext: one place for each look at tokens

Change: whether a token is a name, and what follows the next token, are asked in one place each; mayWrite tests both kinds of names with the same condition; the refusals of long texts take their figures from the constants. The messages are the same. Conclusion: tests pass, also with -race.

--- a/internal/sqltext/classify.go
+++ b/internal/sqltext/classify.go
@@ -15,6 +15,14 @@
 	return token{}
 }
 
+// peekSecond returns the token after the next one.
+func (c *cursor) peekSecond() token {
+	if c.pos+1 < len(c.tokens) {
+		return c.tokens[c.pos+1]
+	}
+	return token{}
+}
+
 func (c *cursor) next() token {
 	t := c.peek()
 	if c.pos < len(c.tokens) {
@@ -37,7 +45,7 @@
 // identifier returns the next token as a name.
 func (c *cursor) identifier() (string, bool) {
 	t := c.next()
-	return t.text, t.kind == tokenWord || t.kind == tokenQuoted
+	return t.text, t.name()
 }
 
 func (s *Statement) refuse(reason string) {
@@ -45,6 +53,7 @@
 	s.Refusal = reason
 }
 
+// leaks ends the refusals of what would change the session of another caller.
 const leaks = " is not supported: upstream connections are shared between sessions"
 
 // classify sets the kind and the class of a statement with tokens.
@@ -113,9 +122,9 @@
 func sessionState(tokens []token) string {
 	for i, t := range tokens {
 		switch {
-		case (t.kind == tokenWord || t.kind == tokenQuoted) && sessionFunctions[t.text] && isCall(tokens, i) && !setsLocally(tokens, i):
+		case t.name() && sessionFunctions[t.text] && isCall(tokens, i) && !setsLocally(tokens, i):
 			return "function " + t.text + leaks
-		case (t.kind == tokenWord || t.kind == tokenQuoted) && t.text == "pg_temp":
+		case t.name() && t.text == "pg_temp":
 			return "schema pg_temp" + leaks
 		case t.is("temp", "temporary") && makesTemporary(tokens, i):
 			return "a temporary table" + leaks
@@ -247,10 +256,10 @@
 	if t.is("for") && i+1 < len(tokens) && tokens[i+1].is("update", "share", "no", "key") {
 		return true
 	}
-	if t.kind == tokenQuoted && isCall(tokens, i) {
-		return !columnList(tokens, i) && !(readFunctions[t.text] && systemCall(tokens, i))
+	if !t.name() || !isCall(tokens, i) {
+		return false
 	}
-	if t.kind != tokenWord || !isCall(tokens, i) || callWords[t.text] && !qualified(tokens, i) {
+	if t.kind == tokenWord && callWords[t.text] && !qualified(tokens, i) {
 		return false
 	}
 	return !columnList(tokens, i) && !(readFunctions[t.text] && systemCall(tokens, i))
@@ -276,7 +285,7 @@
 		return false
 	}
 	j := i + 2
-	for j < len(tokens) && (tokens[j].kind == tokenWord || tokens[j].kind == tokenQuoted || tokens[j].punct(",")) {
+	for j < len(tokens) && (tokens[j].name() || tokens[j].punct(",")) {
 		j++
 	}
 	if j >= len(tokens) || !tokens[j].punct(")") {
--- a/internal/sqltext/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -1,6 +1,9 @@
 package sqltext
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 type tokenKind uint8
 
@@ -28,17 +31,12 @@
 }
 
 func (t token) is(words ...string) bool {
-	if t.kind != tokenWord {
-		return false
-	}
-	for _, w := range words {
-		if t.text == w {
-			return true
-		}
-	}
-	return false
+	return t.kind == tokenWord && slices.Contains(words, t.text)
 }
 
+// name reports whether the token is an identifier or a key word.
+func (t token) name() bool { return t.kind == tokenWord || t.kind == tokenQuoted }
+
 func (t token) punct(c string) bool { return t.kind == tokenPunct && t.text == c }
 
 // A lexer cuts SQL text into tokens and collects the comments.
--- a/internal/sqltext/session.go
+++ b/internal/sqltext/session.go
@@ -77,7 +77,7 @@
 		return
 	}
 	local := c.accept("local")
-	if !local && c.peek().is("session") && c.pos+1 < len(c.tokens) && !c.tokens[c.pos+1].punct("=") {
+	if second := c.peekSecond(); !local && c.peek().is("session") && second.kind != tokenEnd && !second.punct("=") {
 		c.next()
 		if c.peek().is("characteristics") {
 			setCharacteristics(s, c)
@@ -114,7 +114,7 @@
 // setSpecial reads the forms of SET with a syntax of their own.
 func setSpecial(s *Statement, c *cursor) bool {
 	switch {
-	case c.peek().is("time") && c.pos+1 < len(c.tokens) && c.tokens[c.pos+1].is("zone"):
+	case c.peek().is("time") && c.peekSecond().is("zone"):
 		c.pos += 2
 		s.Name = "timezone"
 		if c.accept("local") {
@@ -123,7 +123,7 @@
 		}
 	case c.accept("names"):
 		s.Name = "client_encoding"
-	case c.peek().is("schema") && c.pos+1 < len(c.tokens) && c.tokens[c.pos+1].kind == tokenString:
+	case c.peek().is("schema") && c.peekSecond().kind == tokenString:
 		c.next()
 		s.Name = "search_path"
 		s.Value = quoteName(c.next().text)
--- a/internal/sqltext/statement.go
+++ b/internal/sqltext/statement.go
@@ -1,6 +1,7 @@
 package sqltext
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -94,7 +95,7 @@
 			statements = append(statements, s)
 		}
 		if len(statements) > maxStatements {
-			s.refuse("query string of more than 10000 statements")
+			s.refuse(fmt.Sprintf("query string of more than %d statements", maxStatements))
 			return []Statement{s}
 		}
 	}
@@ -118,7 +119,7 @@
 		case t.kind == tokenEnd, t.punct(";") && depth <= 0 && atomic == 0:
 			if tooLong {
 				s := Statement{Text: l.src[start:t.start], Class: gypsumyard.StatementWrite}
-				s.refuse("statement of more than 500000 tokens")
+				s.refuse(fmt.Sprintf("statement of more than %d tokens", maxTokens))
 				return s
 			}
 			return build(l, start, t.start, tokens)
