caller: simplify the end of a request and the startup

Change: adopt is called for answered requests only instead of returning at once for others; the option for the server version, which nothing used, is a constant; the tag of a host in cancel keys has a named mask and is not exported; setBool handles a reset first. Conclusion: tests pass, also with -race.

--- a/internal/caller/cancel.go
+++ b/internal/caller/cancel.go
@@ -14,7 +14,10 @@
 )
 
 const (
+	// secretLen is the length of a cancel key's secret in bytes.
 	secretLen = 4
+	// hostTagMask selects the part of a process number that names the host.
+	hostTagMask = 0xffff0000
 	// cancelTime bounds a call to cancel a statement or to abandon a
 	// transaction.
 	cancelTime = 10 * time.Second
@@ -36,15 +39,15 @@
 }
 
 func newKeyRegistry(host string) *keyRegistry {
-	return &keyRegistry{tag: HostTag(host), sessions: map[cancelKey]*session{}}
+	return &keyRegistry{tag: hostTag(host), sessions: map[cancelKey]*session{}}
 }
 
-// HostTag returns the upper 16 bits of the process numbers that a host gives
+// hostTag returns the upper 16 bits of the process numbers that a host gives
 // to its sessions, as the upper half of the result.
-func HostTag(host string) uint32 {
+func hostTag(host string) uint32 {
 	h := fnv.New32a()
 	h.Write([]byte(host))
-	return h.Sum32() &^ 0xffff
+	return h.Sum32() & hostTagMask
 }
 
 func (r *keyRegistry) add(x *session) cancelKey {
@@ -54,7 +57,7 @@
 		var b [8]byte
 		rand.Read(b[:])
 		k := cancelKey{
-			process: r.tag | binary.BigEndian.Uint32(b[:4])&0xffff,
+			process: r.tag | binary.BigEndian.Uint32(b[:4])&^hostTagMask,
 			secret:  binary.BigEndian.Uint32(b[4:]),
 		}
 		if _, taken := r.sessions[k]; !taken {
@@ -124,7 +127,7 @@
 	}
 	self := s.membership.Self().Name
 	for _, h := range s.membership.Hosts() {
-		if h.Name != self && HostTag(h.Name) == process&^0xffff {
+		if h.Name != self && hostTag(h.Name) == process&hostTagMask {
 			err = errors.Join(err, s.forwarder.ForwardCancel(ctx, h, process, secret))
 		}
 	}
--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -228,7 +228,7 @@
 	c, err := pgconn.Connect(t.Context(), f.url(""))
 	is.NoErr(err)
 	defer c.Close(t.Context())
-	is.Equal(c.PID()&0xffff0000, HostTag("host-1"))
+	is.Equal(c.PID()&0xffff0000, hostTag("host-1"))
 	canceled := make(chan struct{})
 	f.executor.setHook(func(context.Context, *gypsumyard.Request) error {
 		<-canceled
--- a/internal/caller/options.go
+++ b/internal/caller/options.go
@@ -110,9 +110,6 @@
 // WithLimits changes the limits whose fields are not zero.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits.fill(l) } }
 
-// WithServerVersion sets the PostgreSQL version that callers are told.
-func WithServerVersion(v string) Option { return func(s *Server) { s.version = v } }
-
 // WithMockSecret sets the key from which the salts of unknown logins are made.
 // Hosts that share it answer alike; the default is random for each process.
 func WithMockSecret(secret []byte) Option { return func(s *Server) { s.mockSecret = secret } }
--- a/internal/caller/parameters.go
+++ b/internal/caller/parameters.go
@@ -72,19 +72,19 @@
 	return d, err
 }
 
+// setBool sets a Boolean parameter, or resets it to its initial value.
 func setBool(to *bool, name, value string, reset, initial bool) *gypsumyard.Error {
+	if reset {
+		*to = initial
+		return nil
+	}
 	switch strings.ToLower(strings.TrimSpace(value)) {
 	case "on", "true", "yes", "1":
 		*to = true
 	case "off", "false", "no", "0":
 		*to = false
 	default:
-		if !reset {
-			return refusal(stateInvalidValue, "parameter %q requires a Boolean value", name)
-		}
-	}
-	if reset {
-		*to = initial
+		return refusal(stateInvalidValue, "parameter %q requires a Boolean value", name)
 	}
 	return nil
 }
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -68,15 +68,15 @@
 		class = gypsumyard.ClassOf(failure)
 	}
 	x.server.metrics.request(r.Class, class, x.server.clock.Since(start))
-	if a.failure != nil {
-		x.adopt(r, result, failure)
-		return false, a.failure
+	if failure == nil {
+		x.adopt(r, result)
 	}
-	if failure != nil {
+	switch {
+	case a.failure != nil:
+		return false, a.failure
+	case failure != nil:
 		return false, x.failed(r, a, failure)
-	}
-	x.adopt(r, result, nil)
-	if a.partial() {
+	case a.partial():
 		return false, errBroken
 	}
 	return !a.refused, nil
@@ -97,8 +97,7 @@
 		// read has to see it if it did.
 		x.positionKnown = false
 	}
-	inTransaction := x.tx.open() || r.Transaction != ""
-	if inTransaction {
+	if x.tx.open() || r.Transaction != "" {
 		x.loseTransaction(r)
 	}
 	if a.partial() {
@@ -123,10 +122,7 @@
 }
 
 // adopt takes over the position and the transaction that a request left.
-func (x *session) adopt(r *gypsumyard.Request, result gypsumyard.Result, failure error) {
-	if failure != nil {
-		return
-	}
+func (x *session) adopt(r *gypsumyard.Request, result gypsumyard.Result) {
 	if !result.Position.IsZero() {
 		x.positionKnown = true
 		if result.Position.Compare(x.position) > 0 {
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -24,8 +24,10 @@
 	// Name is the name of the service.
 	Name = "caller"
 
-	defaultVersion = "15.0"
-	mockSecretLen  = 32
+	// serverVersion is the version of PostgreSQL that callers are told.
+	serverVersion = "15.0"
+	// mockSecretLen is the length of the generated mock secret in bytes.
+	mockSecretLen = 32
 
 	// acceptPause follows a failure to accept, such as a lack of descriptors.
 	acceptPause = 50 * time.Millisecond
@@ -50,7 +52,6 @@
 	log        logrus.FieldLogger
 	scope      tally.Scope
 	limits     Limits
-	version    string
 	mockSecret []byte
 	forwarder  CancelForwarder
 
@@ -94,7 +95,6 @@
 		log:       logrus.StandardLogger(),
 		scope:     tally.NoopScope,
 		limits:    defaultLimits(),
-		version:   defaultVersion,
 		draining:  make(chan struct{}),
 		stopping:  make(chan struct{}),
 		done:      make(chan struct{}),
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"slices"
@@ -15,7 +16,9 @@
 	codeCancel = 80877102
 	codeSSL    = 80877103
 	codeGSS    = 80877104
+)
 
+const (
 	protocolMajor = 3
 	// maxNegotiations bounds the SSLRequest and GSSENCRequest packets of one
 	// connection.
@@ -64,14 +67,16 @@
 		if body[0] == 0 {
 			break
 		}
-		var name, value string
-		var ok1, ok2 bool
-		name, body, ok1 = cutZero(body)
-		value, body, ok2 = cutZero(body)
-		if !ok1 || !ok2 {
+		name, rest, ok := cutZero(body)
+		if !ok {
+			return nil, malformed
+		}
+		value, rest, ok := cutZero(rest)
+		if !ok {
 			return nil, malformed
 		}
 		m.Parameters[name] = value
+		body = rest
 	}
 	if len(body) != 1 {
 		return nil, malformed
@@ -79,12 +84,10 @@
 	return m, nil
 }
 
-func cutZero(b []byte) (string, []byte, bool) {
-	i := slices.Index(b, 0)
-	if i < 0 {
-		return "", nil, false
-	}
-	return string(b[:i]), b[i+1:], true
+// cutZero reads a string that ends with a zero byte.
+func cutZero(b []byte) (text string, rest []byte, ok bool) {
+	before, rest, ok := bytes.Cut(b, []byte{0})
+	return string(before), rest, ok
 }
 
 // negotiate tells a caller of a newer minor version, or with options of the
@@ -210,7 +213,7 @@
 func (x *session) greet() {
 	x.send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
-		{"server_version", x.server.version},
+		{"server_version", serverVersion},
 		{"server_encoding", "UTF8"},
 		{"client_encoding", x.settingOr("client_encoding", "UTF8")},
 		{"application_name", x.settingOr("application_name", "")},
