upstream: name units, locks and the parts of a handover

Change: comments tell which functions are called with the pool's lock held and what the timeouts bound; a malformed history is quoted in its error; the unused LastUsed is removed; a waiter is removed with slices.DeleteFunc. The comment on fail said that one waiter learns of the failure: all do. Conclusion: tests pass, also with -race.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -71,9 +71,6 @@
 // Cancelled reports whether Cancel was called.
 func (c *Conn) Cancelled() bool { return c.cancelled.Load() }
 
-// LastUsed returns when the instance last answered on the connection.
-func (c *Conn) LastUsed() time.Time { return c.lastUsed }
-
 // quiet reports whether the peer has neither closed the connection nor sent
 // anything since the last answer. A connection that is not quiet cannot be
 // used again.
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// The keep-alive probes find a dead peer on an idle connection within
+	// about 11 s.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
@@ -26,7 +28,9 @@
 	userTimeout = 5 * time.Second
 	// tcpUserTimeout is the number of the Linux socket option.
 	tcpUserTimeout = 0x12
-	dialTimeout    = time.Second
+	// dialTimeout bounds the opening of a connection with its login, a cancel
+	// request, and a call of the control side.
+	dialTimeout = time.Second
 )
 
 // An Address is how an instance is reached.
@@ -55,6 +59,7 @@
 	}
 }
 
+// setUserTimeout sets the option TCP_USER_TIMEOUT of a new socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failure error
 	err := c.Control(func(fd uintptr) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -96,15 +96,19 @@
 
 // run is the state of an exchange that is going on.
 type run struct {
-	conn    *Conn
-	ex      *Exchange
-	out     *Outcome
-	sink    io.Writer
-	phases  []int
-	status  statusReader
+	conn   *Conn
+	ex     *Exchange
+	out    *Outcome
+	sink   io.Writer
+	phases []int
+	status statusReader
+	// setup is the error of a setting that was sent with the batch.
 	setup   error
 	holding bool
+	// sinkErr is set when the sink has failed. The rest of the answer is read
+	// and dropped, so that the connection stays usable.
 	sinkErr error
+	// bounded is the read deadline, zero for none.
 	bounded time.Time
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,7 +33,9 @@
 	// halves the peak in about 20 s.
 	peakDecay = 0.9915
 	// idlePing is the idle time after which a connection is pinged.
-	idlePing   = 5 * time.Second
+	idlePing = 5 * time.Second
+	// backoffMin and backoffMax bound the pause after a failure to open a
+	// connection.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 2 * time.Second
 )
@@ -62,7 +65,8 @@
 	opening int
 	used    int
 	waiters []*waiter
-	peak    float64
+	// peak is the decaying peak of concurrent use, waiters included.
+	peak float64
 	// suspect is when a connection of the pool was last found silent. Those
 	// that have not answered since are pinged before use.
 	suspect time.Time
@@ -72,12 +76,15 @@
 	failure error
 }
 
+// A waiter is a call of Get that waits for a connection.
 type waiter struct {
 	ready chan handover
 }
 
+// A handover ends the wait of a Get: a connection or the reason for none.
 type handover struct {
-	conn  *Conn
+	conn *Conn
+	// fresh tells that the connection was just opened.
 	fresh bool
 	err   error
 }
@@ -197,12 +204,7 @@
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
-	for i, o := range p.waiters {
-		if o == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			break
-		}
-	}
+	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
 	p.mu.Unlock()
 	select {
 	case h := <-w.ready:
@@ -214,6 +216,8 @@
 	return handover{err: context.Cause(ctx)}
 }
 
+// countUse counts a connection that is handed out. It is called with the lock
+// held.
 func (p *Pool) countUse() {
 	p.used++
 	p.peak = max(p.peak, float64(p.used+len(p.waiters)))
@@ -256,8 +260,9 @@
 	p.offer(c, true)
 }
 
-// fail starts a pause with jitter after a connection could not be opened. The
-// first waiter learns of it when no connection can come back to it.
+// fail starts a pause with jitter after a connection could not be opened. All
+// waiters learn of it when no connection can come back to them. It is called
+// with the lock held.
 func (p *Pool) fail(err error) {
 	p.backoff = min(max(2*p.backoff, backoffMin), backoffMax)
 	p.retryAt = p.clock.Now().Add(p.backoff/2 + rand.N(p.backoff/2))
@@ -271,7 +276,8 @@
 	p.waiters = nil
 }
 
-// offer hands a connection to the first waiter or keeps it idle.
+// offer hands a connection to the first waiter or keeps it idle. It is called
+// with the lock held.
 func (p *Pool) offer(c *Conn, fresh bool) {
 	if len(p.waiters) == 0 {
 		p.idle = append(p.idle, c)
@@ -326,6 +332,7 @@
 	}()
 }
 
+// drop closes a connection of the pool. It is called with the lock held.
 func (p *Pool) drop(c *Conn) {
 	p.open--
 	p.closed.Inc(1)
--- a/internal/upstream/status.go
+++ b/internal/upstream/status.go
@@ -90,6 +90,7 @@
 	return s, nil
 }
 
+// setColumn takes over the value of one column.
 func setColumn(s *gypsumyard.InstanceStatus, name, value string) (err error) {
 	var n int64
 	switch name {
@@ -140,11 +141,11 @@
 		}
 		t, err := strconv.ParseUint(term, 10, 64)
 		if err != nil {
-			return nil, fmt.Errorf("parse history: %w", err)
+			return nil, fmt.Errorf("parse history %q: %w", s, err)
 		}
 		o, err := strconv.ParseUint(start, 10, 64)
 		if err != nil {
-			return nil, fmt.Errorf("parse history: %w", err)
+			return nil, fmt.Errorf("parse history %q: %w", s, err)
 		}
 		h = append(h, gypsumyard.TermStart{Term: gypsumyard.Term(t), Start: gypsumyard.Offset(o)})
 	}
