emulate: remove unused options, join repeated logic

Change: options that nothing used (WithTableCost, WithPorts) are removed, and constants, types and functions that only their package uses are not exported. Both kinds of arithmetic share all operators but the remainder; CREATE and DROP TABLE share the check and the lock; the simple and the extended protocol share the answer to an error. Conclusion: tests pass, also with -race.

--- a/internal/emulate/engine/control.go
+++ b/internal/emulate/engine/control.go
@@ -81,7 +81,7 @@
 		int64(st.Applied.Offset),
 		int64(st.Fence),
 		string(st.FenceToken),
-		FormatHistory(st.History),
+		formatHistory(st.History),
 		st.StreamAge.Milliseconds(),
 		st.Leaving,
 		int64(st.Connections),
--- a/internal/emulate/engine/engine.go
+++ b/internal/emulate/engine/engine.go
@@ -279,8 +279,8 @@
 	return e.changed
 }
 
-// FormatHistory returns the form "1:1,3:11" of a history.
-func FormatHistory(h gypsumyard.History) string {
+// formatHistory returns the form "1:1,3:11" of a history.
+func formatHistory(h gypsumyard.History) string {
 	var parts []string
 	for _, t := range h {
 		parts = append(parts, fmt.Sprintf("%d:%d", t.Term, t.Start))
--- a/internal/emulate/engine/eval.go
+++ b/internal/emulate/engine/eval.go
@@ -236,24 +236,21 @@
 }
 
 func intArithmetic(op string, l, r int64) (Value, error) {
-	switch op {
-	case "+":
-		return l + r, nil
-	case "-":
-		return l - r, nil
-	case "*":
-		return l * r, nil
+	if op == "%" && r != 0 {
+		return l % r, nil
 	}
-	if r == 0 {
-		return nil, sqlparse.Errorf(codeDivisionByZero, "division by zero")
-	}
-	if op == "/" {
-		return l / r, nil
-	}
-	return l % r, nil
+	return basicArithmetic(op, l, r)
 }
 
 func floatArithmetic(op string, l, r float64) (Value, error) {
+	if op == "%" && r != 0 {
+		return math.Mod(l, r), nil
+	}
+	return basicArithmetic(op, l, r)
+}
+
+// basicArithmetic evaluates all operators but the remainder of a division.
+func basicArithmetic[T int64 | float64](op string, l, r T) (Value, error) {
 	switch op {
 	case "+":
 		return l + r, nil
@@ -265,8 +262,5 @@
 	if r == 0 {
 		return nil, sqlparse.Errorf(codeDivisionByZero, "division by zero")
 	}
-	if op == "/" {
-		return l / r, nil
-	}
-	return math.Mod(l, r), nil
+	return l / r, nil
 }
--- a/internal/emulate/engine/write.go
+++ b/internal/emulate/engine/write.go
@@ -288,10 +288,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := tx.checkWritable("CREATE TABLE"); err != nil {
-		return nil, err
-	}
-	if _, err := tx.lockAll(s, []string{"table " + st.Table}); err != nil {
+	if err := tx.lockTable(s, "CREATE TABLE", st.Table); err != nil {
 		return nil, err
 	}
 	r := &Result{Applied: e.applied()}
@@ -308,13 +305,20 @@
 	return r, nil
 }
 
+// lockTable waits for the lock under which a table is created or dropped.
+// Callers hold the engine's lock.
+func (tx *Tx) lockTable(s *scope, verb, table string) error {
+	if err := tx.checkWritable(verb); err != nil {
+		return err
+	}
+	_, err := tx.lockAll(s, []string{"table " + table})
+	return err
+}
+
 func (e *Engine) runDrop(s *scope, tx *Tx, st *sqlparse.DropTable) (*Result, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if err := tx.checkWritable("DROP TABLE"); err != nil {
-		return nil, err
-	}
-	if _, err := tx.lockAll(s, []string{"table " + st.Table}); err != nil {
+	if err := tx.lockTable(s, "DROP TABLE", st.Table); err != nil {
 		return nil, err
 	}
 	r := &Result{Applied: e.applied()}
--- a/internal/emulate/group/extended.go
+++ b/internal/emulate/group/extended.go
@@ -1,8 +1,6 @@
 package group
 
 import (
-	"errors"
-
 	"github.com/gypsumyard/gypsumyard/internal/emulate/engine"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/sqlparse"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -45,12 +43,9 @@
 
 // skipToSync answers an error and ignores messages up to the next Sync.
 func (s *session) skipToSync(err error) error {
-	var fatal fatalError
-	if s.lost() || errors.As(err, &fatal) {
+	if err := s.reportError(err); err != nil {
 		return err
 	}
-	s.fail()
-	s.sendError(err, "ERROR")
 	if err := s.backend.Flush(); err != nil {
 		return err
 	}
--- a/internal/emulate/group/group.go
+++ b/internal/emulate/group/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"strings"
 	"sync"
 
@@ -64,11 +63,7 @@
 		domain = g.config.domains[i%n]
 	}
 	e := engine.New(g.name, role, source, g.config.clock)
-	in := newInstance(g, g.instanceName(i), domain, e)
-	if p := g.config.firstPort; p != 0 {
-		in.addr = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), p+uint16(i))
-	}
-	return in
+	return newInstance(g, g.instanceName(i), domain, e)
 }
 
 func (g *Group) instanceName(i int) string { return fmt.Sprintf("%s-%d", g.name, i+1) }
--- a/internal/emulate/group/options.go
+++ b/internal/emulate/group/options.go
@@ -9,10 +9,10 @@
 
 // Defaults of a group, those of the larger of the two current deployments.
 const (
-	DefaultInstances   = 3
-	DefaultSlots       = 5
-	DefaultConnections = 35
-	DefaultOpenDelay   = 10 * time.Millisecond
+	defaultInstances   = 3
+	defaultSlots       = 5
+	defaultConnections = 35
+	defaultOpenDelay   = 10 * time.Millisecond
 )
 
 type config struct {
@@ -22,23 +22,20 @@
 	openDelay   time.Duration
 	roundTrip   time.Duration
 	cost        time.Duration
-	tableCost   map[string]time.Duration
 	lag, jitter time.Duration
 	user        string
 	password    string
 	domains     []string
 	journal     int
 	clock       gypsumyard.Clock
-	firstPort   uint16
 }
 
 func defaults() config {
 	return config{
-		instances:   DefaultInstances,
-		slots:       DefaultSlots,
-		connections: DefaultConnections,
-		openDelay:   DefaultOpenDelay,
-		tableCost:   map[string]time.Duration{},
+		instances:   defaultInstances,
+		slots:       defaultSlots,
+		connections: defaultConnections,
+		openDelay:   defaultOpenDelay,
 		user:        "gypsumyard",
 		journal:     defaultJournal,
 		clock:       clock.System(),
@@ -66,11 +63,6 @@
 // WithStatementCost sets the service time of statements in their slot.
 func WithStatementCost(d time.Duration) Option { return func(c *config) { c.cost = d } }
 
-// WithTableCost sets the service time of statements on a table.
-func WithTableCost(table string, d time.Duration) Option {
-	return func(c *config) { c.tableCost[table] = d }
-}
-
 // WithLag sets the replication lag of all replicas and its jitter: a record is
 // applied between lag and lag+jitter after its commit.
 func WithLag(lag, jitter time.Duration) Option {
@@ -86,12 +78,8 @@
 // WithFailureDomains names the instances' failure domains, in turn.
 func WithFailureDomains(names ...string) Option { return func(c *config) { c.domains = names } }
 
-// WithPorts makes the instances listen on consecutive ports of 127.0.0.1, from
-// the given one on. Without it the system chooses the ports.
-func WithPorts(first uint16) Option { return func(c *config) { c.firstPort = first } }
-
 // WithJournal sets how many entries the journal keeps. Zero turns it off.
 func WithJournal(entries int) Option { return func(c *config) { c.journal = entries } }
 
-// WithClock sets the clock.
+// WithClock sets the clock. The default is the system's.
 func WithClock(k gypsumyard.Clock) Option { return func(c *config) { c.clock = k } }
--- a/internal/emulate/group/statement.go
+++ b/internal/emulate/group/statement.go
@@ -98,27 +98,7 @@
 	if p.Cost > 0 {
 		return p.Cost
 	}
-	c := &s.instance.group.config
-	if d, ok := c.tableCost[tableOf(p.Statement)]; ok {
-		return d
-	}
-	return c.cost
-}
-
-func tableOf(st sqlparse.Statement) string {
-	switch st := st.(type) {
-	case *sqlparse.Select:
-		if st.From != nil {
-			return st.From.Table
-		}
-	case *sqlparse.Insert:
-		return st.Table
-	case *sqlparse.Update:
-		return st.Table
-	case *sqlparse.Delete:
-		return st.Table
-	}
-	return ""
+	return s.instance.group.config.cost
 }
 
 // finish ends a statement that has sent its rows or failed.
@@ -293,13 +273,22 @@
 
 // queryFailed answers an error and goes on, unless the session cannot.
 func (s *session) queryFailed(err error) error {
+	if err := s.reportError(err); err != nil {
+		return err
+	}
+	return s.ready()
+}
+
+// reportError answers an error. It returns the error if the session cannot go
+// on after it.
+func (s *session) reportError(err error) error {
 	var fatal fatalError
 	if s.lost() || errors.As(err, &fatal) {
 		return err
 	}
 	s.fail()
 	s.sendError(err, "ERROR")
-	return s.ready()
+	return nil
 }
 
 func (s *session) simpleStatement(p sqlparse.Parsed, last bool) error {
--- a/internal/emulate/store/handler.go
+++ b/internal/emulate/store/handler.go
@@ -13,15 +13,15 @@
 	"golang.org/x/time/rate"
 )
 
-// A ListAnswer is the answer to a list and to a watch.
-type ListAnswer struct {
+// A listAnswer is the answer to a list and to a watch.
+type listAnswer struct {
 	Objects []gypsumyard.Object `json:"objects"`
 	Version gypsumyard.Version  `json:"version"`
 }
 
-// An UpdateAnswer is the answer to an update. After a conflict the version is
+// An updateAnswer is the answer to an update. After a conflict the version is
 // the present one.
-type UpdateAnswer struct {
+type updateAnswer struct {
 	Version gypsumyard.Version `json:"version"`
 }
 
@@ -72,7 +72,7 @@
 
 func (s *Server) serveList(w http.ResponseWriter, r *http.Request) {
 	list, v, _ := s.objects.list(r.URL.Query().Get("prefix"), 0, false)
-	answer(w, http.StatusOK, ListAnswer{Objects: list, Version: v})
+	answer(w, http.StatusOK, listAnswer{Objects: list, Version: v})
 }
 
 // serveWatch waits for a change, for the end of the wait or for an outage.
@@ -107,7 +107,7 @@
 	case <-outage:
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 	default:
-		answer(w, http.StatusOK, ListAnswer{Objects: list, Version: v})
+		answer(w, http.StatusOK, listAnswer{Objects: list, Version: v})
 	}
 }
 
@@ -138,14 +138,14 @@
 	}
 	v, err := s.objects.update(r.PathValue("name"), gypsumyard.Version(expected), value, deleted)
 	if err != nil {
-		answer(w, http.StatusConflict, UpdateAnswer{Version: v})
+		answer(w, http.StatusConflict, updateAnswer{Version: v})
 		return
 	}
 	if s.loseAnswer() {
 		// The server closes the connection without an answer.
 		panic(http.ErrAbortHandler)
 	}
-	answer(w, http.StatusOK, UpdateAnswer{Version: v})
+	answer(w, http.StatusOK, updateAnswer{Version: v})
 }
 
 func answer(w http.ResponseWriter, status int, v any) {
--- a/internal/emulate/store/server.go
+++ b/internal/emulate/store/server.go
@@ -20,11 +20,11 @@
 const (
 	// MaxValue is the size of the largest value, in bytes.
 	MaxValue = 1 << 20
-	// DefaultWrites and DefaultReads are calls a second.
-	DefaultWrites = 300
-	DefaultReads  = 2000
-	// DefaultDelay is how long an answer takes.
-	DefaultDelay = 2 * time.Millisecond
+	// defaultWrites and defaultReads are calls a second.
+	defaultWrites = 300
+	defaultReads  = 2000
+	// defaultDelay is how long an answer takes.
+	defaultDelay = 2 * time.Millisecond
 	// maxWatch bounds the wait of one watch.
 	maxWatch = time.Minute
 )
@@ -51,7 +51,7 @@
 // by the system.
 func WithAddr(a netip.AddrPort) Option { return func(s *Server) { s.addr = a } }
 
-// WithClock sets the clock.
+// WithClock sets the clock. The default is the system's.
 func WithClock(k gypsumyard.Clock) Option { return func(s *Server) { s.clock = k } }
 
 // A Server is a running emulation of the platform's service.
@@ -86,11 +86,11 @@
 		hosts:       hosts{shown: map[string]gypsumyard.Host{}},
 		cancel:      cancel,
 		done:        make(chan struct{}),
-		delay:       DefaultDelay,
+		delay:       defaultDelay,
 		calls:       map[string]int64{},
 		outageBegan: make(chan struct{}),
 	}
-	WithRates(DefaultWrites, DefaultReads)(s)
+	WithRates(defaultWrites, defaultReads)(s)
 	for _, o := range options {
 		o(s)
 	}
