--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -177,6 +177,21 @@
 	p.Put(c)
 }
 
+// Guards against a login that an instance with a password does not accept, and
+// against a wrong password that does not count as a refusal.
+func TestPassword(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, group.WithCredentials("proxy", "rugs"))
+	p := startPool(t, g, 1)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	p.Put(c)
+	a := AddressOf(g.Database("north"), g.Instances()[0].Upstream())
+	a.Password = "looms"
+	_, err = Dial(t.Context(), clock.System(), a)
+	is.True(errors.Is(err, ErrRefused))
+}
+
 // Guards against a request on a connection that has gone silent since it was
 // checked, and against connections above the limit.
 func TestCheckedConnection(t *testing.T) {
