peer: decide on open transactions without encoding a message

Change: the owner's side of a link asked whether a request leaves a transaction open by encoding its result and error into a message that it dropped; it now asks with the two values that matter. The comments on what close abandons say what the code does. Conclusion: tests pass, also with -race.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -137,11 +137,12 @@
 	}
 }
 
-// leavesNoTransaction reports whether a final message without a transaction
-// handle says that none is open. After an error, such as a refusal by load, the
-// session's transaction may still be open. Both sides of a link use this rule.
-func leavesNoTransaction(f *peerpb.Final) bool {
-	return f.Error == nil || byte(f.GetResult().GetTxStatus()) == 'I'
+// leavesNoTransaction reports whether the end of a request without a
+// transaction handle says that none is open. After an error, such as a refusal
+// by load, the session's transaction may still be open. Both sides of a link use
+// this rule.
+func leavesNoTransaction(failed bool, txStatus byte) bool {
+	return !failed || txStatus == 'I'
 }
 
 // encodeError encodes err. An error that is not an *Error gets the class
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -200,10 +200,11 @@
 }
 
 // noteTransaction records the open transactions that came over this link. One
-// that opens after the link broke is abandoned at once.
+// that opens after the link broke is abandoned when close has waited for its
+// request.
 func (in *inbound) noteTransaction(op peerpb.Operation, r *gypsumyard.Request, res gypsumyard.Result, err error) {
-	f := finalFrame(0, res, err, nil).GetFinal()
 	in.mu.Lock()
+	defer in.mu.Unlock()
 	switch {
 	case op == peerpb.Operation_ABANDON:
 		if o, ok := in.open[r.Session]; ok && o.Transaction == r.Transaction {
@@ -215,10 +216,9 @@
 		t.Messages = nil
 		t.Transaction, t.Owner = res.Transaction, res.Owner
 		in.open[r.Session] = &t
-	case leavesNoTransaction(f):
+	case leavesNoTransaction(err != nil, res.TxStatus):
 		delete(in.open, r.Session)
 	}
-	in.mu.Unlock()
 }
 
 // close cancels what runs for the entry host, waits for it, and abandons the
@@ -233,13 +233,13 @@
 		bulk.fail(cause)
 	}
 	in.cancel(fmt.Errorf("%w: %w", errEntryGone, cause))
-	in.abandonIdle()
+	in.abandonOpen()
 	in.wait.Wait()
-	in.abandonIdle()
+	in.abandonOpen()
 }
 
-// abandonIdle abandons the open transactions of which no request is running.
-func (in *inbound) abandonIdle() {
+// abandonOpen abandons the transactions that are recorded as open.
+func (in *inbound) abandonOpen() {
 	in.mu.Lock()
 	open := in.open
 	in.open = map[gypsumyard.SessionID]*gypsumyard.Request{}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -159,7 +159,7 @@
 	case c.operation != peerpb.Operation_EXECUTE:
 	case f.GetResult().GetTransaction() != "":
 		l.open[c.request.Session] = f.Result.Transaction
-	case leavesNoTransaction(f):
+	case leavesNoTransaction(f.Error != nil, byte(f.GetResult().GetTxStatus())):
 		delete(l.open, c.request.Session)
 	}
 }
