caller: keep the initial values of reported parameters once

Change: the startup and the reports of changes took the initial values of six parameters from two lists. The startup now uses the list of the reports, so these six come after the fixed parameters.

--- a/internal/caller/settings.go
+++ b/internal/caller/settings.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// reportedSettings are the parameters whose values callers are told, in the
-// spelling of the reports, with their values in a new session.
-var reportedSettings = map[string][2]string{
+// reportedSettings are the parameters whose values callers are told, by name in
+// lower case: the spelling of the reports and the value in a new session.
+var reportedSettings = map[string]struct{ name, initial string }{
 	"client_encoding":               {"client_encoding", "UTF8"},
 	"application_name":              {"application_name", ""},
 	"datestyle":                     {"DateStyle", "ISO, MDY"},
@@ -108,19 +108,18 @@
 	"default_transaction_read_only": {"default_transaction_read_only", "off"},
 }
 
-func (x *session) settingOr(name, or string) string {
-	if v, ok := x.settings[name]; ok {
-		return v
-	}
-	return or
-}
-
 // reportSetting tells the caller the value of a parameter, if it is one that
 // is reported.
 func (x *session) reportSetting(name string) {
-	if r, ok := reportedSettings[name]; ok {
-		x.send(&pgproto3.ParameterStatus{Name: r[0], Value: x.settingOr(name, r[1])})
+	r, ok := reportedSettings[name]
+	if !ok {
+		return
+	}
+	value, set := x.settings[name]
+	if !set {
+		value = r.initial
 	}
+	x.send(&pgproto3.ParameterStatus{Name: r.name, Value: value})
 }
 
 // changedReports returns the reported parameters that the transaction has
@@ -133,7 +132,7 @@
 			if hide == nil {
 				hide = map[string]bool{}
 			}
-			hide[r[0]] = true
+			hide[r.name] = true
 		}
 	}
 	return hide
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -212,23 +213,20 @@
 // greet sends what a caller is told before its first request.
 func (x *session) greet() {
 	x.send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", serverVersion},
-		{"server_encoding", "UTF8"},
-		{"client_encoding", x.settingOr("client_encoding", "UTF8")},
-		{"application_name", x.settingOr("application_name", "")},
-		{"is_superuser", "off"},
-		{"session_authorization", x.login.Name + "@" + x.customer},
-		{"DateStyle", x.settingOr("datestyle", "ISO, MDY")},
-		{"IntervalStyle", x.settingOr("intervalstyle", "postgres")},
-		{"TimeZone", x.settingOr("timezone", "UTC")},
-		{"integer_datetimes", "on"},
-		{"standard_conforming_strings", "on"},
-		{"default_transaction_read_only", x.settingOr("default_transaction_read_only", "off")},
-		{"in_hot_standby", "off"},
-		{"gypsumyard.session", string(x.id)},
+	for _, p := range []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: serverVersion},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "is_superuser", Value: "off"},
+		{Name: "session_authorization", Value: x.login.Name + "@" + x.customer},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "standard_conforming_strings", Value: "on"},
+		{Name: "in_hot_standby", Value: "off"},
+		{Name: paramSession, Value: string(x.id)},
 	} {
-		x.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		x.send(&p)
+	}
+	for _, name := range slices.Sorted(maps.Keys(reportedSettings)) {
+		x.reportSetting(name)
 	}
 	if x.positionKnown {
 		x.reportPosition()
