peer, member, upstream: one job for each file

Change: moves only. peer: the executor leaves call.go for execute.go, the server's side of Gossip leaves peers.go for gossip_server.go. member: what takes messages leaves heartbeat.go for receive.go. upstream: the running of an exchange leaves exchange.go, which keeps its types, for run.go. Conclusion: tests pass, also with -race.

--- /dev/null
+++ b/internal/peer/gossip_server.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+)
+
+// maxCalls is how many calls of one peer run at a time.
+const maxCalls = 64
+
+// A gossipServer is the server's side of a Gossip stream.
+type gossipServer struct {
+	service *Service
+	from    string
+	stream  *stream
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	wait    sync.WaitGroup
+	slots   chan struct{}
+}
+
+func newGossipServer(s *Service, from string, st *stream) *gossipServer {
+	g := &gossipServer{service: s, from: from, stream: st, slots: make(chan struct{}, maxCalls)}
+	g.ctx, g.cancel = context.WithCancelCause(s.stopping)
+	return g
+}
+
+func (g *gossipServer) close(cause error) {
+	g.cancel(cause)
+	g.wait.Wait()
+}
+
+func (g *gossipServer) handle(f *peerpb.Frame) error {
+	switch b := f.Body.(type) {
+	case *peerpb.Frame_Members:
+		if b.Members.GetFrom() != g.from {
+			return fmt.Errorf("%w: member message of %q", errMalformed, b.Members.GetFrom())
+		}
+		if r := g.service.deliver(b.Members); r != nil {
+			g.stream.post(&peerpb.Frame{Body: &peerpb.Frame_Members{Members: r}})
+		}
+		return nil
+	case *peerpb.Frame_Call:
+		select {
+		case g.slots <- struct{}{}:
+		default:
+			err := gypsumyard.Errorf(gypsumyard.ClassLoad, "too many calls at host %s", g.service.self.Name)
+			g.stream.post(replyFrame(f.Id, &peerpb.Reply{Error: encodeError(err), Last: true}))
+			return nil
+		}
+		g.wait.Go(func() {
+			defer func() { <-g.slots }()
+			g.serve(f.Id, b.Call)
+		})
+		return nil
+	}
+	return fmt.Errorf("%w: %T", errMalformed, f.Body)
+}
+
+// serve runs one call and sends its replies.
+func (g *gossipServer) serve(id uint64, c *peerpb.Call) {
+	objects, last := g.perform(c)
+	for _, o := range objects {
+		if !g.reply(id, &peerpb.Reply{Object: encodeObject(o)}) {
+			return
+		}
+	}
+	last.Last = true
+	g.reply(id, last)
+}
+
+// perform runs one call. It returns the objects of the answer and the last
+// reply.
+func (g *gossipServer) perform(c *peerpb.Call) (objects []gypsumyard.Object, last *peerpb.Reply) {
+	last = &peerpb.Reply{}
+	var err error
+	switch b := c.GetBody().(type) {
+	case *peerpb.Call_Object:
+		err = g.applyObject(b.Object)
+	case *peerpb.Call_Query:
+		objects, last.Complete, err = g.newerObjects(b.Query)
+	case *peerpb.Call_Probe:
+		last.Status, err = g.probe(b.Probe)
+	case *peerpb.Call_Released:
+		err = g.acceptRelease(b.Released)
+	case *peerpb.Call_Cancel:
+		err = g.cancelSession(b.Cancel)
+	default:
+		err = gypsumyard.Errorf(gypsumyard.ClassNotSupported, "call %T", b)
+	}
+	last.Error = encodeError(err)
+	return objects, last
+}
+
+func (g *gossipServer) applyObject(o *peerpb.Object) error {
+	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](g.service.kernel, "lists")
+	if err != nil {
+		return err
+	}
+	lists.Apply([]gypsumyard.Object{decodeObject(o)})
+	return nil
+}
+
+func (g *gossipServer) newerObjects(q *peerpb.ListQuery) ([]gypsumyard.Object, uint64, error) {
+	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](g.service.kernel, "lists")
+	if err != nil {
+		return nil, 0, err
+	}
+	objects, complete := lists.Newer(gypsumyard.Version(q.GetAfter()))
+	return objects, uint64(complete), nil
+}
+
+func (g *gossipServer) probe(p *peerpb.ProbeInstance) (*peerpb.InstanceStatus, error) {
+	owner, err := g.service.owner()
+	if err != nil {
+		return nil, err
+	}
+	st, err := owner.ProbeInstance(g.ctx, p.GetDatabase(), p.GetInstance())
+	return encodeStatus(st), err
+}
+
+// A sessionCanceler is the service "caller" as its peers use it.
+type sessionCanceler interface {
+	Cancel(ctx context.Context, process, secret uint32) (known bool, err error)
+}
+
+func (g *gossipServer) cancelSession(c *peerpb.CancelSession) error {
+	callers, err := kernel.Lookup[sessionCanceler](g.service.kernel, "caller")
+	if err != nil {
+		return err
+	}
+	_, err = callers.Cancel(g.ctx, c.GetProcess(), c.GetSecret())
+	return err
+}
+
+func (g *gossipServer) acceptRelease(r *peerpb.Released) error {
+	owner, err := g.service.owner()
+	if err != nil {
+		return err
+	}
+	owner.AcceptRelease(r.GetDatabase(), g.from)
+	return nil
+}
+
+func (g *gossipServer) reply(id uint64, r *peerpb.Reply) bool {
+	select {
+	case g.stream.data <- outgoing{frame: replyFrame(id, r)}:
+		return true
+	case <-g.stream.done:
+		return false
+	}
+}
+
+func replyFrame(id uint64, r *peerpb.Reply) *peerpb.Frame {
+	return &peerpb.Frame{Id: id, Body: &peerpb.Frame_Reply{Reply: r}}
+}
