upstream: answer requests for a password in a type of its own

Change: the login keeps the state of the password exchange in a type, which halves its function. An expired Stop of the service peer names the service. Conclusion: tests pass, also with -race.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -174,10 +174,11 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		return context.Cause(ctx)
+		return fmt.Errorf("peer: stop: %w", context.Cause(ctx))
 	}
 }
 
+// closeAll ends all streams.
 func (s *Service) closeAll() {
 	links, gossips, in, served := s.snapshot()
 	for _, l := range links {
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -104,42 +104,57 @@
 			"application_name": "gypsumyard",
 		},
 	})
-	if err := c.front.Flush(); err != nil {
-		return err
-	}
-	var conversation *scram.ClientConversation
+	a := authentication{conn: c}
 	for {
+		if err := c.front.Flush(); err != nil {
+			return err
+		}
 		msg, err := c.front.Receive()
 		if err != nil {
 			return err
 		}
 		switch m := msg.(type) {
-		case *pgproto3.AuthenticationCleartextPassword:
-			c.front.Send(&pgproto3.PasswordMessage{Password: c.address.Password})
-		case *pgproto3.AuthenticationMD5Password:
-			c.front.Send(&pgproto3.PasswordMessage{Password: md5Password(c.address, m.Salt)})
-		case *pgproto3.AuthenticationSASL:
-			conversation, err = c.beginSCRAM()
-		case *pgproto3.AuthenticationSASLContinue:
-			err = c.continueSCRAM(conversation, m.Data)
-		case *pgproto3.AuthenticationSASLFinal:
-			err = finishSCRAM(conversation, m.Data)
 		case *pgproto3.BackendKeyData:
 			c.processID, c.secretKey = m.ProcessID, bytes.Clone(m.SecretKey)
 		case *pgproto3.ErrorResponse:
 			return refused(serverError(m))
 		case *pgproto3.ReadyForQuery:
 			return nil
+		default:
+			if err := a.answer(msg); err != nil {
+				return err
+			}
 		}
-		if err != nil {
-			return err
-		}
-		if err := c.front.Flush(); err != nil {
-			return err
-		}
 	}
 }
 
+// An authentication is the part of a login in which the instance asks for the
+// password.
+type authentication struct {
+	conn *Conn
+	// conversation is the SCRAM exchange, nil before its start.
+	conversation *scram.ClientConversation
+}
+
+// answer queues the answer to a message of the instance. Messages that ask for
+// nothing have none.
+func (a *authentication) answer(msg pgproto3.BackendMessage) (err error) {
+	c := a.conn
+	switch m := msg.(type) {
+	case *pgproto3.AuthenticationCleartextPassword:
+		c.front.Send(&pgproto3.PasswordMessage{Password: c.address.Password})
+	case *pgproto3.AuthenticationMD5Password:
+		c.front.Send(&pgproto3.PasswordMessage{Password: md5Password(c.address, m.Salt)})
+	case *pgproto3.AuthenticationSASL:
+		a.conversation, err = c.beginSCRAM()
+	case *pgproto3.AuthenticationSASLContinue:
+		err = c.continueSCRAM(a.conversation, m.Data)
+	case *pgproto3.AuthenticationSASLFinal:
+		err = finishSCRAM(a.conversation, m.Data)
+	}
+	return err
+}
+
 // scramMechanism is the only SASL mechanism that is offered without TLS.
 const scramMechanism = "SCRAM-SHA-256"
 
