emulate: go on accepting after a failed accept

Cause: an instance stopped accepting connections after any error of its listener, such as a lack of descriptors under load, and looked alive to its open connections. Change: it pauses for 10 ms and accepts again unless the listener is closed. Conclusion: the new test fails before the change and passes after it.

--- /dev/null
+++ b/internal/emulate/group/accept_test.go
@@ -0,0 +1,30 @@
+package group
+
+import (
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// failingListener fails with each error in turn.
+type failingListener struct {
+	net.Listener
+	errs []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	err := l.errs[0]
+	l.errs = l.errs[1:]
+	return nil, err
+}
+
+// Guards against an instance that accepts no connections any more after a lack
+// of descriptors.
+func TestAcceptGoesOn(t *testing.T) {
+	is := is.New(t)
+	l := &failingListener{errs: []error{syscall.EMFILE, net.ErrClosed}}
+	(&Instance{}).accept(l)
+	is.Equal(len(l.errs), 0)
+}
--- a/internal/emulate/group/instance.go
+++ b/internal/emulate/group/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -92,13 +93,20 @@
 	return nil
 }
 
+// acceptPause follows a failure to accept, such as a lack of descriptors.
+const acceptPause = 10 * time.Millisecond
+
 // accept serves connections until the listener is closed.
 func (in *Instance) accept(l net.Listener) {
 	for {
 		raw, err := l.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
 		in.mu.Lock()
 		if !in.running {
 			in.mu.Unlock()
