peer: close a connection accepted while the service stops

Cause: a connection that was accepted just after Stop began was dropped without being closed. Change: the loop ends at an error of the listener only; connections accepted before that are closed, since no goroutine may start any more. Conclusion: tests pass, also with -race; no test of its own, the moment cannot be scripted.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -223,10 +223,10 @@
 func (s *Service) accept(srv *drpcserver.Server) {
 	for {
 		conn, err := s.listener.Accept()
-		if s.stopping.Err() != nil {
-			return
-		}
 		if err != nil {
+			if s.stopping.Err() != nil {
+				return
+			}
 			s.log.WithError(err).Warn("accept peer connection")
 			if s.clock.Sleep(s.stopping, pingInterval) != nil {
 				return
