--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -15,7 +17,9 @@
 	codeCancel = 80877102
 	codeSSL    = 80877103
 	codeGSS    = 80877104
+)
 
+const (
 	protocolMajor = 3
 	// maxNegotiations bounds the SSLRequest and GSSENCRequest packets of one
 	// connection.
@@ -64,14 +68,16 @@
 		if body[0] == 0 {
 			break
 		}
-		var name, value string
-		var ok1, ok2 bool
-		name, body, ok1 = cutZero(body)
-		value, body, ok2 = cutZero(body)
-		if !ok1 || !ok2 {
+		name, rest, ok := cutZero(body)
+		if !ok {
+			return nil, malformed
+		}
+		value, rest, ok := cutZero(rest)
+		if !ok {
 			return nil, malformed
 		}
 		m.Parameters[name] = value
+		body = rest
 	}
 	if len(body) != 1 {
 		return nil, malformed
@@ -79,12 +85,10 @@
 	return m, nil
 }
 
-func cutZero(b []byte) (string, []byte, bool) {
-	i := slices.Index(b, 0)
-	if i < 0 {
-		return "", nil, false
-	}
-	return string(b[:i]), b[i+1:], true
+// cutZero reads a string that ends with a zero byte.
+func cutZero(b []byte) (text string, rest []byte, ok bool) {
+	before, rest, ok := bytes.Cut(b, []byte{0})
+	return string(before), rest, ok
 }
 
 // negotiate tells a caller of a newer minor version, or with options of the
@@ -209,23 +213,20 @@
 // greet sends what a caller is told before its first request.
 func (x *session) greet() {
 	x.send(&pgproto3.AuthenticationOk{})
-	for _, p := range [][2]string{
-		{"server_version", x.server.version},
-		{"server_encoding", "UTF8"},
-		{"client_encoding", x.settingOr("client_encoding", "UTF8")},
-		{"application_name", x.settingOr("application_name", "")},
-		{"is_superuser", "off"},
-		{"session_authorization", x.login.Name + "@" + x.customer},
-		{"DateStyle", x.settingOr("datestyle", "ISO, MDY")},
-		{"IntervalStyle", x.settingOr("intervalstyle", "postgres")},
-		{"TimeZone", x.settingOr("timezone", "UTC")},
-		{"integer_datetimes", "on"},
-		{"standard_conforming_strings", "on"},
-		{"default_transaction_read_only", x.settingOr("default_transaction_read_only", "off")},
-		{"in_hot_standby", "off"},
-		{"gypsumyard.session", string(x.id)},
+	for _, p := range []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: serverVersion},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "is_superuser", Value: "off"},
+		{Name: "session_authorization", Value: x.login.Name + "@" + x.customer},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "standard_conforming_strings", Value: "on"},
+		{Name: "in_hot_standby", Value: "off"},
+		{Name: paramSession, Value: string(x.id)},
 	} {
-		x.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+		x.send(&p)
+	}
+	for _, name := range slices.Sorted(maps.Keys(reportedSettings)) {
+		x.reportSetting(name)
 	}
 	if x.positionKnown {
 		x.reportPosition()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -187,10 +187,11 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		return context.Cause(ctx)
+		return fmt.Errorf("peer: stop: %w", context.Cause(ctx))
 	}
 }
 
+// closeAll ends all streams.
 func (s *Service) closeAll() {
 	links, gossips, in, served := s.snapshot()
 	for _, l := range links {
@@ -207,6 +208,11 @@
 	}
 }
 
+// owner returns the service that runs this host's databases, if it is there.
+func (s *Service) owner() (gypsumyard.Owner, error) {
+	return kernel.Lookup[gypsumyard.Owner](s.kernel, "owner")
+}
+
 // spawn runs f in a goroutine that Stop waits for. It returns false after Stop.
 func (s *Service) spawn(f func()) bool {
 	s.mu.Lock()
@@ -230,10 +236,10 @@
 func (s *Service) accept(srv *drpcserver.Server) {
 	for {
 		conn, err := s.listener.Accept()
-		if s.stopping.Err() != nil {
-			return
-		}
 		if err != nil {
+			if s.stopping.Err() != nil {
+				return
+			}
 			s.log.WithError(err).Warn("accept peer connection")
 			if s.clock.Sleep(s.stopping, pingInterval) != nil {
 				return
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// The keep-alive probes find a dead peer on an idle connection within
+	// about 11 s.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
@@ -26,7 +28,9 @@
 	userTimeout = 5 * time.Second
 	// tcpUserTimeout is the number of the Linux socket option.
 	tcpUserTimeout = 0x12
-	dialTimeout    = time.Second
+	// dialTimeout bounds the opening of a connection with its login, a cancel
+	// request, and a call of the control side.
+	dialTimeout = time.Second
 )
 
 // An Address is how an instance is reached.
@@ -55,6 +59,7 @@
 	}
 }
 
+// setUserTimeout sets the option TCP_USER_TIMEOUT of a new socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failure error
 	err := c.Control(func(fd uintptr) {
@@ -99,42 +104,57 @@
 			// No application_name: sessions that set none would see it.
 		},
 	})
-	if err := c.front.Flush(); err != nil {
-		return err
-	}
-	var conversation *scram.ClientConversation
+	a := authentication{conn: c}
 	for {
+		if err := c.front.Flush(); err != nil {
+			return err
+		}
 		msg, err := c.front.Receive()
 		if err != nil {
 			return err
 		}
 		switch m := msg.(type) {
-		case *pgproto3.AuthenticationCleartextPassword:
-			c.front.Send(&pgproto3.PasswordMessage{Password: c.address.Password})
-		case *pgproto3.AuthenticationMD5Password:
-			c.front.Send(&pgproto3.PasswordMessage{Password: md5Password(c.address, m.Salt)})
-		case *pgproto3.AuthenticationSASL:
-			conversation, err = c.beginSCRAM()
-		case *pgproto3.AuthenticationSASLContinue:
-			err = c.continueSCRAM(conversation, m.Data)
-		case *pgproto3.AuthenticationSASLFinal:
-			err = finishSCRAM(conversation, m.Data)
 		case *pgproto3.BackendKeyData:
 			c.processID, c.secretKey = m.ProcessID, bytes.Clone(m.SecretKey)
 		case *pgproto3.ErrorResponse:
 			return refused(serverError(m))
 		case *pgproto3.ReadyForQuery:
 			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := c.front.Flush(); err != nil {
-			return err
+		default:
+			if err := a.answer(msg); err != nil {
+				return err
+			}
 		}
 	}
 }
 
+// An authentication is the part of a login in which the instance asks for the
+// password.
+type authentication struct {
+	conn *Conn
+	// conversation is the SCRAM exchange, nil before its start.
+	conversation *scram.ClientConversation
+}
+
+// answer queues the answer to a message of the instance. Messages that ask for
+// nothing have none.
+func (a *authentication) answer(msg pgproto3.BackendMessage) (err error) {
+	c := a.conn
+	switch m := msg.(type) {
+	case *pgproto3.AuthenticationCleartextPassword:
+		c.front.Send(&pgproto3.PasswordMessage{Password: c.address.Password})
+	case *pgproto3.AuthenticationMD5Password:
+		c.front.Send(&pgproto3.PasswordMessage{Password: md5Password(c.address, m.Salt)})
+	case *pgproto3.AuthenticationSASL:
+		a.conversation, err = c.beginSCRAM()
+	case *pgproto3.AuthenticationSASLContinue:
+		err = c.continueSCRAM(a.conversation, m.Data)
+	case *pgproto3.AuthenticationSASLFinal:
+		err = finishSCRAM(a.conversation, m.Data)
+	}
+	return err
+}
+
 // scramMechanism is the only SASL mechanism that is offered without TLS.
 const scramMechanism = "SCRAM-SHA-256"
 
@@ -196,10 +216,8 @@
 		return err
 	}
 	defer n.Close()
-	deadline, _ := ctx.Deadline()
-	if err := n.SetDeadline(deadline); err != nil {
-		return err
-	}
+	stop := context.AfterFunc(ctx, func() { _ = n.SetDeadline(past) })
+	defer stop()
 	buf, err := (&pgproto3.CancelRequest{ProcessID: processID, SecretKey: secretKey}).Encode(nil)
 	if err != nil {
 		return err
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -177,6 +177,21 @@
 	p.Put(c)
 }
 
+// Guards against a login that an instance with a password does not accept, and
+// against a wrong password that does not count as a refusal.
+func TestPassword(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, group.WithCredentials("proxy", "rugs"))
+	p := startPool(t, g, 1)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	p.Put(c)
+	a := AddressOf(g.Database("north"), g.Instances()[0].Upstream())
+	a.Password = "looms"
+	_, err = Dial(t.Context(), clock.System(), a)
+	is.True(errors.Is(err, ErrRefused))
+}
+
 // Guards against a request on a connection that has gone silent since it was
 // checked, and against connections above the limit.
 func TestCheckedConnection(t *testing.T) {
@@ -226,6 +241,26 @@
 	is.True(err != nil)
 }
 
+// Guards against a request that waits without a bound when its connection has
+// gone silent before settings that are sent ahead of it.
+func TestSilentBeforeSettings(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t)
+	p := startPool(t, g, 1)
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	defer p.Discard(c)
+	g.Instances()[0].Silence()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	ex := query(t, "select 1")
+	ex.Settings = []gypsumyard.Setting{{Name: "application_name", Value: "loom"}}
+	out, err := c.Run(ctx, ex, io.Discard)
+	is.True(errors.Is(err, ErrSilent))
+	is.True(!out.Sent)
+	is.NoErr(ctx.Err())
+}
+
 // Guards against an answer that reaches the sink although the status before it
 // was refused, and against a held answer that does.
 func TestRejectedAndHeldAnswers(t *testing.T) {
