slopes: cost of sessions and owned databases

Capacity at the target size was not derived from measurements. The command `gypsumyard slopes` runs each experiment at three sizes and prints the slope with its spread and residual.

--- a/cmd/gypsumyard/main.go
+++ b/cmd/gypsumyard/main.go
@@ -53,6 +53,7 @@
 			devCommand(),
 			emulateCommand(),
 			benchCommand(),
+			slopesCommand(),
 			checkCommand(),
 			plansCommand(),
 			statusCommand(),
--- /dev/null
+++ b/internal/slopes/client.go
@@ -0,0 +1,235 @@
+package slopes
+
+import (
+	"bytes"
+	"context"
+	"crypto/pbkdf2"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	// workers is how many goroutines drive the clients.
+	workers = 16
+	// scramIterations is the cost of a login that Verifier sets.
+	scramIterations = 4096
+)
+
+// logIn opens n connections to a host as one customer.
+func logIn(ctx context.Context, addr netip.AddrPort, database string, n int) (conns []net.Conn, err error) {
+	url := fmt.Sprintf("postgres://%s%%40%s:%s@%s/%s?sslmode=disable", loginName, customerName, password, addr, database)
+	return open(n, func(int) (net.Conn, error) {
+		c, err := pgconn.Connect(ctx, url)
+		if err != nil {
+			return nil, err
+		}
+		h, err := c.Hijack()
+		if err != nil {
+			return nil, err
+		}
+		return h.Conn, nil
+	})
+}
+
+// open calls dial n times from several goroutines.
+func open(n int, dial func(i int) (net.Conn, error)) ([]net.Conn, error) {
+	conns := make([]net.Conn, n)
+	errs := make([]error, workers)
+	var wait sync.WaitGroup
+	for w := range workers {
+		wait.Go(func() {
+			for i := w; i < n && errs[w] == nil; i += workers {
+				conns[i], errs[w] = dial(i)
+			}
+		})
+	}
+	wait.Wait()
+	if err := errors.Join(errs...); err != nil {
+		closeAll(conns)
+		return nil, err
+	}
+	return conns, nil
+}
+
+func closeAll(conns []net.Conn) {
+	for _, c := range conns {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
+
+// A load sends one statement after the other at a fixed rate.
+type load struct {
+	query []byte
+	// rate is statements a second in all.
+	rate float64
+	time time.Duration
+}
+
+// run plays the load on the connections, which take turns. Without any it only
+// keeps time, which is what the pacing itself costs.
+func (l load) run(conns []net.Conn) error {
+	errs := make([]error, workers)
+	var wait sync.WaitGroup
+	for w := range workers {
+		wait.Go(func() { errs[w] = l.work(w, conns) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+func (l load) work(w int, conns []net.Conn) error {
+	buf := make([]byte, 16<<10)
+	begin := time.Now()
+	total := int(l.rate * l.time.Seconds())
+	for i := w; i < total; i += workers {
+		due := begin.Add(time.Duration(float64(i) / l.rate * float64(time.Second)))
+		time.Sleep(time.Until(due))
+		if conns == nil {
+			continue
+		}
+		if err := ask(conns[i%len(conns)], l.query, buf); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(begin.Add(l.time)))
+	return nil
+}
+
+// ask sends a query and reads up to ReadyForQuery.
+func ask(c net.Conn, query, buf []byte) error {
+	if _, err := c.Write(query); err != nil {
+		return err
+	}
+	n := 0
+	for {
+		m, err := c.Read(buf[n:])
+		if err != nil {
+			return err
+		}
+		n += m
+		if n >= len(ready) && bytes.Equal(buf[n-len(ready):n], ready) {
+			return nil
+		}
+		if n == len(buf) {
+			return errors.New("answer does not fit")
+		}
+	}
+}
+
+// clientCost measures what a load costs its clients, in microseconds a second:
+// the pacing and half of an exchange with a stand-in that answers with as many
+// bytes at once.
+func (l load) clientCost(conns int, answer []byte) (float64, error) {
+	s, err := startEcho(answer)
+	if err != nil {
+		return 0, err
+	}
+	defer s.close()
+	open, err := open(conns, func(int) (net.Conn, error) { return net.Dial("tcp", s.addr()) })
+	if err != nil {
+		return 0, err
+	}
+	defer closeAll(open)
+	pacing, err := perSecond(func() error { return l.run(nil) })
+	if err != nil {
+		return 0, err
+	}
+	both, err := perSecond(func() error { return l.run(open) })
+	return pacing + (both-pacing)/2, err
+}
+
+// An echo answers each read with the same bytes.
+type echo struct {
+	listener net.Listener
+	answer   []byte
+	wait     sync.WaitGroup
+}
+
+func startEcho(answer []byte) (*echo, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &echo{listener: l, answer: answer}
+	e.wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			e.wait.Go(func() { e.serve(c) })
+		}
+	})
+	return e, nil
+}
+
+func (e *echo) addr() string { return e.listener.Addr().String() }
+
+func (e *echo) serve(c net.Conn) {
+	defer c.Close()
+	buf := make([]byte, 4<<10)
+	for {
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+		if _, err := c.Write(e.answer); err != nil {
+			return
+		}
+	}
+}
+
+// close must be called after the clients have closed their connections, or
+// else it waits for them.
+func (e *echo) close() { _ = e.listener.Close() }
+
+// socketMemory returns the heap that one end of n connections takes.
+func socketMemory(n int) (float64, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	before := readMemory()
+	held := make([]net.Conn, 0, n)
+	accepted := make(chan struct{})
+	go func() {
+		defer close(accepted)
+		for len(held) < n {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			held = append(held, c)
+		}
+	}()
+	conns, err := open(n, func(int) (net.Conn, error) { return net.Dial("tcp", l.Addr().String()) })
+	if err != nil {
+		return 0, err
+	}
+	<-accepted
+	used := readMemory().since(before)
+	closeAll(conns)
+	closeAll(held)
+	return used.heap / 2, nil
+}
+
+// loginClientTime returns the processor time that SCRAM costs a client.
+func loginClientTime() (time.Duration, error) {
+	const rounds = 100
+	begin := processorTime()
+	for i := range rounds {
+		if _, err := pbkdf2.Key(sha256.New, password, []byte{byte(i)}, scramIterations, sha256.Size); err != nil {
+			return 0, err
+		}
+	}
+	return (processorTime() - begin) / rounds, nil
+}
--- /dev/null
+++ b/internal/slopes/instance.go
@@ -0,0 +1,129 @@
+package slopes
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// An instance is a stand-in for an upstream that answers with fixed bytes, so
+// that its own cost is close to that of an echo.
+type instance struct {
+	listener net.Listener
+	status   []byte
+	wait     sync.WaitGroup
+	// bytes counts both directions, messages the answers.
+	bytes, messages atomic.Int64
+	mu              sync.Mutex
+	conns           []net.Conn
+}
+
+var statusColumns = []string{"role", "term", "log_offset", "fence", "fence_token", "history", "stream_age_ms", "leaving", "connections"}
+
+func startInstance(role gypsumyard.Role) (*instance, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{listener: l}
+	i.status = encode(append(textRow(statusColumns, []string{string(role), "1", "4711", "1", "token-01", "1:1", "0", "f", "7"}),
+		&pgproto3.ReadyForQuery{TxStatus: 'I'})...)
+	i.wait.Go(i.accept)
+	return i, nil
+}
+
+func (i *instance) addr() netip.AddrPort { return i.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (i *instance) accept() {
+	for {
+		c, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		i.mu.Lock()
+		i.conns = append(i.conns, c)
+		i.mu.Unlock()
+		i.wait.Go(func() { _ = i.serve(c) })
+	}
+}
+
+func (i *instance) close() {
+	_ = i.listener.Close()
+	i.mu.Lock()
+	closeAll(i.conns)
+	i.mu.Unlock()
+	i.wait.Wait()
+}
+
+var loggedIn = encode(&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte{1, 2, 3, 4}}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
+
+// serve answers the queries that one read brings with one write.
+func (i *instance) serve(c net.Conn) error {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	if err := skipStartup(r); err != nil {
+		return err
+	}
+	if _, err := c.Write(loggedIn); err != nil {
+		return err
+	}
+	var out, body []byte
+	for {
+		out = out[:0]
+		for {
+			var err error
+			if body, err = i.readMessage(r, body); err != nil {
+				return err
+			}
+			out = append(out, i.answerTo(body)...)
+			if r.Buffered() == 0 {
+				break
+			}
+		}
+		i.bytes.Add(int64(len(out)))
+		i.messages.Add(1)
+		if _, err := c.Write(out); err != nil {
+			return err
+		}
+	}
+}
+
+func skipStartup(r *bufio.Reader) error {
+	var length [4]byte
+	if _, err := io.ReadFull(r, length[:]); err != nil {
+		return err
+	}
+	_, err := r.Discard(int(binary.BigEndian.Uint32(length[:])) - len(length))
+	return err
+}
+
+func (i *instance) readMessage(r *bufio.Reader, body []byte) ([]byte, error) {
+	var header [5]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return body, err
+	}
+	if header[0] != 'Q' {
+		return body, errors.New("the stand-in knows only simple queries")
+	}
+	n := int(binary.BigEndian.Uint32(header[1:])) - 4
+	body = append(body[:0], make([]byte, n)...)
+	i.bytes.Add(int64(len(header) + n))
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+func (i *instance) answerTo(sql []byte) []byte {
+	if bytes.Contains(sql, []byte("group_status")) {
+		return i.status
+	}
+	return rowAnswer
+}
