slopes: tables, peers, lists and the whole path

It now also measures hosts in the membership table, heartbeats, requests and links between hosts, Gossip streams, list objects (apply, push, comparison, look-up, owners of all databases) and statements through whole hosts, local, remote and logged.

--- a/cmd/gypsumyard/slopes.go
+++ b/cmd/gypsumyard/slopes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
@@ -46,7 +47,7 @@
 	}
 	results, err := slopes.Run(ctx, o)
 	if err != nil {
-		return err
+		return errors.Join(err, slopes.WriteTable(c.Root().Writer, results))
 	}
 	if f := c.String("json"); f != "" {
 		data, err := json.MarshalIndent(results, "", "  ")
--- a/internal/slopes/sessions.go
+++ b/internal/slopes/sessions.go
@@ -16,7 +16,7 @@
 	// statementsPerSession is the target rate: 2,800 statements a second of
 	// 4,900 sessions on a host.
 	statementsPerSession = 2800.0 / 4900
-	window               = 3 * time.Second
+	window               = 2 * time.Second
 	stopTimeout          = 10 * time.Second
 )
 
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -76,7 +76,8 @@
 
 // Experiments returns all experiments.
 func Experiments() []Experiment {
-	return slices.Concat(sessionExperiments(), databaseExperiments())
+	return slices.Concat(sessionExperiments(), databaseExperiments(), memberExperiments(),
+		peerExperiments(), listExperiments(), pathExperiments())
 }
 
 // Run runs the experiments one after the other.
