slopes: hosts at rest and databases under load

A host's control cost was only a sum of parts; the new experiment host-rest measures whole idle hosts, and database-loaded shows polls replaced by the status that reads carry.

--- a/internal/slopes/databases.go
+++ b/internal/slopes/databases.go
@@ -26,6 +26,8 @@
 	// touchEvery keeps a database from being polled at the slower rate of
 	// databases without requests.
 	touchEvery = time.Second
+	// loadEvery is 40 reads a second for each database.
+	loadEvery = 25 * time.Millisecond
 )
 
 func databaseExperiments() []Experiment {
@@ -41,6 +43,11 @@
 			About: "owned databases with one read a second each, which sets the faster rate of polls; less the stand-ins",
 			run:   func(ctx context.Context, e *env, n int) (Sample, error) { return ownDatabases(ctx, n, touchEvery) },
 		},
+		{
+			Name: "database-loaded", Item: "databases", Sizes: sizes,
+			About: "owned databases with 40 reads a second each, whose status replaces polls; messages include the reads; less the stand-ins",
+			run:   func(ctx context.Context, e *env, n int) (Sample, error) { return ownDatabases(ctx, n, loadEvery) },
+		},
 	}
 }
 
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -77,7 +77,7 @@
 // Experiments returns all experiments.
 func Experiments() []Experiment {
 	return slices.Concat(sessionExperiments(), databaseExperiments(), memberExperiments(),
-		peerExperiments(), listExperiments(), pathExperiments())
+		peerExperiments(), listExperiments(), hostExperiments(), pathExperiments())
 }
 
 // Run runs the experiments one after the other.
