--- a/internal/slopes/databases.go
+++ b/internal/slopes/databases.go
@@ -26,7 +26,8 @@
 	// touchEvery keeps a database from being polled at the slower rate of
 	// databases without requests.
 	touchEvery = time.Second
-	// loadEvery is 40 reads a second for each database.
+	// loadEvery gives at most 40 reads a second for each database, fewer the
+	// longer a round through all databases takes.
 	loadEvery = 25 * time.Millisecond
 )
 
@@ -45,7 +46,7 @@
 		},
 		{
 			Name: "database-loaded", Item: "databases", Sizes: sizes,
-			About: "owned databases with 40 reads a second each, whose status replaces polls; messages include the reads; less the stand-ins",
+			About: "owned databases with up to 40 reads a second each, whose status replaces polls; messages include the reads; less the stand-ins",
 			run:   func(ctx context.Context, e *env, n int) (Sample, error) { return ownDatabases(ctx, n, loadEvery) },
 		},
 	}
