--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -31,7 +31,7 @@
 func (v *view) Start(context.Context, *kernel.Kernel) error { return nil }
 func (v *view) Stop(context.Context) error                  { return nil }
 func (v *view) Done() <-chan struct{}                       { return v.done }
-func (v *view) Self() gypsumyard.Host                       { return gypsumyard.Host{Name: "host-1"} }
+func (v *view) Self() gypsumyard.Host                       { return gypsumyard.Host{Name: "host-1", Region: "north"} }
 func (v *view) Hosts() []gypsumyard.Host                    { return []gypsumyard.Host{v.Self()} }
 func (v *view) Plan(string) (gypsumyard.Plan, bool)         { return gypsumyard.Plan{Limit: 1, Share: 1}, true }
 func (v *view) Customer(n string) (gypsumyard.Customer, bool) {
