--- a/cmd/gypsumyard/main.go
+++ b/cmd/gypsumyard/main.go
@@ -57,6 +57,7 @@
 			plansCommand(),
 			statusCommand(),
 			drainCommand(),
+			verifierCommand(),
 		},
 		// Errors and exit codes are handled in run.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
