cmd/gypsumyard: exit with 2 on wrong usage of any command

A wrong flag of a subcommand and an unknown command ended with exit code 1, which the help text gives to failures: the library inherits the handlers of the root command to no other. They are now set on each command, with a test over ten wrong lines. status prints the primary, the counts and the instances of an owned database as columns in place of raw JSON.

--- /dev/null
+++ b/cmd/gypsumyard/exit_test.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestUsageExitCode guards against wrong usage that ends with the code of a
+// failure, which scripts try again.
+func TestUsageExitCode(t *testing.T) {
+	for _, line := range [][]string{
+		{"nosuch"}, {"--nosuch"}, {"status", "--nosuch"}, {"status", "extra"},
+		{"plans", "nosuch"}, {"plans", "get", "--nosuch"}, {"plans", "get", "colours", "red"},
+		{"serve"}, {"check"}, {"bench", "--hosts", "many"},
+	} {
+		t.Run(line[0], func(t *testing.T) {
+			is.New(t).Equal(run(append([]string{"gypsumyard"}, line...)), exitUsage)
+		})
+	}
+}
--- a/cmd/gypsumyard/main.go
+++ b/cmd/gypsumyard/main.go
@@ -44,7 +44,7 @@
 }
 
 func newCommand() *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:        "gypsumyard",
 		Usage:       "database proxy with session consistency",
 		Description: description,
@@ -61,10 +61,31 @@
 		},
 		// Errors and exit codes are handled in run.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return usageError{err}
-		},
 	}
+	reportUsage(root)
+	return root
+}
+
+// reportUsage makes wrong flags and unknown subcommands usage errors. The
+// library inherits neither handler.
+func reportUsage(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return usageError{err}
+	}
+	if c.Action == nil {
+		c.Action = unknownCommand
+	}
+	for _, sub := range c.Commands {
+		reportUsage(sub)
+	}
+}
+
+// unknownCommand shows the help of a command that has subcommands only.
+func unknownCommand(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return usageError{fmt.Errorf("%s has no command %q", c.FullName(), c.Args().First())}
+	}
+	return cli.ShowSubcommandHelp(c)
 }
 
 // A usageError tells that the command line or the settings are wrong.
--- a/cmd/gypsumyard/operate.go
+++ b/cmd/gypsumyard/operate.go
@@ -5,10 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"text/tabwriter"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard/internal/operator"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
 	"github.com/urfave/cli/v3"
 )
 
@@ -102,7 +105,29 @@
 		fmt.Fprintf(w, "member\t%s\t%s\t%s\t%s\n", h.Name, h.FailureDomain, h.State, h.Addr)
 	}
 	for _, d := range s.Databases {
-		fmt.Fprintf(w, "database\t%s\towner=%s\t%s\n", d.Name, d.Owner, d.Detail)
+		if err := printDatabase(w, d); err != nil {
+			return err
+		}
 	}
 	return w.Flush()
 }
+
+// printDatabase prints a database, and its instances if the host owns it.
+func printDatabase(w io.Writer, d operator.DatabaseStatus) error {
+	fmt.Fprintf(w, "database\t%s\towner=%s", d.Name, d.Owner)
+	if len(d.Detail) == 0 {
+		fmt.Fprintln(w)
+		return nil
+	}
+	var detail owner.Description
+	if err := json.Unmarshal(d.Detail, &detail); err != nil {
+		return fmt.Errorf("status of database %s: %w", d.Name, err)
+	}
+	fmt.Fprintf(w, "\tprimary=%s\tposition=%s\tqueued=%d\trunning=%d\topen-transactions=%d\n",
+		detail.Primary, detail.Position, detail.Queued, detail.Running, detail.OpenTransactions)
+	for _, i := range detail.Instances {
+		fmt.Fprintf(w, "instance\t%s\t%s\treachable=%v\tleaving=%v\tposition=%s\tfence=%d\tlag=%s\tconnections=%d/%d\n",
+			i.Name, i.Role, i.Reachable, i.Leaving, i.Position, i.Fence, time.Duration(i.Lag), i.ConnectionsUsed, i.Connections)
+	}
+	return nil
+}
