dispatch: call the log field of an attempt operation

Cause: the field was called what, which changed in the code only. Conclusion: tests pass, also with -race; nothing in the repository reads it.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -78,13 +78,13 @@
 
 func (s *Service) logger(a *attempt, host gypsumyard.Host, try int) logrus.FieldLogger {
 	return s.log.WithFields(logrus.Fields{
-		"reason":   a.lost,
-		"what":     a.operation,
-		"session":  a.request.Session,
-		"customer": a.request.Customer,
-		"database": a.request.Database,
-		"host":     host.Name,
-		"try":      try,
+		"reason":    a.lost,
+		"operation": a.operation,
+		"session":   a.request.Session,
+		"customer":  a.request.Customer,
+		"database":  a.request.Database,
+		"host":      host.Name,
+		"try":       try,
 	})
 }
 
