--- a/cmd/gypsumyard/dev.go
+++ b/cmd/gypsumyard/dev.go
@@ -47,7 +47,7 @@
 			s, err := site.Start(ctx, d,
 				site.WithHosts(c.Int("hosts")),
 				site.WithBasePort(c.Uint16("base-port")),
-				site.WithLog(config.Log{Level: c.String("log"), Format: "text"}))
+				site.WithLog(config.Log{Level: c.String("log"), Format: "text", Decisions: 1}))
 			if err != nil {
 				return err
 			}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -75,7 +75,6 @@
 	d.want(s.Callers.BufferPerConnection >= 1<<14, "callers.buffer-per-connection", "must be at least 16KiB")
 	d.want(s.Callers.BufferTotal >= s.Callers.BufferPerConnection, "callers.buffer-total", "must be at least callers.buffer-per-connection")
 	d.wantDuration("platform.call-timeout", s.Platform.CallTimeout)
-	d.wantDuration("peers.heartbeat-interval", s.Peers.HeartbeatInterval)
 	d.wantDuration("callers.startup-timeout", s.Callers.StartupTimeout)
 	d.wantDuration("callers.drain-idle-transaction", s.Callers.DrainIdle)
 	d.wantDuration("owner.poll-interval", s.Owner.PollInterval)
@@ -85,6 +84,7 @@
 	d.want(s.Owner.DetectTimeout >= 4*s.Owner.PollInterval, "owner.detect-timeout", "must be at least 4 times owner.poll-interval")
 	_, err := logrus.ParseLevel(s.Log.Level)
 	d.want(err == nil, "log.level", "must be one of error, warning, info, debug")
+	d.want(s.Log.Decisions >= 0, "log.decisions", "must not be negative")
 	d.want(s.Log.Format == "text" || s.Log.Format == "json", "log.format", "must be text or json")
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -48,8 +48,6 @@
 	Secret string `json:"secret"`
 	// Seeds are peer addresses to try while the platform's list is not known.
 	Seeds []netip.AddrPort `json:"seeds"`
-	// HeartbeatInterval is the time between two heartbeats to a peer.
-	HeartbeatInterval gypsumyard.Duration `json:"heartbeat-interval"`
 }
 
 // Operators tells who may operate the host.
@@ -85,6 +83,10 @@
 	Level string `json:"level"`
 	// Format is text or json.
 	Format string `json:"format"`
+	// Decisions is how many routing decisions there are to one that is logged.
+	// 1 logs all, 0 none. With all logged, a statement costs almost twice the
+	// processor time.
+	Decisions int `json:"decisions"`
 }
 
 // Default returns the settings that apply where a file says nothing.
@@ -95,7 +97,6 @@
 			CallBurst:      10,
 			CallTimeout:    gypsumyard.Duration(2 * time.Second),
 		},
-		Peers: Peers{HeartbeatInterval: gypsumyard.Duration(200 * time.Millisecond)},
 		Callers: Callers{
 			BufferPerConnection: 1 << 20,
 			BufferTotal:         256 << 20,
@@ -109,6 +110,6 @@
 			DetectTimeout:   gypsumyard.Duration(600 * time.Millisecond),
 			Promote:         true,
 		},
-		Log: Log{Level: "info", Format: "json"},
+		Log: Log{Level: "info", Format: "json", Decisions: 1},
 	}
 }
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -24,6 +24,9 @@
 	delivered func() bool
 	// lost is the last error of a try.
 	lost error
+	// unknown is the error of a try that may have run. No later refusal proves
+	// that the request did not run.
+	unknown error
 }
 
 func (s *Service) newAttempt(r *gypsumyard.Request, operation string) *attempt {
@@ -56,8 +59,11 @@
 				s.logger(a, host, n).Info("request is sent again")
 			}
 			err := s.runAt(a, host)
+			if err != nil && gypsumyard.ClassOf(err) == gypsumyard.ClassUnknown {
+				a.unknown = err
+			}
 			if err == nil || !a.repeatable(ctx, err) {
-				return publicError(err)
+				return a.final(err)
 			}
 			a.lost = err
 		case a.request.Transaction != "":
@@ -71,7 +77,7 @@
 		}
 		if !s.wait(ctx, a, changed) {
 			s.logger(a, host, n).Info("request is given up")
-			return publicError(a.lost)
+			return a.final(a.lost)
 		}
 	}
 }
@@ -176,6 +182,18 @@
 	return true
 }
 
+// final returns the error of the request when no more tries are made.
+func (a *attempt) final(err error) error {
+	if err == nil {
+		return nil
+	}
+	var e *gypsumyard.Error
+	if a.unknown != nil && errors.As(err, &e) && e.NotRun() {
+		return a.unknown
+	}
+	return publicError(err)
+}
+
 // publicError returns err as a caller may see it: classes that only mean
 // something between hosts become ClassNotRun with a time to come back.
 func publicError(err error) error {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -122,6 +122,8 @@
 		{"not owner in transaction", inTx, []string{"a"}, []error{fail(gypsumyard.ClassNotOwner), nil}, "", "b", gypsumyard.ClassNotRun},
 		{"load", write, []string{"a"}, []error{fail(gypsumyard.ClassLoad), nil}, "", "a", gypsumyard.ClassLoad},
 		{"plan", write, []string{"a"}, []error{fail(gypsumyard.ClassPlan), nil}, "", "a", gypsumyard.ClassPlan},
+		{"unknown read, then refused", read, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), fail(gypsumyard.ClassLoad)}, "", "aa", gypsumyard.ClassUnknown},
+		{"unknown read, then no owner", read, []string{"a", ""}, []error{fail(gypsumyard.ClassUnknown)}, "", "a", gypsumyard.ClassUnknown},
 		{"late owner", write, []string{"", "", "a"}, []error{nil}, "", "a", ""},
 		{"no owner", write, []string{""}, []error{nil}, "", "", gypsumyard.ClassNotRun},
 		{"holder gone", goneTx, []string{"a"}, []error{nil}, "", "", gypsumyard.ClassNotRun},
--- a/internal/emulate/environment.go
+++ b/internal/emulate/environment.go
@@ -58,9 +58,10 @@
 		o(&c)
 	}
 	e = &Environment{done: make(chan struct{})}
+	started := e
 	defer func() {
 		if err != nil {
-			e.closeEmulators()
+			started.closeEmulators()
 			err = fmt.Errorf("start emulators: %w", err)
 		}
 	}()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -216,6 +216,7 @@
 		owner.WithClock(h.clock),
 		owner.WithLogger(h.entry("owner")),
 		owner.WithMetrics(h.scope),
+		owner.WithLogEvery(h.settings.Log.Decisions),
 		owner.WithConfirmTimeout(time.Duration(s.ConfirmTimeout)),
 		owner.WithIdleLimit(time.Duration(s.IdleTransaction)),
 		owner.WithPollInterval(time.Duration(s.PollInterval), urgentPollInterval),
--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -220,13 +220,13 @@
 // end gives back the connection after an exchange outside a transaction, and
 // the slot.
 func (g *group) end(r *job, a *attempt, out *upstream.Outcome, err error) {
+	if errors.Is(err, upstream.ErrSilent) {
+		a.member.pool.Suspect()
+	}
 	switch {
 	case err == nil:
 		a.member.pool.Put(a.conn)
 	case out.Sent && !out.NotRun:
-		if errors.Is(err, upstream.ErrSilent) {
-			a.member.pool.Suspect()
-		}
 		a.member.pool.Abort(a.conn)
 	default:
 		a.member.pool.Discard(a.conn)
--- a/internal/promote/detector.go
+++ b/internal/promote/detector.go
@@ -135,7 +135,9 @@
 func (d *Detector) judge() (State, string) {
 	now := d.set.clock.Now()
 	silence := now.Sub(d.silentFrom)
-	if silence < suspectAfter {
+	// Databases without requests are polled every 200 ms: silence between two
+	// polls says nothing until one has failed.
+	if silence < suspectAfter || d.openFailed+d.freshFailed == 0 {
 		return StateHealthy, "answers"
 	}
 	limit, why := d.set.silence, "no witness hears it"
--- a/internal/promote/detector_test.go
+++ b/internal/promote/detector_test.go
@@ -62,6 +62,15 @@
 	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // the open connection went silent
 		d.OpenFailed()
 	}), time.Duration(0))
+	c := clock.NewFake(time.Unix(1000, 0))
+	idle := NewDetector(WithClock(c))
+	for range 20 { // polled every 200 ms, always answers
+		c.Advance(190 * time.Millisecond)
+		s, _ := idle.State()
+		is.Equal(s, StateHealthy)
+		c.Advance(10 * time.Millisecond)
+		idle.Answered()
+	}
 	is.Equal(deadAfter(func(d *Detector, now time.Duration) { // this host was paused for 2 s
 		if now < 2*time.Second {
 			return
