admit: expected waits leave out work that a request overtakes

Cause: at a crest, a customer's writes were refused early although they go before the customer's own reads at the primary: the estimate counted those reads as ahead. Change: the customer's work with more instances to choose from is not counted.

--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -80,7 +80,7 @@
 	k.class = c.classOf(k.class)
 	var levels [maxInstances]float64
 	if f.waiting > 0 {
-		f.fill(&levels, f.ahead(c, k), k)
+		f.fill(&levels, f.ahead(c, k), c, k)
 	}
 	for n, i := range f.instances {
 		if k.mask&i.fair.bit == 0 || !i.available {
@@ -121,11 +121,13 @@
 			total += a.work
 		}
 	}
-	if total == 0 {
+	later := c.workBehind(k)
+	total -= later
+	if total <= 0 {
 		return 0
 	}
 	n := length(k.long)
-	distance := max(c.virtual-f.virtual, 0) + c.backlog[n].time/c.weight
+	distance := max(c.virtual-f.virtual, 0) + max(c.backlog[n].time-later, 0)/c.weight
 	weight := f.weight[n]
 	if c.backlog[n].counted == 0 {
 		weight += c.weight
@@ -133,16 +135,34 @@
 	return min(1, distance*weight/total)
 }
 
+// workBehind returns the customer's work in the fair order that a new request
+// of its own overtakes, because that work has more instances to choose from.
+func (c *customer) workBehind(k kind) (work float64) {
+	for _, l := range c.lines {
+		if l.isBehind(k) {
+			work += l.work
+		}
+	}
+	return work
+}
+
+// isBehind reports whether a new request of the same customer and the kind is
+// served before the line.
+func (l *line) isBehind(k kind) bool {
+	return l.lane != nil && l.lane.kind.class == classFair && k.class == classFair && l.kind.long == k.long &&
+		bits.OnesCount64(l.kind.mask) > bits.OnesCount64(k.mask)
+}
+
 // fill spreads the work that is served before a request of the kind over the
 // instances, lanes with the smallest choice first, each to the instances that
 // have the least. Levels are in seconds of the instance's whole capacity.
-func (f *fair) fill(levels *[maxInstances]float64, fraction float64, k kind) {
+func (f *fair) fill(levels *[maxInstances]float64, fraction float64, c *customer, k kind) {
 	for choice := 1; choice <= len(f.instances); choice++ {
 		for _, a := range f.lanes {
 			if a.count == 0 || bits.OnesCount64(a.kind.mask) != choice || a.kind.class > k.class || a.kind.long != k.long {
 				continue
 			}
-			work := a.work
+			work := a.work - c.workIn(a, k)
 			if a.kind.class == classFair {
 				work *= fraction
 			}
@@ -151,6 +171,16 @@
 	}
 }
 
+// workIn returns the part of workBehind that is in the lane.
+func (c *customer) workIn(a *lane, k kind) (work float64) {
+	for _, l := range c.lines {
+		if l.lane == a && l.isBehind(k) {
+			work += l.work
+		}
+	}
+	return work
+}
+
 // pour adds work to the instances of the kind, in steps that keep their levels
 // close to each other.
 func (f *fair) pour(levels *[maxInstances]float64, work float64, k kind) {
