--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -184,6 +184,13 @@
 	return err
 }
 
+// An exchange is a request that an instance runs.
+type exchange struct {
+	conn   *upstream.Conn
+	member *member
+	write  bool
+}
+
 // exchange runs the request on the attempt's connection and makes it known to
 // CancelStatement meanwhile.
 func (g *group) exchange(ctx context.Context, r *job, a *attempt, ex *upstream.Exchange, sink gypsumyard.ResponseSink) (upstream.Outcome, error) {
@@ -194,12 +201,12 @@
 	sent := g.clock.Now()
 	ex.Working = func() bool { return g.answeredSince(a.member, sent) }
 	g.mu.Lock()
-	g.running[r.Session] = a.conn
+	g.running[r.Session] = exchange{a.conn, a.member, ex.Hold}
 	g.mu.Unlock()
 	out, err := a.conn.Run(ctx, ex, sink)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running[r.Session] == a.conn {
+	if g.running[r.Session].conn == a.conn {
 		delete(g.running, r.Session)
 	}
 	if out.Pre != nil {
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -47,7 +47,7 @@
 	// urgent counts the requests that wait for a position.
 	urgent       int
 	transactions map[string]*transaction
-	running      map[gypsumyard.SessionID]*upstream.Conn
+	running      map[gypsumyard.SessionID]exchange
 	inFlight     int
 	// meanRun is the smoothed run time of short statements.
 	meanRun     time.Duration
@@ -71,7 +71,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		transactions: map[string]*transaction{},
-		running:      map[gypsumyard.SessionID]*upstream.Conn{},
+		running:      map[gypsumyard.SessionID]exchange{},
 	}
 	if s.promoter != nil {
 		g.promoter = s.promoter(d)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -205,7 +205,7 @@
 		return nil
 	}
 	g.mu.Lock()
-	c := g.running[r.Session]
+	c := g.running[r.Session].conn
 	g.mu.Unlock()
 	if c == nil {
 		return nil
--- a/internal/owner/supervise.go
+++ b/internal/owner/supervise.go
@@ -78,11 +78,27 @@
 	}).Info("primary replaced")
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.expireWrites(name)
 	for _, m := range g.members {
 		m.poke()
 	}
 }
 
+// replacedBound is how long a replaced primary may take to answer the writes
+// that it was running.
+const replacedBound = 250 * time.Millisecond
+
+// expireWrites bounds the wait for writes that run on other instances than the
+// new primary. They cannot be confirmed any more, so their callers are told
+// that the outcome is unknown. It is called with the lock held.
+func (g *group) expireWrites(primary string) {
+	for _, e := range g.running {
+		if e.write && e.member.name != primary {
+			e.conn.Expire(replacedBound)
+		}
+	}
+}
+
 // probe asks hosts in other failure domains to read the status of an instance.
 func (g *group) probe(ctx context.Context, instance string) []Probe {
 	peers, err := kernel.Lookup[gypsumyard.Peers](g.service.kernel, "peer")
--- a/internal/scenario/work_test.go
+++ b/internal/scenario/work_test.go
@@ -123,10 +123,10 @@
 	cost  string
 }{{3 * time.Millisecond, "3ms"}, {3 * time.Millisecond, "100ms"}, {30 * time.Millisecond, "60ms"}, {60 * time.Millisecond, "200ms"}}
 
-// hangLimit is how long a request may go without any answer. An owner allows
-// statements of unknown or long run time 30 s of silence on a connection, and
-// sends a read once more.
-const hangLimit = 65 * time.Second
+// hangLimit is how long a request may go without any answer. An owner ends a
+// cancelled statement on a silent connection after 2 s, and one of known run
+// time after some seconds.
+const hangLimit = 20 * time.Second
 
 // askAndCancel cancels its request while it runs. A complete answer must be
 // the client's own all the same.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -65,9 +65,20 @@
 	c.closeOnce.Do(func() { _ = c.net.Close() })
 }
 
-// Cancel asks the instance to cancel the statement that the connection runs.
+// cancelBound is how long an instance may take to answer a cancelled statement.
+const cancelBound = 2 * time.Second
+
+// Expire makes an exchange that receives nothing within d end with ErrSilent.
+func (c *Conn) Expire(d time.Duration) {
+	// The connection may be closed already.
+	_ = c.net.SetReadDeadline(time.Now().Add(d))
+}
+
+// Cancel asks the instance to cancel the statement that the connection runs. A
+// connection that has gone silent does not answer that either.
 func (c *Conn) Cancel(ctx context.Context) error {
 	c.cancelled.Store(true)
+	c.Expire(cancelBound)
 	return cancelStatement(ctx, c.address, c.processID, c.secretKey)
 }
 
