--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -40,6 +41,21 @@
 	is.True(os.IsNotExist(err) || strings.Contains(err.Error(), "no such file"))
 }
 
+// Guards against settings that a program has written and none can read.
+func TestReadsWhatItWrites(t *testing.T) {
+	is := is.New(t)
+	archive, err := txtar.ParseFile("testdata/valid.txtar")
+	is.NoErr(err)
+	want, err := config.Parse("host.jsonc", archive.Files[0].Data)
+	is.NoErr(err)
+	want.Peers.Seeds = nil
+	data, err := json.Marshal(want)
+	is.NoErr(err)
+	got, err := config.Parse("host.json", data)
+	is.NoErr(err)
+	is.Equal(got, want)
+}
+
 // Guards against settings that make the parser panic.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(`{"host": {"name": "a"}, /* x */ "peers": {"seeds": ["127.0.0.1:1",]}}`))
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -99,6 +99,9 @@
 }
 
 func (d *decoder) decodeArray(path string, tree hujson.Value, v reflect.Value) {
+	if l, ok := tree.Value.(hujson.Literal); ok && string(l) == "null" {
+		return // as marshalled settings have it
+	}
 	array, ok := tree.Value.(*hujson.Array)
 	if !ok {
 		d.errorf(tree.StartOffset, "%s: want an array", path)
--- a/internal/slopes/client.go
+++ b/internal/slopes/client.go
@@ -129,22 +129,28 @@
 // the pacing and half of an exchange with a stand-in that answers with as many
 // bytes at once.
 func (l load) clientCost(conns int, answer []byte) (float64, error) {
+	pacing, both, err := l.echoCost(conns, answer)
+	return pacing + (both-pacing)/2, err
+}
+
+// echoCost measures what a load costs without connections, and with connections
+// to a stand-in that answers at once, in microseconds a second.
+func (l load) echoCost(conns int, answer []byte) (pacing, both float64, err error) {
 	s, err := startEcho(answer)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer s.close()
 	open, err := open(conns, func(int) (net.Conn, error) { return net.Dial("tcp", s.addr()) })
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer closeAll(open)
-	pacing, err := perSecond(func() error { return l.run(nil) })
-	if err != nil {
-		return 0, err
+	if pacing, err = perSecond(func() error { return l.run(nil) }); err != nil {
+		return 0, 0, err
 	}
-	both, err := perSecond(func() error { return l.run(open) })
-	return pacing + (both-pacing)/2, err
+	both, err = perSecond(func() error { return l.run(open) })
+	return pacing, both, err
 }
 
 // An echo answers each read with the same bytes.
--- a/internal/slopes/databases.go
+++ b/internal/slopes/databases.go
@@ -170,21 +170,7 @@
 // exchangeCost returns what a stand-in uses for that many exchanges a second.
 func exchangeCost(rate float64, conns int) (float64, error) {
 	l := load{query: queryBytes("SELECT * FROM group_status()"), rate: rate, time: window}
-	s, err := startEcho(rowAnswer)
-	if err != nil {
-		return 0, err
-	}
-	defer s.close()
-	open, err := open(conns, func(int) (net.Conn, error) { return net.Dial("tcp", s.addr()) })
-	if err != nil {
-		return 0, err
-	}
-	defer closeAll(open)
-	pacing, err := perSecond(func() error { return l.run(nil) })
-	if err != nil {
-		return 0, err
-	}
-	both, err := perSecond(func() error { return l.run(open) })
+	pacing, both, err := l.echoCost(conns, rowAnswer)
 	return (both - pacing) / 2, err
 }
 
