loopback, emulate/group: instances keep their ports while they are down

Cause: 1 of 3 runs of go test ./... failed (scenario sessions-move): a killed instance could not listen again, since its port lay in the range of outgoing connections and was taken meanwhile. Change: package loopback chooses ports below that range, for instances as well as for hosts and tests.

--- a/cmd/gypsumyard/main_test.go
+++ b/cmd/gypsumyard/main_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/gypsumyard/gypsumyard/internal/site"
+	"github.com/gypsumyard/gypsumyard/internal/loopback"
 	"github.com/jackc/pgx/v5"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -34,7 +34,7 @@
 // freePorts sets each named variable to a loopback address that is free.
 func freePorts(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		a, err := site.FreeAddress()
+		a, err := loopback.FreeAddress()
 		ts.Check(err)
 		ts.Setenv(name, a.String())
 	}
--- a/internal/emulate/group/instance.go
+++ b/internal/emulate/group/instance.go
@@ -14,6 +14,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/engine"
+	"github.com/gypsumyard/gypsumyard/internal/loopback"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -79,11 +80,7 @@
 	if in.running {
 		return nil
 	}
-	addr := "127.0.0.1:0"
-	if in.addr.IsValid() {
-		addr = in.addr.String()
-	}
-	l, err := net.Listen("tcp", addr)
+	l, err := listenAt(in.addr)
 	if err != nil {
 		return fmt.Errorf("instance %s: %w", in.name, err)
 	}
@@ -93,6 +90,14 @@
 	return nil
 }
 
+// listenAt listens at the address, or at a free one if it is not valid.
+func listenAt(addr netip.AddrPort) (*net.TCPListener, error) {
+	if !addr.IsValid() {
+		return loopback.Listen()
+	}
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+}
+
 // acceptPause follows a failure to accept, such as a lack of descriptors.
 const acceptPause = 10 * time.Millisecond
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -14,6 +14,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/store"
 	"github.com/gypsumyard/gypsumyard/internal/host"
+	"github.com/gypsumyard/gypsumyard/internal/loopback"
 )
 
 // peerSecret is shared by the hosts of a site on loopback.
@@ -125,7 +126,7 @@
 			*a = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), s.options.basePort+uint16(10*i+n))
 			continue
 		}
-		if *a, err = FreeAddress(); err != nil {
+		if *a, err = loopback.FreeAddress(); err != nil {
 			return l, err
 		}
 	}
