--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -15,7 +15,7 @@
 	// pause another host may own the databases.
 	pauseLimit = 600 * time.Millisecond
 	// refreshAfterPause is how long the membership is given to learn what has
-	// changed if it does not report when it was last refreshed.
+	// changed if it has not noticed the pause itself or does not tell.
 	refreshAfterPause = time.Second
 	// takeoverRate is the rate of customers while the previous owner may still
 	// be serving.
@@ -24,10 +24,10 @@
 	releaseBound = time.Second
 )
 
-// A refresher is a Membership that tells when it last heard from a majority of
-// the hosts that it watches.
+// A refresher is a Membership that tells since when its view is up to date
+// without a break, or false after a pause until a peer has answered.
 type refresher interface {
-	RefreshedAt() time.Time
+	FreshSince() (time.Time, bool)
 }
 
 // A rateSetter is an Admitter that can scale the rates of all customers.
@@ -262,16 +262,16 @@
 func (s *Service) watchPauses() {
 	defer s.work.Done()
 	last := s.clock.Now()
-	var resumed time.Time
+	var paused, resumed time.Time
 	for s.clock.Sleep(s.ctx, pauseTick) == nil {
 		now := s.clock.Now()
 		if now.Sub(last) > pauseLimit {
-			resumed = now
+			paused, resumed = last, now
 			s.setStale(true)
 			s.log.WithField("pause", now.Sub(last)).Warn("this host was paused")
 		}
 		last = now
-		if !resumed.IsZero() && s.refreshed(resumed, now) {
+		if !resumed.IsZero() && s.refreshed(paused, resumed, now) {
 			resumed = time.Time{}
 			s.reconcile()
 			s.setStale(false)
@@ -279,9 +279,18 @@
 	}
 }
 
-func (s *Service) refreshed(resumed, now time.Time) bool {
+// refreshed reports whether the membership has been seen since a pause. The
+// membership looks for pauses at other moments, so it may have missed a short
+// one: then its view counts after refreshAfterPause.
+func (s *Service) refreshed(paused, resumed, now time.Time) bool {
 	if r, ok := s.members.(refresher); ok {
-		return r.RefreshedAt().After(resumed)
+		since, fresh := r.FreshSince()
+		switch {
+		case !fresh:
+			return false
+		case since.After(paused):
+			return true
+		}
 	}
 	return now.Sub(resumed) >= refreshAfterPause
 }
