rendezvous: one place for the weights of rendezvous hashing

Cause: ownership and the push tree of the lists had two hash functions, and the comment that the pollers of the host list are the watchers of the lists was not true. Change: package rendezvous, used by both with the same key. Result: tests of member, planlist, caller and dispatch pass. Conclusion: the same three hosts of a region call the platform.

--- a/internal/caller/pgx_test.go
+++ b/internal/caller/pgx_test.go
@@ -129,7 +129,7 @@
 	count := func() int {
 		entries, err := os.ReadDir("/proc/self/fd")
 		if err != nil {
-			t.Skip(err)
+			t.Fatal(err)
 		}
 		return len(entries)
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/clock"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+	"github.com/gypsumyard/gypsumyard/internal/rendezvous"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 )
@@ -147,7 +148,7 @@
 	s.began, s.ticked = now, now
 	// The start time makes the incarnation higher than those of earlier
 	// processes of this name.
-	s.self = &record{host: self, incarnation: uint64(now.UnixMilli()), hash: hashName(self.Name), changed: now}
+	s.self = &record{host: self, incarnation: uint64(now.UnixMilli()), hash: rendezvous.HashName(self.Name), changed: now}
 	s.records[self.Name] = s.self
 	s.noteChange(s.self)
 	return s
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+	"github.com/gypsumyard/gypsumyard/internal/rendezvous"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
@@ -18,7 +19,7 @@
 		if h.Region != region || h.State != gypsumyard.HostLive {
 			continue
 		}
-		w := weight(hashName(h.Name), hashKey(database))
+		w := rendezvous.Weight(rendezvous.HashName(h.Name), rendezvous.HashKey(database))
 		if !ok || w > best || w == best && h.Name < owner.Name {
 			owner, best, ok = h, w, true
 		}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+	"github.com/gypsumyard/gypsumyard/internal/rendezvous"
 )
 
 const (
@@ -55,7 +56,7 @@
 	if r.leaving {
 		d++
 	}
-	return mix(d)
+	return rendezvous.Mix(d)
 }
 
 func (r *record) hostState() gypsumyard.HostState {
@@ -115,7 +116,7 @@
 	case !known && len(s.records) >= maxHosts:
 		return
 	case !known:
-		r = &record{hash: hashName(h.Name), heard: s.clock.Now()}
+		r = &record{hash: rendezvous.HashName(h.Name), heard: s.clock.Now()}
 		s.records[h.Name] = r
 	case u.Incarnation < r.incarnation:
 		return
--- a/internal/planlist/tree.go
+++ b/internal/planlist/tree.go
@@ -1,12 +1,12 @@
 package planlist
 
 import (
-	"hash/fnv"
 	"math"
 	"slices"
 	"strings"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/rendezvous"
 )
 
 const (
@@ -46,22 +46,12 @@
 	return pushTree{ranked: ranked, self: i}
 }
 
-// rank is the weight of a host in the rendezvous order for the lists.
-func rank(host string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(host))
-	h.Write([]byte("/plan-lists"))
-	return mix(h.Sum64())
-}
+// treeKey orders the hosts in the tree. The same hosts poll the platform's list
+// of hosts.
+const treeKey = "plan-lists"
 
-// mix spreads the bits of an FNV hash, whose high bits hardly depend on the
-// last bytes.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+func rank(host string) uint64 {
+	return rendezvous.Weight(rendezvous.HashName(host), rendezvous.HashKey(treeKey))
 }
 
 // watches reports whether this host watches the store.
