owner: a cancel request also ends a request that is not yet sent

Change: the cancel request is kept with the request, which is refused with 57014 before its next exchange.

--- a/internal/owner/execute.go
+++ b/internal/owner/execute.go
@@ -28,6 +28,9 @@
 	batch upstream.Batch
 	// attempts counts the exchanges.
 	attempts int
+	// cancelled indicates that the caller has cancelled the request. It is
+	// guarded by the lock of the group.
+	cancelled bool
 }
 
 // execute runs one request.
@@ -39,6 +42,7 @@
 	r := &job{Request: request, batch: batch}
 	ctx, cancel := g.bind(ctx, r)
 	defer cancel()
+	defer g.register(r)()
 	if r.Transaction != "" {
 		return g.continueTransaction(ctx, r, sink)
 	}
@@ -52,6 +56,21 @@
 	}
 }
 
+// register makes the request known to CancelStatement until the returned
+// function is called.
+func (g *group) register(r *job) (unregister func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.jobs[r.Session] = r
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.jobs[r.Session] == r {
+			delete(g.jobs, r.Session)
+		}
+	}
+}
+
 // bind adds the request's deadline and the end of the group to ctx.
 func (g *group) bind(ctx context.Context, r *job) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -201,6 +220,12 @@
 	sent := g.clock.Now()
 	ex.Working = func() bool { return g.answeredSince(a.member, sent) }
 	g.mu.Lock()
+	if r.cancelled {
+		// The cancel request came while the request was queued, or between two
+		// attempts.
+		g.mu.Unlock()
+		return upstream.Outcome{}, errCancelled
+	}
 	g.running[r.Session] = exchange{a.conn, a.member, ex.Hold}
 	g.mu.Unlock()
 	out, err := a.conn.Run(ctx, ex, sink)
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -48,6 +48,7 @@
 	urgent       int
 	transactions map[string]*transaction
 	running      map[gypsumyard.SessionID]exchange
+	jobs         map[gypsumyard.SessionID]*job
 	inFlight     int
 	// meanRun is the smoothed run time of short statements.
 	meanRun     time.Duration
@@ -72,6 +73,7 @@
 		cancel:       cancel,
 		transactions: map[string]*transaction{},
 		running:      map[gypsumyard.SessionID]exchange{},
+		jobs:         map[gypsumyard.SessionID]*job{},
 	}
 	if s.promoter != nil {
 		g.promoter = s.promoter(d)
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -205,6 +205,9 @@
 		return nil
 	}
 	g.mu.Lock()
+	if j := g.jobs[r.Session]; j != nil {
+		j.cancelled = true
+	}
 	c := g.running[r.Session].conn
 	g.mu.Unlock()
 	if c == nil {
