--- a/internal/scenario/wait_test.go
+++ b/internal/scenario/wait_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -102,9 +103,9 @@
 	if err != nil {
 		return err
 	}
-	p := g.Primary()
-	if p == nil {
-		return fmt.Errorf("%s has no primary", args[0])
+	p, err := w.primary(args[0])
+	if err != nil {
+		return err
 	}
 	if w.target.primary != p.Name() {
 		w.target.primary, w.target.position = p.Name(), p.Status().Applied
@@ -214,14 +215,10 @@
 
 // isTerm: DATABASE TERM. The primary's log is of that term.
 func isTerm(_ context.Context, w *world, args []string) error {
-	g, err := w.group(args[0])
+	p, err := w.primary(args[0])
 	if err != nil {
 		return err
 	}
-	p := g.Primary()
-	if p == nil {
-		return fmt.Errorf("%s has no primary", args[0])
-	}
 	if st := p.Status(); fmt.Sprint(st.Term()) != args[1] {
 		return fmt.Errorf("term of %s is %d", args[0], st.Term())
 	}
@@ -297,3 +294,16 @@
 	}
 	return err
 }
+
+// primary returns the instance of a database that accepts writes.
+func (w *world) primary(database string) (*group.Instance, error) {
+	g, err := w.group(database)
+	if err != nil {
+		return nil, err
+	}
+	p := g.Primary()
+	if p == nil {
+		return nil, fmt.Errorf("%s has no primary", database)
+	}
+	return p, nil
+}
