--- /dev/null
+++ b/cmd/gypsumyardd/main.go
@@ -0,0 +1,96 @@
+// Command gypsumyardd runs one host on the users' platform. It takes its
+// settings from the file that the platform names in its environment.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gypsumyard/gypsumyard/internal/linehost"
+	"github.com/gypsumyard/gypsumyard/internal/logs"
+	"github.com/gypsumyard/gypsumyard/platform"
+	"github.com/sirupsen/logrus"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	os.Exit(run(os.Args))
+}
+
+// run executes the command line and returns the exit code.
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().Run(ctx, args); err != nil {
+		fmt.Fprintln(os.Stderr, "gypsumyardd:", err)
+		return 1
+	}
+	return 0
+}
+
+func newCommand() *cli.Command {
+	settings := &cli.StringFlag{
+		Name:     "settings",
+		Usage:    "settings `FILE` of the platform",
+		Sources:  cli.EnvVars(platform.SettingsVariable),
+		Required: true,
+	}
+	return &cli.Command{
+		Name:  "gypsumyardd",
+		Usage: "run one host on the platform",
+		Flags: []cli.Flag{
+			settings,
+			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` of log lines", Value: "info"},
+		},
+		Action: serve,
+		Commands: []*cli.Command{{
+			Name:   "check",
+			Usage:  "check the settings file and exit",
+			Action: check,
+		}},
+	}
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	_, err := platform.LoadSettings(c.String("settings"))
+	return err
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	s, err := platform.LoadSettings(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	level, err := logrus.ParseLevel(c.String("log-level"))
+	if err != nil {
+		return err
+	}
+	out := logs.NewWriter(os.Stdout)
+	defer out.Close()
+	log := logs.New(out, level)
+	defer logReloads(log)()
+	h, err := linehost.New(s, linehost.WithLogger(log))
+	if err != nil {
+		return err
+	}
+	return h.Run(ctx)
+}
+
+// logReloads notes each request to reload. Nothing that the platform changes
+// in the settings of a running process is used after its start.
+func logReloads(log logrus.FieldLogger) (stop func()) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	go func() {
+		for range c {
+			log.Info("reload requested, settings stay")
+		}
+	}()
+	return func() {
+		signal.Stop(c)
+		close(c)
+	}
+}
--- a/errors.go
+++ b/errors.go
@@ -103,6 +103,9 @@
 	ErrNotFound = errors.New("not found")
 	// ErrUnavailable: the store did not take the call. Nothing was changed.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrHistoryGone: the store no longer holds the changes after the version
+	// of a watch; the objects must be listed again.
+	ErrHistoryGone = errors.New("history gone")
 	// ErrOutcomeUnknown: the call's answer was lost; an update may have taken
 	// effect.
 	ErrOutcomeUnknown = errors.New("outcome unknown")
--- /dev/null
+++ b/internal/catalog/registry.go
@@ -0,0 +1,140 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// registerRetry is the pause after a failed registration.
+	registerRetry = 300 * time.Millisecond
+	// leaveTimeout bounds the removal of the host's own entry.
+	leaveTimeout = time.Second
+)
+
+// A StaleLister lists objects at a lower price. What it returns may be seconds
+// old.
+type StaleLister interface {
+	ListStale(ctx context.Context, prefix string) ([]gypsumyard.Object, error)
+}
+
+// A Registry is the kernel service "platform". It keeps the entry of this host
+// in the store and lists those of all hosts. It implements
+// [gypsumyard.HostLister].
+type Registry struct {
+	store  gypsumyard.Store
+	lister StaleLister
+	prefix string
+	self   gypsumyard.Host
+	clock  gypsumyard.Clock
+	log    logrus.FieldLogger
+
+	stopping context.Context
+	stop     context.CancelFunc
+	work     sync.WaitGroup
+	done     chan struct{}
+}
+
+var _ gypsumyard.HostLister = (*Registry)(nil)
+
+// NewRegistry returns the registry of the host self. Entries are stored below
+// prefix.
+func NewRegistry(store gypsumyard.Store, lister StaleLister, prefix string, self gypsumyard.Host, log logrus.FieldLogger) *Registry {
+	r := &Registry{store: store, lister: lister, prefix: prefix, self: self, clock: clock.System(), log: log, done: make(chan struct{})}
+	r.stopping, r.stop = context.WithCancel(context.Background())
+	return r
+}
+
+// Name returns "platform".
+func (r *Registry) Name() string { return "platform" }
+
+// Needs returns nothing.
+func (r *Registry) Needs() []string { return nil }
+
+// Done returns a channel that is closed after Stop.
+func (r *Registry) Done() <-chan struct{} { return r.done }
+
+// Start begins to register the host. It goes on until the store has accepted
+// the entry.
+func (r *Registry) Start(context.Context, *kernel.Kernel) error {
+	r.work.Go(func() {
+		for r.stopping.Err() == nil {
+			err := r.register(r.stopping)
+			if err == nil {
+				r.log.WithField("address", r.self.Addr).Info("host registered")
+				return
+			}
+			r.log.WithError(err).Warn("host is not registered yet")
+			if r.clock.Sleep(r.stopping, registerRetry/2+rand.N(registerRetry)) != nil {
+				return
+			}
+		}
+	})
+	return nil
+}
+
+// Stop ends the registration.
+func (r *Registry) Stop(context.Context) error {
+	r.stop()
+	r.work.Wait()
+	close(r.done)
+	return nil
+}
+
+// register writes the host's entry, whatever an earlier process of the same
+// name has left.
+func (r *Registry) register(ctx context.Context) error {
+	value, err := json.Marshal(r.self)
+	if err != nil {
+		return fmt.Errorf("encode host: %w", err)
+	}
+	name := r.prefix + r.self.Name
+	_, err = r.store.Put(ctx, name, 0, value)
+	if !errors.Is(err, gypsumyard.ErrConflict) {
+		return err
+	}
+	old, err := r.store.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	if string(old.Value) == string(value) {
+		return nil
+	}
+	_, err = r.store.Put(ctx, name, old.Version, value)
+	return err
+}
+
+// Leave removes the host's entry. Other hosts learn of the end of this one from
+// its announcement; the entry would only cost them attempts to reach it.
+func (r *Registry) Leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return r.store.Delete(ctx, r.prefix+r.self.Name, 0)
+}
+
+// Hosts returns the registered hosts.
+func (r *Registry) Hosts(ctx context.Context) (hosts []gypsumyard.Host, err error) {
+	list, err := r.lister.ListStale(ctx, r.prefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, o := range list {
+		var h gypsumyard.Host
+		if err := json.Unmarshal(o.Value, &h); err != nil {
+			r.log.WithField("object", o.Name).WithError(err).Warn("entry names no host")
+			continue
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/internal/line/batch.go
@@ -0,0 +1,57 @@
+package line
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// A Batch is a statement with what an owner needs to run it. It is the content
+// of a [gypsumyard.Request] of the line protocol.
+type Batch struct {
+	Consistency   gypsumyard.Consistency
+	RoutePriority int
+	// ID and Text are those of the caller.
+	ID   string
+	Text string
+	// Prepared is what the name of EXECUTE stands for.
+	Prepared Prepared
+}
+
+// Marshal encodes the batch.
+func (b *Batch) Marshal() []byte {
+	out := make([]byte, 0, 64+len(b.ID)+len(b.Text)+len(b.Prepared.Shape))
+	out = binary.AppendVarint(out, int64(b.RoutePriority))
+	for _, s := range []string{string(b.Consistency), b.ID, b.Text, string(b.Prepared.Verb), b.Prepared.Shape} {
+		out = binary.AppendUvarint(out, uint64(len(s)))
+		out = append(out, s...)
+	}
+	return out
+}
+
+// UnmarshalBatch decodes what Marshal has encoded.
+func UnmarshalBatch(in []byte) (b Batch, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("decode batch: %w", err)
+		}
+	}()
+	n, size := binary.Varint(in)
+	if size <= 0 {
+		return b, ErrMalformed
+	}
+	b.RoutePriority = int(n)
+	in = in[size:]
+	var consistency, verb string
+	for _, s := range []*string{&consistency, &b.ID, &b.Text, &verb, &b.Prepared.Shape} {
+		n, size := binary.Uvarint(in)
+		if size <= 0 || n > uint64(len(in)-size) {
+			return b, ErrMalformed
+		}
+		*s = string(in[size : size+int(n)])
+		in = in[size+int(n):]
+	}
+	b.Consistency, b.Prepared.Verb = gypsumyard.Consistency(consistency), Verb(verb)
+	return b, nil
+}
--- /dev/null
+++ b/internal/line/errors.go
@@ -0,0 +1,75 @@
+package line
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+// A Code is the code of an error message.
+type Code string
+
+// The codes.
+const (
+	// Codes that promise that nothing of the attempt is kept.
+	CodeBusy      Code = "BUSY"
+	CodeAborted   Code = "ABORTED"
+	CodeLagging   Code = "LAGGING"
+	CodeReadOnly  Code = "READONLY"
+	CodeWrongNode Code = "WRONGNODE"
+	CodeTooMany   Code = "TOOMANY"
+	// CodeUnknown: there is no prepared statement of the name.
+	CodeUnknown Code = "UNKNOWN"
+	// CodeFailed: the statement ran and failed.
+	CodeFailed Code = "FAILED"
+	// CodeTimeout: the statement may have run.
+	CodeTimeout Code = "TIMEOUT"
+	// CodeInDoubt: a commit may have taken effect.
+	CodeInDoubt Code = "INDOUBT"
+	// CodeNoDatabase: there is no database of the name.
+	CodeNoDatabase Code = "NODATABASE"
+	// CodeMalformed: the message breaks the protocol.
+	CodeMalformed Code = "MALFORMED"
+)
+
+// NotRun reports whether an instance's answer with the code means that the
+// statement did not run.
+func (c Code) NotRun() bool {
+	switch c {
+	case CodeBusy, CodeUnknown, CodeLagging, CodeReadOnly, CodeWrongNode, CodeTooMany:
+		return true
+	}
+	return false
+}
+
+// An Error is an error message.
+type Error struct {
+	Code Code
+	Text string
+}
+
+// Error returns the code and the text.
+func (e *Error) Error() string { return string(e.Code) + " " + e.Text }
+
+// ParseError decodes the rest of an error message.
+func ParseError(rest string) *Error {
+	code, text, _ := strings.Cut(rest, " ")
+	return &Error{Code(code), text}
+}
+
+// FormatPosition returns the form in which the protocol carries a position.
+func FormatPosition(p gypsumyard.Position) string {
+	if p.IsZero() {
+		return "-"
+	}
+	return fmt.Sprintf("%d.%d", p.Term, p.Offset)
+}
+
+// ParsePosition parses the form that FormatPosition returns.
+func ParsePosition(s string) (gypsumyard.Position, error) {
+	if s == "-" {
+		return gypsumyard.Position{}, nil
+	}
+	return gypsumyard.ParsePosition(strings.Replace(s, ".", "/", 1))
+}
--- /dev/null
+++ b/internal/lineowner/conn.go
@@ -0,0 +1,266 @@
+package lineowner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/gypsumyard/gypsumyard/internal/tcp"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection with its start-up.
+	dialTimeout = time.Second
+	// readBuffer is the size of the buffer of a connection in bytes.
+	readBuffer = 4 << 10
+	// maxPrepared is how many prepared statements a connection keeps.
+	maxPrepared = 256
+	// ownID marks statements that the proxy issues itself.
+	ownID = "-"
+)
+
+// errEnded indicates that a connection was closed by the instance.
+var errEnded = errors.New("connection was closed by the instance")
+
+// An answer is what an instance says to one statement.
+type answer struct {
+	// raw holds the encoded rows and the message that ends them.
+	raw []byte
+	// failure is the error message, or nil.
+	failure *line.Error
+	// rows holds the rest of each row, for statements of the proxy itself.
+	rows []string
+	// state is 'I', 'T' or 'E'.
+	state byte
+	// position is that of the instance's log.
+	position gypsumyard.Position
+}
+
+// A conn is a connection to an instance. It is used by one goroutine at a time.
+type conn struct {
+	net net.Conn
+	in  *line.Reader
+	out []byte
+	// settings are the session values that the connection has.
+	settings map[string]string
+	// prepared maps what was prepared to its name on this connection.
+	prepared map[line.Prepared]string
+	// inTransaction indicates that the last answer left a transaction open.
+	inTransaction bool
+	// dirty indicates that the session values are not known.
+	dirty    bool
+	lastUsed time.Time
+	// epoch is that of the pool when the connection was opened.
+	epoch int
+}
+
+// dial opens a connection and starts a session. A refusal by the instance is a
+// *line.Error.
+func dial(ctx context.Context, i gypsumyard.ListedInstance, user string) (c *conn, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("dial instance %s at %s: %w", i.ID, i.Addr, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	n, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", i.Addr.String())
+	if err != nil {
+		return nil, err
+	}
+	c = &conn{net: n, in: line.NewReader(n, readBuffer), settings: map[string]string{}, prepared: map[line.Prepared]string{}}
+	defer c.bind(ctx)()
+	defer func() {
+		if err != nil {
+			c.close()
+		}
+	}()
+	if _, err := n.Write(line.Append(nil, line.WordStart, i.Group, user, i.ID)); err != nil {
+		return nil, err
+	}
+	m, err := c.in.Read()
+	if err != nil {
+		return nil, err
+	}
+	switch m.Word {
+	case line.WordReady:
+		return c, nil
+	case line.WordError:
+		return nil, line.ParseError(m.Rest)
+	}
+	return nil, fmt.Errorf("%w: %s in answer to start", line.ErrMalformed, m.Word)
+}
+
+// bind ends the use of the connection with ctx until the returned function is
+// called.
+func (c *conn) bind(ctx context.Context) (unbind func()) {
+	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
+	return func() { stop() }
+}
+
+func (c *conn) close() { _ = c.net.Close() }
+
+// An exchange is one statement with what must be set on the connection first.
+type exchange struct {
+	// setup holds statements of the proxy that cannot fail on a working
+	// connection.
+	setup []string
+	id    string
+	text  string
+	// keepRows asks for the rows of a statement of the proxy.
+	keepRows bool
+}
+
+// run sends the statement and reads its answer. It reports whether a byte may
+// have reached the instance. After an error the connection must be closed.
+func (c *conn) run(ctx context.Context, x exchange) (a answer, sent bool, err error) {
+	if ctx.Err() != nil {
+		return a, false, context.Cause(ctx)
+	}
+	defer c.bind(ctx)()
+	c.out = c.out[:0]
+	for _, s := range x.setup {
+		c.out = line.Append(c.out, line.WordQuery, ownID, s)
+	}
+	c.out = line.Append(c.out, line.WordQuery, x.id, x.text)
+	n, err := c.net.Write(c.out)
+	if err != nil {
+		return a, n > 0, cause(ctx, err)
+	}
+	for range x.setup {
+		s, err := c.answer(false)
+		if err != nil {
+			return a, true, cause(ctx, err)
+		}
+		if s.failure != nil {
+			return a, true, fmt.Errorf("set up the connection: %w", s.failure)
+		}
+	}
+	a, err = c.answer(x.keepRows)
+	c.inTransaction = a.state == 'T' || a.state == 'E'
+	return a, true, cause(ctx, err)
+}
+
+// cause prefers the end of ctx to the error that it has caused.
+func cause(ctx context.Context, err error) error {
+	if err != nil && ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// answer reads one answer up to the message that ends it.
+func (c *conn) answer(keepRows bool) (a answer, err error) {
+	ended := false
+	for {
+		m, err := c.in.Read()
+		if errors.Is(err, io.EOF) {
+			return a, errEnded
+		}
+		if err != nil {
+			return a, err
+		}
+		switch m.Word {
+		case line.WordRow:
+			if keepRows {
+				a.rows = append(a.rows, m.Rest)
+			}
+		case line.WordComplete:
+			ended = true
+		case line.WordError:
+			ended = true
+			a.failure = line.ParseError(m.Rest)
+		case line.WordReady:
+			if !ended {
+				return a, fmt.Errorf("%w: answer ends without a result", line.ErrMalformed)
+			}
+			return a, a.ready(m)
+		default:
+			return a, fmt.Errorf("%w: %s in an answer", line.ErrMalformed, m.Word)
+		}
+		a.raw = line.Append(a.raw, m.Word, m.Rest)
+	}
+}
+
+func (a *answer) ready(m line.Message) (err error) {
+	f := m.Fields(2)
+	if len(f) != 2 || len(f[0]) != 1 {
+		return fmt.Errorf("%w: %s %s", line.ErrMalformed, m.Word, m.Rest)
+	}
+	a.state = f[0][0]
+	a.position, err = line.ParsePosition(f[1])
+	return err
+}
+
+// prepare returns the statements that give the connection the session values,
+// and the name under which p is prepared.
+func (c *conn) prepare(settings []gypsumyard.Setting, p line.Prepared) (setup []string, name string) {
+	if c.needsReset(settings) {
+		setup = append(setup, "RESET")
+		clear(c.settings)
+		clear(c.prepared)
+		c.dirty = false
+	}
+	for _, s := range settings {
+		if v, ok := c.settings[s.Name]; !ok || v != s.Value {
+			setup = append(setup, "SET "+s.Name+" "+s.Value)
+			c.settings[s.Name] = s.Value
+		}
+	}
+	if p.Verb == "" {
+		return setup, ""
+	}
+	name, ok := c.prepared[p]
+	if !ok {
+		name = "p" + strconv.Itoa(len(c.prepared))
+		setup = append(setup, "PREPARE "+name+" "+string(p.Verb)+" "+p.Shape)
+		c.prepared[p] = name
+	}
+	return setup, name
+}
+
+// needsReset reports whether the connection has session values that the session
+// lacks, or too many prepared statements.
+func (c *conn) needsReset(settings []gypsumyard.Setting) bool {
+	if c.dirty || len(c.prepared) >= maxPrepared {
+		return true
+	}
+	known := 0
+	for _, s := range settings {
+		if _, ok := c.settings[s.Name]; ok {
+			known++
+		}
+	}
+	return known < len(c.settings)
+}
+
+// alive looks without waiting whether the instance has closed the connection or
+// has sent something that nobody asked for.
+func (c *conn) alive() bool {
+	if c.in.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && alive
+}
--- /dev/null
+++ b/internal/lineowner/elect.go
@@ -0,0 +1,419 @@
+package lineowner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// superviseInterval is the time between two looks at the primary.
+	superviseInterval = 50 * time.Millisecond
+	// silentFor is how long a primary must be silent before it is replaced,
+	// refusedFor how long if nothing listens at its address.
+	silentFor  = 500 * time.Millisecond
+	refusedFor = 150 * time.Millisecond
+	// stuckFor is how long the replicas must not have received what the
+	// primary has written before it is replaced.
+	stuckFor = 800 * time.Millisecond
+	// electionPause is the pause after an election that failed.
+	electionPause = 200 * time.Millisecond
+	// calmAfter is the pause after a promotion, in which the new primary and
+	// its replicas find each other.
+	calmAfter = 2 * time.Second
+	// orderTimeout bounds an order to an instance.
+	orderTimeout = 300 * time.Millisecond
+	// fenceAge is how old the answers to the fencing orders may be when the
+	// order to promote leaves. This process may have been suspended meanwhile.
+	fenceAge = 1500 * time.Millisecond
+	// promotedWithin is how long a promotion may take until the instance shows
+	// it.
+	promotedWithin = 3 * time.Second
+	// claimTimeout bounds the claim of a generation.
+	claimTimeout = 800 * time.Millisecond
+	// handOverPatience is how long open transactions of a leaving primary may
+	// go on before it is replaced.
+	handOverPatience = 1500 * time.Millisecond
+	// handOverCheck is the pause between two looks at them.
+	handOverCheck = 10 * time.Millisecond
+	// demoteEvery is the time between two orders to a primary of an old term.
+	demoteEvery = 500 * time.Millisecond
+)
+
+var (
+	errTooFewFenced = errors.New("too few instances are fenced")
+	errFenceOld     = errors.New("answers to the fencing orders are too old")
+	errNotPromoted  = errors.New("instance does not show its promotion")
+)
+
+// An election is the state of the search for a new primary. Only supervise uses
+// it.
+type election struct {
+	// notBefore is when the next one may begin.
+	notBefore time.Time
+	// leaderless is since when no instance has led.
+	leaderless time.Time
+	// behind is since when no replica has received what the primary has
+	// written, and mark what was missing.
+	behind time.Time
+	mark   gypsumyard.Position
+	// demotedAt is when a primary of an old term was last told to step down.
+	demotedAt time.Time
+}
+
+// A cause tells why a primary is replaced.
+type electionCause struct {
+	reason string
+	// planned indicates that the primary works and leaves.
+	planned bool
+	primary *instance
+}
+
+// supervise replaces the primary when it has failed or leaves.
+func (g *group) supervise() {
+	for g.clock.Sleep(g.ctx, superviseInterval) == nil {
+		g.mu.Lock()
+		owned := g.owned.Err() == nil
+		var why electionCause
+		if owned {
+			why = g.judge(g.clock.Now())
+		}
+		old := g.outdatedPrimary()
+		g.mu.Unlock()
+		if old != nil && owned {
+			g.demote(old)
+		}
+		if why.reason == "" || g.clock.Now().Before(g.election.notBefore) {
+			continue
+		}
+		g.elect(why)
+	}
+}
+
+// judge decides whether the primary must be replaced. It is called with the
+// lock held.
+func (g *group) judge(now time.Time) (why electionCause) {
+	e := &g.election
+	if len(g.instances) == 0 {
+		return why
+	}
+	p := g.primary()
+	if p == nil {
+		return g.judgeLeaderless(now)
+	}
+	e.leaderless = time.Time{}
+	switch {
+	case p.listed.Leaving && g.successor(p):
+		return electionCause{"the primary is leaving", true, p}
+	case g.heldReplicas(p):
+		return electionCause{"replicas are held for a later term", false, p}
+	case g.stuck(p, now):
+		return electionCause{"replicas do not receive the log of the primary", false, p}
+	}
+	return why
+}
+
+// judgeLeaderless decides while no reachable instance claims the newest term.
+func (g *group) judgeLeaderless(now time.Time) (why electionCause) {
+	e := &g.election
+	if e.leaderless.IsZero() {
+		e.leaderless = now
+	}
+	patience := silentFor
+	for _, i := range g.instances {
+		switch {
+		case !i.known && i.silentSince.IsZero():
+			return why // Not asked yet.
+		case i == g.leading && !i.silentSince.IsZero():
+			e.leaderless = earlier(e.leaderless, i.silentSince)
+			if i.refused {
+				patience = refusedFor
+			}
+		}
+	}
+	if now.Sub(e.leaderless) < patience {
+		return why
+	}
+	return electionCause{reason: "no instance leads", primary: g.leading}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// successor reports whether another instance than p could take over. It is
+// called with the lock held.
+func (g *group) successor(p *instance) bool {
+	for _, i := range g.instances {
+		if i != p && i.usable() && i.status.role == gypsumyard.RoleReplica {
+			return true
+		}
+	}
+	return false
+}
+
+// heldReplicas reports whether an election was begun and not finished: a
+// replica that is held receives nothing until a promotion. It is called with
+// the lock held.
+func (g *group) heldReplicas(p *instance) bool {
+	for _, i := range g.instances {
+		if i != p && i.known && i.reachable && i.status.held > p.status.term {
+			return true
+		}
+	}
+	return false
+}
+
+// stuck reports whether the primary has written something that no replica has
+// received for a while, although replicas answer. Its commits are not
+// acknowledged then. It is called with the lock held.
+func (g *group) stuck(p *instance, now time.Time) bool {
+	e := &g.election
+	var best gypsumyard.Position
+	replicas := 0
+	for _, i := range g.instances {
+		if i == p || !i.usable() || i.status.role != gypsumyard.RoleReplica {
+			continue
+		}
+		replicas++
+		if i.status.received.Compare(best) > 0 {
+			best = i.status.received
+		}
+	}
+	if g.settings.SyncReplicas == 0 || replicas == 0 || best.Compare(p.status.received) >= 0 || e.behind.IsZero() || best.Compare(e.mark) > 0 {
+		e.behind, e.mark = now, best
+		return false
+	}
+	return now.Sub(e.behind) >= stuckFor
+}
+
+// outdatedPrimary returns an instance that claims to lead in an old term, if it
+// may be told again. It is called with the lock held.
+func (g *group) outdatedPrimary() *instance {
+	p, _ := g.lead()
+	if p == nil || g.clock.Since(g.election.demotedAt) < demoteEvery {
+		return nil
+	}
+	for _, i := range g.instances {
+		if i != p && i.known && i.reachable && i.status.role == gypsumyard.RolePrimary && i.status.term < p.status.term {
+			return i
+		}
+	}
+	return nil
+}
+
+// demote tells a primary of an old term to step down.
+func (g *group) demote(i *instance) {
+	g.mu.Lock()
+	term := g.leadingTerm
+	g.mu.Unlock()
+	g.election.demotedAt = g.clock.Now()
+	_, _, err := i.orders.order(g.ctx, fmt.Sprintf("DEMOTE %d", term), orderTimeout)
+	g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "term": term}).WithError(err).Info("primary of an old term was told to step down")
+}
+
+// elect replaces the primary.
+func (g *group) elect(why electionCause) {
+	began := g.clock.Now()
+	log := g.log.WithField("reason", why.reason)
+	if why.primary != nil {
+		log = log.WithField("primary", why.primary.listed.ID)
+	}
+	log.Info("election begins")
+	g.metrics.elections.Inc(1)
+	if why.planned {
+		defer g.handOver(why.primary)()
+	}
+	chosen, err := g.electOnce()
+	e := &g.election
+	e.behind, e.leaderless = time.Time{}, time.Time{}
+	if err != nil {
+		e.notBefore = g.clock.Now().Add(electionPause)
+		log.WithError(err).Warn("election failed")
+		return
+	}
+	e.notBefore = g.clock.Now().Add(calmAfter)
+	log.WithFields(logrus.Fields{"instance": chosen.listed.ID, "took": g.clock.Since(began)}).Info("election ends")
+	g.metrics.promotions.Inc(1)
+}
+
+// handOver holds back new work of a leaving primary and gives its open
+// transactions time to end. The returned function ends the hold.
+func (g *group) handOver(p *instance) (resume func()) {
+	g.mu.Lock()
+	g.handingOver = true
+	g.mu.Unlock()
+	end := g.clock.Now().Add(handOverPatience)
+	for g.clock.Now().Before(end) && g.clock.Sleep(g.ctx, handOverCheck) == nil {
+		g.mu.Lock()
+		busy := p.running
+		for _, t := range g.transactions {
+			if t.instance == p && !t.readOnly {
+				busy++
+			}
+		}
+		g.mu.Unlock()
+		if busy == 0 {
+			break
+		}
+	}
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.handingOver = false
+		g.broadcast()
+	}
+}
+
+// A fenced instance has accepted a fencing order.
+type fenced struct {
+	instance *instance
+	status   status
+	at       time.Time
+}
+
+// electOnce fences enough instances, chooses the one with the longest log and
+// has the platform promote it.
+func (g *group) electOnce() (chosen *instance, err error) {
+	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
+	defer cancel()
+	generation, err := g.service.claims.take(ctx, g.name)
+	if err != nil {
+		return nil, err
+	}
+	term, instances := g.nextTerm()
+	answers := g.fence(instances, term)
+	needed := fencesNeeded(len(instances), g.syncReplicas())
+	if len(answers) < needed {
+		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(instances), needed)
+	}
+	fencedAt := g.clock.Now()
+	best, err := choose(answers)
+	if err != nil {
+		return nil, err
+	}
+	g.log.WithFields(logrus.Fields{
+		"term": term, "generation": generation, "fenced": len(answers), "needed": needed,
+		"instance": best.instance.listed.ID, "received": best.status.received.String(),
+	}).Info("instance chosen to lead")
+	if err := g.clock.Sleep(g.ctx, fenceWait); err != nil {
+		return nil, err
+	}
+	if g.clock.Since(fencedAt) > fenceAge {
+		return nil, errFenceOld
+	}
+	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.listed.ID, Holder: g.service.self, Generation: generation}
+	err = g.service.promotions.Promote(g.ctx, o)
+	g.log.WithFields(logrus.Fields{"instance": o.Instance, "generation": generation}).WithError(err).Info("promotion ordered")
+	if err != nil && !errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
+		return nil, err
+	}
+	return best.instance, g.awaitPromoted(best.instance, term)
+}
+
+func (g *group) syncReplicas() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.settings.SyncReplicas
+}
+
+// nextTerm returns a term above all that any instance has shown, and the
+// instances.
+func (g *group) nextTerm() (term gypsumyard.Term, instances []*instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, i := range g.instances {
+		term = max(term, i.status.term, i.status.held)
+	}
+	return term + 1, append(instances, g.instances...)
+}
+
+// fence tells replicas to receive nothing and primaries to step down. It
+// returns the answers of those that have done so for the term.
+func (g *group) fence(instances []*instance, term gypsumyard.Term) (answers []fenced) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, i := range instances {
+		wg.Go(func() {
+			at := g.clock.Now()
+			s, err := g.fenceOne(i, term)
+			if err != nil {
+				g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "term": term}).WithError(err).Warn("instance is not fenced")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, fenced{i, s, at})
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+func (g *group) fenceOne(i *instance, term gypsumyard.Term) (s status, err error) {
+	at := g.clock.Now()
+	g.mu.Lock()
+	leads := i.known && i.status.role == gypsumyard.RolePrimary
+	g.mu.Unlock()
+	orders := []string{fmt.Sprintf("PAUSE %d", term)}
+	if leads {
+		orders = []string{fmt.Sprintf("DEMOTE %d", term), fmt.Sprintf("PAUSE %d", term)}
+	}
+	for _, o := range orders {
+		s, _, err = i.orders.order(g.ctx, o, orderTimeout)
+		if err != nil {
+			s, _, err = i.orders.order(g.ctx, o, orderTimeout) // Over a fresh connection.
+		}
+		if err != nil {
+			return s, err
+		}
+	}
+	if s.role == gypsumyard.RolePrimary || s.held < term && !leads {
+		return s, fmt.Errorf("it is a %s held for term %d", s.role, s.held)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.takeStatus(i, at, s)
+	return s, nil
+}
+
+// choose returns the fenced instance with the longest log. One that leaves is
+// chosen only if all others lack records that it has.
+func choose(answers []fenced) (best fenced, err error) {
+	for _, f := range answers {
+		c := f.status.received.Compare(best.status.received)
+		if best.instance == nil || c > 0 || c == 0 && preferred(f, best) {
+			best = f
+		}
+	}
+	if best.instance == nil {
+		return best, errTooFewFenced
+	}
+	return best, nil
+}
+
+// preferred orders instances of equal logs: those that stay go first, then the
+// order is fixed, so that two hosts choose the same.
+func preferred(a, b fenced) bool {
+	if a.instance.listed.Leaving != b.instance.listed.Leaving {
+		return !a.instance.listed.Leaving
+	}
+	return a.instance.listed.ID < b.instance.listed.ID
+}
+
+// awaitPromoted waits until the instance shows that it leads.
+func (g *group) awaitPromoted(i *instance, term gypsumyard.Term) error {
+	ctx, cancel := context.WithTimeoutCause(g.ctx, promotedWithin, errNotPromoted)
+	defer cancel()
+	return g.await(ctx, func() bool {
+		return i.status.role == gypsumyard.RolePrimary && i.status.term >= term
+	})
+}
--- /dev/null
+++ b/internal/lineowner/execute.go
@@ -0,0 +1,248 @@
+package lineowner
+
+import (
+	"context"
+	"errors"
+	"hash/maphash"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// retryPause is the pause before a statement that an instance has refused
+	// is sent again.
+	retryPause = 15 * time.Millisecond
+	// maxQueue is how many requests of one route may wait for a slot.
+	maxQueue = 1000
+)
+
+// A job is a request that is being executed.
+type job struct {
+	*gypsumyard.Request
+	line.Batch
+	// arrived is when the request reached this host.
+	arrived time.Time
+	// refused holds the instances that are not to be tried again.
+	refused map[string]bool
+	// tried counts the statements sent.
+	tried int
+}
+
+// execute runs one request.
+func (g *group) execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	batch, err := line.UnmarshalBatch(r.Messages)
+	if err != nil {
+		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassProtocol, "%w", err)
+	}
+	j := &job{Request: r, Batch: batch, arrived: g.clock.Now(), refused: map[string]bool{}}
+	ctx, cancel := g.bind(ctx, r)
+	defer cancel()
+	if r.Transaction != "" {
+		return g.continueTransaction(ctx, j, sink)
+	}
+	waiting, release := g.whileOwned(ctx)
+	defer release()
+	for {
+		res, again, err := g.attempt(ctx, waiting, j, sink)
+		if !again {
+			return res, err
+		}
+		g.log.WithFields(g.fields(j)).WithError(err).Debug("statement is tried again")
+		if e := g.clock.Sleep(waiting, retryPause); e != nil {
+			return res, notRun(err)
+		}
+	}
+}
+
+// bind adds the request's deadline and the end of the group to ctx.
+func (g *group) bind(ctx context.Context, r *gypsumyard.Request) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	unlink := context.AfterFunc(g.ctx, func() { cancel(errStopped) })
+	if r.Deadline.IsZero() {
+		return ctx, func() { unlink(); cancel(nil) }
+	}
+	ctx, stop := context.WithTimeoutCause(ctx, r.Deadline.Sub(g.clock.Now()), errTimeout)
+	return ctx, func() { stop(); unlink(); cancel(nil) }
+}
+
+// whileOwned returns a context for the waits before the request is sent. It
+// ends with the ownership of the group.
+func (g *group) whileOwned(ctx context.Context) (context.Context, func()) {
+	g.mu.Lock()
+	owned := g.owned
+	g.mu.Unlock()
+	ctx, cancel := context.WithCancelCause(ctx)
+	unlink := context.AfterFunc(owned, func() { cancel(context.Cause(owned)) })
+	return ctx, func() { unlink(); cancel(nil) }
+}
+
+// attempt makes one attempt at a request outside a transaction. It reports
+// whether the request did not run and may be tried again.
+func (g *group) attempt(ctx, waiting context.Context, j *job, sink gypsumyard.ResponseSink) (res gypsumyard.Result, again bool, err error) {
+	p, err := g.place(waiting, j)
+	if err != nil {
+		return res, false, notRun(err)
+	}
+	u, err := g.admit(waiting, j, p.targets)
+	if err != nil {
+		return res, false, notRun(err)
+	}
+	defer u.release()
+	u.conn, err = u.instance.pool.get(waiting, j.Settings)
+	if err != nil {
+		j.refused[u.instance.listed.ID] = true
+		return res, waiting.Err() == nil && !errors.Is(err, errNoMoreConns), notRun(err)
+	}
+	if opensTransaction(j.Class) {
+		return g.beginTransaction(ctx, j, u, p, sink)
+	}
+	return g.runSingle(ctx, j, u, p, sink)
+}
+
+func opensTransaction(c gypsumyard.StatementClass) bool {
+	return c == gypsumyard.StatementBegin || c == gypsumyard.StatementBeginRead
+}
+
+// reads reports whether the request changes nothing.
+func (j *job) reads() bool {
+	return j.Class == gypsumyard.StatementRead || j.Class == gypsumyard.StatementBeginRead
+}
+
+// A use is the use of a slot of an instance and of a connection to it.
+type use struct {
+	group    *group
+	job      *job
+	grant    gypsumyard.Grant
+	instance *instance
+	conn     *conn
+	began    time.Time
+	ran      bool
+	released bool
+}
+
+// admit waits for a slot at one of the targets.
+func (g *group) admit(ctx context.Context, j *job, targets []gypsumyard.Target) (u *use, err error) {
+	mean, long := g.learner.Expected(j.shape())
+	t := gypsumyard.Ticket{
+		Customer:      j.Customer,
+		Plan:          gypsumyard.Plan{Name: "route", Share: 1, Limit: 1, Priority: true, MaxQueue: maxQueue},
+		Priority:      j.RoutePriority == g.topPriority,
+		Long:          long,
+		InTransaction: j.Transaction != "",
+		Expected:      mean,
+		Deadline:      j.Deadline,
+		Targets:       targets,
+	}
+	grant, err := g.admitter.Acquire(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	g.metrics.queueWait.Record(grant.Waited)
+	u = &use{group: g, job: j, grant: grant, began: g.clock.Now()}
+	g.mu.Lock()
+	u.instance = g.find(grant.Target.Instance)
+	if u.instance != nil {
+		u.instance.running++
+	}
+	g.mu.Unlock()
+	if u.instance == nil {
+		g.admitter.Release(grant, 0)
+		return nil, gypsumyard.Errorf(gypsumyard.ClassNotRun, "instance %s is gone", grant.Target.Instance)
+	}
+	return u, nil
+}
+
+// release gives back the slot.
+func (u *use) release() {
+	if u.released {
+		return
+	}
+	u.released = true
+	g := u.group
+	used := time.Duration(0)
+	g.mu.Lock()
+	u.instance.running--
+	if u.ran {
+		used = max(g.clock.Since(u.began)-u.instance.roundTrip, time.Microsecond)
+	}
+	g.mu.Unlock()
+	g.admitter.Release(u.grant, used)
+	if u.ran {
+		g.learner.Observe(u.job.shape(), used)
+		g.metrics.runTime.Record(used)
+	}
+}
+
+// shape identifies statements that run about equally long.
+func (j *job) shape() uint64 {
+	return maphash.String(shapeSeed, j.Customer+" "+string(j.Class))
+}
+
+var shapeSeed = maphash.MakeSeed()
+
+// run sends the statement over the connection of the use. The statement ends
+// early with errUnreachable if patient is false and the instance becomes
+// unreachable.
+func (g *group) run(ctx context.Context, j *job, u *use, prefix string, patient bool) (a answer, sent bool, err error) {
+	if !patient {
+		g.mu.Lock()
+		alive := u.instance.alive
+		g.mu.Unlock()
+		bound, cancel := context.WithCancelCause(ctx)
+		defer cancel(nil)
+		defer context.AfterFunc(alive, func() { cancel(errUnreachable) })()
+		ctx = bound
+	}
+	setup, name := u.conn.prepare(j.Settings, j.Prepared)
+	text := j.Text
+	if name != "" {
+		s, err := line.Parse(j.Text)
+		if err != nil {
+			return a, false, err
+		}
+		text = string(line.Execute) + " " + name + " " + s.Arguments
+	}
+	j.tried++
+	a, sent, err = u.conn.run(ctx, exchange{setup: setup, id: j.ID, text: prefix + text})
+	if err != nil {
+		return a, sent, err
+	}
+	u.ran = a.failure == nil
+	g.mu.Lock()
+	u.instance.noteApplied(a.position)
+	g.mu.Unlock()
+	return a, sent, nil
+}
+
+// fields are those that lines about a request carry.
+func (g *group) fields(j *job) logrus.Fields {
+	return logrus.Fields{
+		"request": j.ID, "session": j.Session, "route": j.Customer, "class": j.Class, "tried": j.tried,
+		"waited": g.clock.Since(j.arrived),
+	}
+}
+
+// notRun classifies an error before which nothing was sent.
+func notRun(err error) error {
+	var e *gypsumyard.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return gypsumyard.Errorf(gypsumyard.ClassNotRun, "%w", err)
+}
+
+// unknown classifies an error after which the statement may have run.
+func unknown(err error) error {
+	return gypsumyard.Errorf(gypsumyard.ClassUnknown, "%w", err)
+}
+
+// deliver writes the answer.
+func deliver(sink gypsumyard.ResponseSink, a answer) error {
+	if _, err := sink.Write(a.raw); err != nil {
+		return unknown(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lineowner/instance.go
@@ -0,0 +1,223 @@
+package lineowner
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// pollInterval is the time between two status requests to an instance of a
+	// group that is in use, quietInterval that of one that is not.
+	pollInterval  = 150 * time.Millisecond
+	quietInterval = 500 * time.Millisecond
+	// quietAfter is how long a group has had no requests when it counts as not
+	// in use.
+	quietAfter = 3 * time.Second
+	// minPollGap is the least time between two status requests, however many
+	// requests wait for news.
+	minPollGap = 25 * time.Millisecond
+	// pollTimeout bounds a status request. An instance that misses one on the
+	// open connection and one on a fresh connection is unreachable.
+	pollTimeout = 300 * time.Millisecond
+	// smoothing is the weight of a new sample in the average round trip.
+	smoothing = 0.2
+)
+
+// errUnreachable is the cause with which work on a silent instance is given up.
+var errUnreachable = errors.New("instance does not answer")
+
+// An instance is one upstream of a group. The lock of the group guards all
+// fields from known on.
+type instance struct {
+	listed gypsumyard.ListedInstance
+	pool   *pool
+	// orders carries the orders of promotions. Only the election uses it.
+	orders control
+	kick   chan struct{}
+	cancel context.CancelFunc
+
+	// known indicates that status has been read.
+	known  bool
+	status status
+	// sampledAt is when the request was sent that returned status.
+	sampledAt time.Time
+	// applied is the highest position that any answer has shown in the log.
+	applied   gypsumyard.Position
+	reachable bool
+	// silentSince is when the first of the unanswered requests was sent.
+	silentSince time.Time
+	// refused indicates that nothing listened at the address.
+	refused   bool
+	roundTrip time.Duration
+	running   int
+	pinned    int
+	// alive ends when the instance becomes unreachable.
+	alive   context.Context
+	giveUp  context.CancelCauseFunc
+	leaving time.Time
+}
+
+func (g *group) newInstance(l gypsumyard.ListedInstance) *instance {
+	ctx, cancel := context.WithCancel(g.ctx)
+	i := &instance{
+		listed: l,
+		pool:   newPool(l, g.service.self, g.clock),
+		orders: control{instance: l, user: g.service.self},
+		kick:   make(chan struct{}, 1),
+		cancel: cancel,
+	}
+	i.alive, i.giveUp = context.WithCancelCause(context.Background())
+	g.work.Go(func() { g.watch(ctx, i) })
+	return i
+}
+
+// retire ends the use of an instance that is no longer listed.
+func (i *instance) retire() {
+	i.cancel()
+	i.pool.close()
+}
+
+// watch polls the status of the instance until ctx is done.
+func (g *group) watch(ctx context.Context, i *instance) {
+	c := control{instance: i.listed, user: g.service.self}
+	defer c.close()
+	for ctx.Err() == nil {
+		sent := g.clock.Now()
+		s, fresh, err := c.order(ctx, "STATUS", pollTimeout)
+		if ctx.Err() != nil {
+			return
+		}
+		g.takePoll(i, sent, s, fresh, err)
+		if err != nil && !fresh && c.conn == nil {
+			continue // A fresh connection tells whether the instance is silent.
+		}
+		g.pausePolls(ctx, i)
+	}
+}
+
+// pausePolls waits until the next status request is due or was asked for.
+func (g *group) pausePolls(ctx context.Context, i *instance) {
+	if g.clock.Sleep(ctx, minPollGap) != nil {
+		return
+	}
+	t := g.clock.NewTimer(g.pollPause() - minPollGap)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-i.kick:
+	case <-ctx.Done():
+	}
+}
+
+func (g *group) pollPause() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.clock.Since(g.lastRequest) > quietAfter {
+		return quietInterval
+	}
+	return pollInterval
+}
+
+// kickPolls asks for a status of each instance at once.
+func (g *group) kickPolls() {
+	for _, i := range g.instances {
+		select {
+		case i.kick <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// takePoll takes over the result of a status request.
+func (g *group) takePoll(i *instance, sent time.Time, s status, fresh bool, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var refusal *line.Error
+	switch {
+	case err == nil:
+		g.takeStatus(i, sent, s)
+		if fresh && !i.silentSince.IsZero() {
+			i.pool.suspect()
+		}
+		g.noteAnswer(i)
+	case errors.As(err, &refusal) && (refusal.Code == line.CodeBusy || refusal.Code == line.CodeTooMany):
+		g.noteAnswer(i) // It is alive but tells nothing.
+	default:
+		g.noteSilence(i, sent, fresh, err)
+	}
+	g.broadcast()
+}
+
+// takeStatus is called with the lock held.
+func (g *group) takeStatus(i *instance, sent time.Time, s status) {
+	if i.known && sent.Before(i.sampledAt) {
+		return
+	}
+	trip := g.clock.Since(sent)
+	if !i.known {
+		i.roundTrip = trip
+	}
+	i.roundTrip += time.Duration(smoothing * float64(trip-i.roundTrip))
+	if !i.known || s.role != i.status.role || s.term != i.status.term || s.held != i.status.held {
+		g.log.WithFields(logrus.Fields{
+			"instance": i.listed.ID, "role": s.role, "term": s.term, "held": s.held,
+			"received": s.received.String(), "applied": s.applied.String(),
+		}).Info("status of instance")
+		if i.known && s.term != i.status.term {
+			// Records of the old term may have been cut off.
+			i.applied = gypsumyard.Position{}
+		}
+	}
+	i.known, i.status, i.sampledAt = true, s, sent
+	i.noteApplied(s.applied)
+	g.updateSamples()
+}
+
+// noteApplied takes over a position that an answer has shown.
+func (i *instance) noteApplied(p gypsumyard.Position) {
+	if p.Compare(i.applied) > 0 {
+		i.applied = p
+	}
+}
+
+// noteAnswer is called with the lock held.
+func (g *group) noteAnswer(i *instance) {
+	i.silentSince, i.refused = time.Time{}, false
+	if i.reachable {
+		return
+	}
+	i.reachable = true
+	if i.alive.Err() != nil {
+		i.alive, i.giveUp = context.WithCancelCause(context.Background())
+		g.log.WithField("instance", i.listed.ID).Info("instance regained")
+	}
+	g.setCapacity()
+}
+
+// noteSilence is called with the lock held.
+func (g *group) noteSilence(i *instance, sent time.Time, fresh bool, err error) {
+	if i.silentSince.IsZero() {
+		i.silentSince = sent
+	}
+	i.refused = errors.Is(err, syscall.ECONNREFUSED)
+	if !fresh || i.alive.Err() != nil {
+		return
+	}
+	i.reachable = false
+	i.giveUp(errUnreachable)
+	i.pool.suspect()
+	g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "silent": g.clock.Since(i.silentSince)}).WithError(err).Warn("instance lost")
+	g.setCapacity()
+}
+
+// usable reports whether the instance may get new work. It is called with the
+// lock held.
+func (i *instance) usable() bool {
+	return i.known && i.reachable && !i.listed.Leaving
+}
--- /dev/null
+++ b/internal/lineowner/lead.go
@@ -0,0 +1,184 @@
+package lineowner
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// leadWindow is how long evidence that an instance leads may be relied on.
+	// A promotion waits for it to run out after it has fenced the instances,
+	// see fenceWait.
+	leadWindow = 400 * time.Millisecond
+	// fenceWait is the pause between the fencing of enough instances and the
+	// order to promote. The platform takes at least promotionTime to carry the
+	// order out, so that together no older evidence is in use when the new
+	// primary acknowledges its first commit.
+	fenceWait     = leadWindow - promotionTime
+	promotionTime = 150 * time.Millisecond
+	// sampleAge is how long samples of the primary's position are kept. It
+	// exceeds the staleness that routes accept.
+	sampleAge = 12 * time.Second
+	// sampleSlack is taken off the staleness that a route accepts, for the time
+	// between the choice of a sample and the read.
+	sampleSlack = 20 * time.Millisecond
+)
+
+// A sample says that all commits that were acknowledged before at are at or
+// before position.
+type sample struct {
+	at       time.Time
+	position gypsumyard.Position
+}
+
+// fencesNeeded returns how many of n instances must be fenced before a
+// promotion, so that every acknowledged commit is on a fenced instance and no
+// unfenced ones can acknowledge another. A commit is on the primary and on sync
+// replicas.
+func fencesNeeded(n, sync int) int {
+	needed := n - max(sync, 1)
+	if n >= 3 {
+		needed = max(needed, n/2+1)
+	}
+	return max(needed, 1)
+}
+
+// evidenceNeeded returns how many of n instances, the primary among them, must
+// be unfenced for the primary to lead. Each such set meets each set of
+// fencesNeeded.
+func evidenceNeeded(n, sync int) int { return n - fencesNeeded(n, sync) + 1 }
+
+// primary returns the reachable instance that claims to be the primary of the
+// highest term, unless another instance has seen a higher term. It is called
+// with the lock held.
+func (g *group) primary() (p *instance) {
+	var highest gypsumyard.Term
+	for _, i := range g.instances {
+		if !i.known {
+			continue
+		}
+		highest = max(highest, i.status.term)
+		if i.status.role == gypsumyard.RolePrimary && i.reachable && (p == nil || i.status.term > p.status.term) {
+			p = i
+		}
+	}
+	if p == nil || p.status.term < highest {
+		return nil
+	}
+	return p
+}
+
+// lead returns the primary and the time up to which it is certain that no
+// other instance has been promoted. It is called with the lock held.
+func (g *group) lead() (p *instance, at time.Time) {
+	p = g.primary()
+	if p == nil {
+		return nil, at
+	}
+	var seen []time.Time
+	for _, i := range g.instances {
+		if i != p && i.known && i.status.held <= p.status.term && i.status.term <= p.status.term {
+			seen = append(seen, i.sampledAt)
+		}
+	}
+	others := evidenceNeeded(len(g.instances), g.settings.SyncReplicas) - 1
+	if len(seen) < others {
+		return nil, at
+	}
+	slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
+	at = p.sampledAt
+	if others > 0 && seen[others-1].Before(at) {
+		at = seen[others-1]
+	}
+	return p, at
+}
+
+// updateSamples adds a sample if the evidence has advanced. It is called with
+// the lock held.
+func (g *group) updateSamples() {
+	p, at := g.lead()
+	if p == nil {
+		return
+	}
+	if g.leading != p || g.leadingTerm != p.status.term {
+		g.log.WithFields(logrus.Fields{
+			"instance": p.listed.ID, "term": p.status.term, "position": p.status.received.String(), "age": g.clock.Since(at),
+		}).Info("primary found")
+		g.leading, g.leadingTerm = p, p.status.term
+	}
+	if n := len(g.samples); n > 0 && !at.After(g.samples[n-1].at) {
+		return
+	}
+	g.samples = append(g.samples, sample{at, p.status.received})
+	limit := g.clock.Now().Add(-sampleAge)
+	for len(g.samples) > 1 && g.samples[0].at.Before(limit) {
+		g.samples = g.samples[1:]
+	}
+}
+
+// floor returns the lowest position that covers all commits that were
+// acknowledged longer ago than staleness, or false if no sample tells. It is
+// called with the lock held.
+func (g *group) floor(staleness time.Duration, now time.Time) (gypsumyard.Position, bool) {
+	limit := now.Add(-max(staleness-sampleSlack, 0))
+	for _, s := range g.samples {
+		if !s.at.Before(limit) {
+			return s.position, true
+		}
+	}
+	return gypsumyard.Position{}, false
+}
+
+// awaitLead returns the primary once there is evidence that it leads which was
+// gathered no longer than leadWindow before arrived.
+func (g *group) awaitLead(ctx context.Context, arrived time.Time) (*instance, error) {
+	var found *instance
+	err := g.await(ctx, func() bool {
+		p, at := g.lead()
+		if p == nil || at.Before(arrived.Add(-leadWindow)) || g.handingOver {
+			return false
+		}
+		found = p
+		return true
+	})
+	return found, err
+}
+
+// awaitFloor returns the position that a read must see by the staleness alone.
+func (g *group) awaitFloor(ctx context.Context, staleness time.Duration, arrived time.Time) (p gypsumyard.Position, err error) {
+	err = g.await(ctx, func() (ok bool) {
+		p, ok = g.floor(staleness, arrived)
+		return ok
+	})
+	return p, err
+}
+
+// await waits until check, which is called with the lock held, returns true.
+// Instances are polled at once while it does not.
+func (g *group) await(ctx context.Context, check func() bool) error {
+	for {
+		g.mu.Lock()
+		if check() {
+			g.mu.Unlock()
+			return nil
+		}
+		changed := g.changed
+		g.kickPolls()
+		g.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// broadcast wakes all who wait in await. It is called with the lock held.
+func (g *group) broadcast() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/lineowner/metrics.go
@@ -0,0 +1,41 @@
+package lineowner
+
+import (
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/uber-go/tally/v4"
+)
+
+// metrics are those of all groups of a host.
+type metrics struct {
+	queueWait    tally.Timer
+	runTime      tally.Timer
+	readsPrimary tally.Counter
+	readsReplica tally.Counter
+	writes       tally.Counter
+	elections    tally.Counter
+	promotions   tally.Counter
+}
+
+func newMetrics(s tally.Scope) *metrics {
+	return &metrics{
+		queueWait:    s.Timer("owner_queue_wait"),
+		runTime:      s.Timer("owner_run_time"),
+		readsPrimary: s.Tagged(map[string]string{"role": "primary"}).Counter("owner_reads"),
+		readsReplica: s.Tagged(map[string]string{"role": "replica"}).Counter("owner_reads"),
+		writes:       s.Counter("owner_writes"),
+		elections:    s.Counter("owner_elections"),
+		promotions:   s.Counter("owner_promotions"),
+	}
+}
+
+// count counts a statement that an instance has run.
+func (m *metrics) count(j *job, i *instance) {
+	switch {
+	case !j.reads():
+		m.writes.Inc(1)
+	case i.status.role == gypsumyard.RolePrimary:
+		m.readsPrimary.Inc(1)
+	default:
+		m.readsReplica.Inc(1)
+	}
+}
--- /dev/null
+++ b/internal/lineowner/place.go
@@ -0,0 +1,82 @@
+package lineowner
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+)
+
+const (
+	// primaryCost keeps reads away from an idle primary when a replica can
+	// serve them, busyCost from an instance that uses all its slots.
+	primaryCost = 2 * time.Millisecond
+	busyCost    = 8 * time.Millisecond
+)
+
+// A placement tells where a request may run.
+type placement struct {
+	targets []gypsumyard.Target
+	// needed is the position that the instance's log must hold.
+	needed gypsumyard.Position
+}
+
+// prefix returns what makes an instance refuse a read if its log lacks the
+// needed position.
+func (p placement) prefix() string {
+	if p.needed.IsZero() {
+		return ""
+	}
+	return "AFTER " + line.FormatPosition(p.needed) + " "
+}
+
+// place finds the instances that may run the request, waiting for one if there
+// is none.
+func (g *group) place(ctx context.Context, j *job) (p placement, err error) {
+	if !j.reads() || j.Consistency == gypsumyard.ConsistencyPrimary {
+		i, err := g.awaitLead(ctx, j.arrived)
+		if err != nil {
+			return p, err
+		}
+		p.targets = []gypsumyard.Target{{Instance: i.listed.ID, Reason: "primary"}}
+		return p, nil
+	}
+	p.needed, err = g.awaitFloor(ctx, j.MaxStaleness, j.arrived)
+	if err != nil {
+		return p, err
+	}
+	if j.Position.Compare(p.needed) > 0 {
+		p.needed = j.Position
+	}
+	err = g.await(ctx, func() bool {
+		p.targets = g.readTargets(j, p.needed)
+		return len(p.targets) > 0
+	})
+	return p, err
+}
+
+// readTargets returns the instances whose log holds the position. It is called
+// with the lock held.
+func (g *group) readTargets(j *job, needed gypsumyard.Position) (targets []gypsumyard.Target) {
+	if len(j.refused) >= len(g.instances) {
+		clear(j.refused)
+	}
+	primary := g.primary()
+	for _, i := range g.instances {
+		if !i.usable() || j.refused[i.listed.ID] || i != primary && i.status.role == gypsumyard.RolePrimary {
+			continue
+		}
+		t := gypsumyard.Target{Instance: i.listed.ID, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
+		t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+		switch {
+		case i == primary && !g.handingOver:
+			t.Cost += primaryCost
+			t.Reason = "primary"
+		case i == primary || i.applied.Compare(needed) < 0:
+			continue
+		}
+		targets = append(targets, t)
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/lineowner/pool.go
@@ -0,0 +1,192 @@
+package lineowner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+)
+
+const (
+	// checkAfter is how long a connection may have been idle before it is
+	// checked again.
+	checkAfter = 100 * time.Millisecond
+	// tooManyPause is how long no connection is opened after the instance has
+	// refused one because it holds too many.
+	tooManyPause = 100 * time.Millisecond
+)
+
+var (
+	errPoolClosed  = errors.New("instance is no longer listed")
+	errNoMoreConns = errors.New("no connection to the instance is free")
+)
+
+// A pool holds the connections to one instance.
+type pool struct {
+	instance gypsumyard.ListedInstance
+	user     string
+	clock    gypsumyard.Clock
+
+	mu    sync.Mutex
+	idle  []*conn
+	open  int
+	limit int
+	// epoch is raised when the open connections are suspected to be silent.
+	epoch  int
+	closed bool
+	// refusedUntil is when connections may be opened again after a refusal.
+	refusedUntil time.Time
+	// freed is closed and replaced when a connection becomes free.
+	freed chan struct{}
+}
+
+func newPool(i gypsumyard.ListedInstance, user string, clock gypsumyard.Clock) *pool {
+	return &pool{instance: i, user: user, clock: clock, freed: make(chan struct{})}
+}
+
+// get returns a connection, opening one if none is idle and the limit allows
+// it, or waits for one.
+func (p *pool) get(ctx context.Context, settings []gypsumyard.Setting) (*conn, error) {
+	for {
+		c, mayDial, freed, err := p.take(settings)
+		switch {
+		case err != nil:
+			return nil, err
+		case c != nil && (p.clock.Since(c.lastUsed) < checkAfter || c.alive()):
+			return c, nil
+		case c != nil:
+			p.discard(c)
+			continue
+		case mayDial:
+			return p.dial(ctx)
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w: %w", errNoMoreConns, context.Cause(ctx))
+		}
+	}
+}
+
+// take returns an idle connection, the one that needs the fewest changes of
+// its session values. Without one it counts a connection to be opened.
+func (p *pool) take(settings []gypsumyard.Setting) (c *conn, mayDial bool, freed <-chan struct{}, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, false, nil, errPoolClosed
+	}
+	if n := len(p.idle); n > 0 {
+		best := n - 1
+		for i := n - 1; i >= 0; i-- {
+			if !p.idle[i].needsReset(settings) {
+				best = i
+				break
+			}
+		}
+		c = p.idle[best]
+		p.idle = append(p.idle[:best], p.idle[best+1:]...)
+		return c, false, nil, nil
+	}
+	if p.open < p.limit && p.clock.Now().After(p.refusedUntil) {
+		p.open++
+		return nil, true, nil, nil
+	}
+	return nil, false, p.freed, nil
+}
+
+func (p *pool) dial(ctx context.Context) (*conn, error) {
+	p.mu.Lock()
+	epoch := p.epoch
+	p.mu.Unlock()
+	c, err := dial(ctx, p.instance, p.user)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open--
+		var refusal *line.Error
+		if errors.As(err, &refusal) && refusal.Code == line.CodeTooMany {
+			p.refusedUntil = p.clock.Now().Add(tooManyPause)
+		}
+		p.wake()
+		return nil, err
+	}
+	c.epoch = epoch
+	return c, nil
+}
+
+// put gives back a connection that is outside a transaction.
+func (p *pool) put(c *conn) {
+	c.lastUsed = p.clock.Now()
+	p.mu.Lock()
+	if p.closed || c.epoch != p.epoch || p.open > p.limit {
+		p.mu.Unlock()
+		p.discard(c)
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.wake()
+	p.mu.Unlock()
+}
+
+// discard closes a connection.
+func (p *pool) discard(c *conn) {
+	c.close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
+	p.wake()
+}
+
+// wake is called with the lock held.
+func (p *pool) wake() {
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
+
+// suspect closes the idle connections: the path to the instance was broken, so
+// that they may be silent for good. Those in use are closed when they are given
+// back.
+func (p *pool) suspect() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.epoch++
+	p.open -= len(idle)
+	p.wake()
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+func (p *pool) setLimit(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = n
+	p.wake()
+}
+
+// counts returns how many connections are open and how many of them are idle.
+func (p *pool) counts() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.idle)
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	p.wake()
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
--- /dev/null
+++ b/internal/lineowner/service.go
@@ -0,0 +1,283 @@
+package lineowner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+)
+
+// Name is the name of the service in the kernel.
+const Name = "owner"
+
+// drainCheck is the pause between two looks whether groups are empty.
+const drainCheck = 20 * time.Millisecond
+
+// Lists is what the service needs to know of the desired state and the
+// instances.
+type Lists interface {
+	gypsumyard.DesiredStates
+	// Instances returns the listed instances of a group.
+	Instances(group string) []gypsumyard.ListedInstance
+}
+
+// A Service is the kernel service "owner". It implements [gypsumyard.Owner].
+type Service struct {
+	clock      gypsumyard.Clock
+	log        logrus.FieldLogger
+	metrics    *metrics
+	claims     *claims
+	promotions gypsumyard.PromotionCaller
+	lists      Lists
+	members    gypsumyard.Membership
+	self       string
+	handles    atomic.Uint64
+	ctx        context.Context
+	cancel     context.CancelFunc
+	work       sync.WaitGroup
+	done       chan struct{}
+
+	mu       sync.Mutex
+	groups   map[string]*group
+	started  bool
+	stopping bool
+}
+
+var _ gypsumyard.Owner = (*Service)(nil)
+
+// An Option changes a Service.
+type Option func(*Service)
+
+// WithClock sets the clock, which must count the time of suspensions.
+func WithClock(c gypsumyard.Clock) Option { return func(s *Service) { s.clock = c } }
+
+// WithLogger sets the logger.
+func WithLogger(l logrus.FieldLogger) Option { return func(s *Service) { s.log = l } }
+
+// WithMetrics sets the scope of the metrics.
+func WithMetrics(m tally.Scope) Option { return func(s *Service) { s.metrics = newMetrics(m) } }
+
+// New returns the service. Claims for promotions are stored below claimPrefix.
+func New(store gypsumyard.Store, claimPrefix string, promotions gypsumyard.PromotionCaller, options ...Option) *Service {
+	s := &Service{
+		clock:      clock.Boot(),
+		log:        logrus.StandardLogger(),
+		metrics:    newMetrics(tally.NoopScope),
+		claims:     &claims{store: store, prefix: claimPrefix},
+		promotions: promotions,
+		done:       make(chan struct{}),
+		groups:     map[string]*group{},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return Name }
+
+// Needs lists the services that Start looks up.
+func (s *Service) Needs() []string { return []string{"lists", "members"} }
+
+// Done returns a channel that is closed when the service has ended.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Start begins to run the groups that this host owns.
+func (s *Service) Start(_ context.Context, k *kernel.Kernel) (err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists, err = kernel.Lookup[Lists](k, "lists")
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	s.members, err = kernel.Lookup[gypsumyard.Membership](k, "members")
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	s.self = s.members.Self().Name
+	s.claims.holder = s.self
+	s.started = true
+	s.work.Go(s.follow)
+	return nil
+}
+
+// Drain refuses new requests and waits until those in flight and the open
+// transactions have ended.
+func (s *Service) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.stopping = true
+	for _, g := range s.groups {
+		g.lose()
+	}
+	s.mu.Unlock()
+	for !s.empty() {
+		if err := s.clock.Sleep(ctx, drainCheck); err != nil {
+			return fmt.Errorf("owner: groups still have work: %w", err)
+		}
+	}
+	return nil
+}
+
+func (s *Service) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.groups {
+		if !g.idle() {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends the service. Work in flight is cut off.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.work.Wait()
+	s.mu.Lock()
+	s.stopping = true
+	groups := s.groups
+	s.groups = map[string]*group{}
+	s.mu.Unlock()
+	for _, g := range groups {
+		g.close()
+	}
+	close(s.done)
+	return nil
+}
+
+// follow takes over and gives up groups as the lists and the membership change.
+func (s *Service) follow() {
+	for {
+		members, lists := s.members.Changes(), s.lists.Changes()
+		s.reconcile()
+		t := s.clock.NewTimer(time.Second)
+		select {
+		case <-members:
+		case <-lists:
+		case <-t.C():
+		case <-s.ctx.Done():
+			t.Stop()
+			return
+		}
+		t.Stop()
+	}
+}
+
+// reconcile compares the groups with what this host owns.
+func (s *Service) reconcile() {
+	d := s.lists.Desired()
+	if d == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return
+	}
+	for name := range d.Groups {
+		g := s.groups[name]
+		switch {
+		case s.owns(name):
+			s.gain(name)
+		case g != nil:
+			g.lose()
+			g.update()
+		}
+	}
+	for name, g := range s.groups {
+		if _, ok := d.Groups[name]; !ok {
+			g.lose()
+		}
+		if g.idle() {
+			delete(s.groups, name)
+			s.work.Go(g.close)
+		}
+	}
+}
+
+func (s *Service) owns(name string) bool {
+	h, ok := s.members.Owner(name)
+	return ok && h.Name == s.self
+}
+
+// gain begins or continues to run a group. It is called with the lock held.
+func (s *Service) gain(name string) *group {
+	g := s.groups[name]
+	if g == nil {
+		s.log.WithField("database", name).Info("ownership gained")
+		g = newGroup(s, name)
+		s.groups[name] = g
+		return g
+	}
+	g.regain()
+	g.update()
+	return g
+}
+
+// Execute runs the request if this host owns its group, or holds its
+// transaction. See [gypsumyard.Executor].
+func (s *Service) Execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	g, err := s.enter(r)
+	if err != nil {
+		return gypsumyard.Result{}, err
+	}
+	defer g.leave()
+	return g.execute(ctx, r, sink)
+}
+
+func (s *Service) enter(r *gypsumyard.Request) (*group, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started {
+		return nil, errNotOwner
+	}
+	g := s.groups[r.Database]
+	if r.Transaction != "" {
+		if g == nil || r.Owner != s.self || !g.enter(false) {
+			return nil, errNoTransaction
+		}
+		return g, nil
+	}
+	if s.stopping {
+		return nil, errNotOwner
+	}
+	if (g == nil || g.owned.Err() != nil) && s.owns(r.Database) {
+		// The view has changed a moment ago.
+		g = s.gain(r.Database)
+	}
+	if g == nil || !g.enter(true) {
+		return nil, errNotOwner
+	}
+	return g, nil
+}
+
+// Abandon rolls back the open transaction of a session.
+func (s *Service) Abandon(_ context.Context, r *gypsumyard.Request) error {
+	s.mu.Lock()
+	g := s.groups[r.Database]
+	s.mu.Unlock()
+	if g != nil && r.Transaction != "" {
+		g.abandon(r)
+	}
+	return nil
+}
+
+// CancelStatement does nothing: the line protocol cannot cancel a statement.
+func (s *Service) CancelStatement(context.Context, *gypsumyard.Request) error { return nil }
+
+// ProbeInstance is not offered: evidence comes from the instances themselves.
+func (s *Service) ProbeInstance(context.Context, string, string) (gypsumyard.InstanceStatus, error) {
+	return gypsumyard.InstanceStatus{}, fmt.Errorf("owner: probe: %w", gypsumyard.ErrUnavailable)
+}
+
+// AcceptRelease does nothing: a group needs no hand-over from its last owner.
+func (s *Service) AcceptRelease(string, string) {}
--- /dev/null
+++ b/internal/lineowner/status.go
@@ -0,0 +1,110 @@
+package lineowner
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+)
+
+// A status is what an instance reports of itself.
+type status struct {
+	role gypsumyard.Role
+	// term is that of the primary that the instance is or follows.
+	term gypsumyard.Term
+	// received is the last record of the log, applied the last one that reads
+	// see.
+	received gypsumyard.Position
+	applied  gypsumyard.Position
+	// held is the term for which the instance was told to stop receiving, or
+	// zero.
+	held gypsumyard.Term
+	lag  time.Duration
+	// connections counts those of all callers.
+	connections int
+}
+
+// statusFields is how many fields the row of a status has.
+const statusFields = 7
+
+func parseStatus(a answer) (s status, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("parse status: %w", err)
+		}
+	}()
+	if a.failure != nil {
+		return s, a.failure
+	}
+	if len(a.rows) != 1 {
+		return s, fmt.Errorf("%w: %d rows", line.ErrMalformed, len(a.rows))
+	}
+	f := strings.Fields(a.rows[0])
+	if len(f) < statusFields {
+		return s, fmt.Errorf("%w: %q", line.ErrMalformed, a.rows[0])
+	}
+	s.role = gypsumyard.Role(f[0])
+	if s.role != gypsumyard.RolePrimary && s.role != gypsumyard.RoleReplica {
+		return s, fmt.Errorf("%w: role %q", line.ErrMalformed, f[0])
+	}
+	var numbers [statusFields]uint64
+	for _, n := range []int{1, 3, 6} {
+		if numbers[n], err = strconv.ParseUint(f[n], 10, 64); err != nil {
+			return s, err
+		}
+	}
+	lag, err := strconv.ParseFloat(f[4], 64)
+	if err != nil {
+		return s, err
+	}
+	s.term, s.held = gypsumyard.Term(numbers[1]), gypsumyard.Term(numbers[3])
+	s.lag = time.Duration(lag * float64(time.Millisecond))
+	s.connections = int(numbers[6])
+	s.applied = a.position
+	s.received, err = line.ParsePosition(f[2])
+	return s, err
+}
+
+// A control sends the proxy's own orders to an instance over a connection that
+// carries nothing else.
+type control struct {
+	instance gypsumyard.ListedInstance
+	user     string
+	conn     *conn
+}
+
+// order runs one order within the timeout. The connection is opened anew after
+// a failure. It reports whether the order went over a connection that was just
+// opened.
+func (c *control) order(ctx context.Context, text string, timeout time.Duration) (s status, fresh bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if c.conn != nil && !c.conn.alive() {
+		c.close()
+	}
+	if c.conn == nil {
+		fresh = true
+		c.conn, err = dial(ctx, c.instance, c.user)
+		if err != nil {
+			return s, fresh, err
+		}
+	}
+	a, _, err := c.conn.run(ctx, exchange{id: ownID, text: text, keepRows: true})
+	if err != nil {
+		c.close()
+		return s, fresh, err
+	}
+	s, err = parseStatus(a)
+	return s, fresh, err
+}
+
+func (c *control) close() {
+	if c.conn != nil {
+		c.conn.close()
+		c.conn = nil
+	}
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -7,31 +7,18 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/tcp"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 )
 
-const (
-	// The keep-alive probes find a dead peer on an idle connection within
-	// about 11 s.
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 3
-	// userTimeout bounds how long sent data may stay unacknowledged by the
-	// instance's host.
-	userTimeout = 5 * time.Second
-	// tcpUserTimeout is the number of the Linux socket option.
-	tcpUserTimeout = 0x12
-	// dialTimeout bounds the opening of a connection with its login, a cancel
-	// request, and a call of the control side.
-	dialTimeout = time.Second
-)
+// dialTimeout bounds the opening of a connection with its login, a cancel
+// request, and a call of the control side.
+const dialTimeout = time.Second
 
 // An Address is how an instance is reached.
 type Address struct {
@@ -46,28 +33,6 @@
 	return Address{Addr: u.Addr, Database: d.Name, User: d.User, Password: d.Password}
 }
 
-func dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: setUserTimeout,
-	}
-}
-
-// setUserTimeout sets the option TCP_USER_TIMEOUT of a new socket.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failure error
-	err := c.Control(func(fd uintptr) {
-		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failure)
-}
-
 // Dial opens a connection and logs in. A refusal by the instance is an
 // ErrRefused.
 func Dial(ctx context.Context, clock gypsumyard.Clock, a Address) (c *Conn, err error) {
@@ -78,7 +43,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	n, err := dialer().DialContext(ctx, "tcp", a.Addr.String())
+	n, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", a.Addr.String())
 	if err != nil {
 		return nil, err
 	}
@@ -211,7 +176,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	n, err := dialer().DialContext(ctx, "tcp", a.Addr.String())
+	n, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", a.Addr.String())
 	if err != nil {
 		return err
 	}
