--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,9 +20,18 @@
 	// retryMin and retryMax bound the pause after a failed call to the store.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
-	// peerInterval is the time between two questions to another host while
-	// the store answers, and peerIntervalLost while it does not.
-	peerInterval     = time.Second
+	// verifiers is how many hosts renew their watches so often that a change
+	// which a watch has missed is in force in time. Others ask them.
+	verifiers = 3
+	// verifierKey places the verifiers.
+	verifierKey = "desired-state"
+	// verifyWait bounds a watch of a verifier, and of a host that has not
+	// heard from one for verifyWait. restWait bounds the watches of others.
+	verifyWait = 1500 * time.Millisecond
+	restWait   = 10 * time.Second
+	// peerInterval is the time between two questions to a verifier while the
+	// store answers, and peerIntervalLost while it does not.
+	peerInterval     = 600 * time.Millisecond
 	peerIntervalLost = 250 * time.Millisecond
 	// peerTimeout bounds one question to another host.
 	peerTimeout = 500 * time.Millisecond
@@ -65,6 +75,8 @@
 	lost map[string]bool
 	// heard is when the store or a peer last answered.
 	heard time.Time
+	// verified is when a verifier last answered.
+	verified time.Time
 }
 
 var (
@@ -164,7 +176,9 @@
 	if after == 0 {
 		return s.list(prefix)
 	}
-	events, v, err := s.store.Watch(s.stopping, prefix, after)
+	ctx, cancel := context.WithTimeout(s.stopping, s.watchWait())
+	defer cancel()
+	events, v, err := s.store.Watch(ctx, prefix, after)
 	if errors.Is(err, gypsumyard.ErrHistoryGone) {
 		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
 		return s.list(prefix)
@@ -178,6 +192,40 @@
 	return nil
 }
 
+// A leader tells which hosts are first for a key.
+type leader interface {
+	Leading(key string, n int) []gypsumyard.Host
+}
+
+// watchWait returns how long the next watch may last. A watch can miss changes
+// and the loss of its history without an error.
+func (s *Service) watchWait() time.Duration {
+	s.linkMu.Lock()
+	recent := s.clock.Since(s.verified) < verifyWait
+	s.linkMu.Unlock()
+	if !recent || s.verifies() {
+		return verifyWait
+	}
+	return restWait
+}
+
+// verifies reports whether this host is one of the verifiers.
+func (s *Service) verifies() bool {
+	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
+	if err != nil {
+		return true
+	}
+	self := members.Self().Name
+	return slices.ContainsFunc(s.verifiers(members), func(h gypsumyard.Host) bool { return h.Name == self })
+}
+
+func (s *Service) verifiers(members gypsumyard.Membership) []gypsumyard.Host {
+	if l, ok := members.(leader); ok {
+		return l.Leading(verifierKey, verifiers)
+	}
+	return members.Hosts()
+}
+
 func (s *Service) list(prefix string) error {
 	list, v, err := s.store.List(s.stopping, prefix)
 	if err != nil {
@@ -265,7 +313,7 @@
 	}
 	self := members.Self().Name
 	var others []gypsumyard.Host
-	for _, h := range members.Hosts() {
+	for _, h := range s.verifiers(members) {
 		if h.Name != self && h.State == gypsumyard.HostLive {
 			others = append(others, h)
 		}
@@ -289,10 +337,12 @@
 	if complete > after {
 		s.adoptComplete(complete)
 	}
-	if s.StoreLost() {
-		s.linkMu.Lock()
-		s.heard = s.clock.Now()
-		s.linkMu.Unlock()
+	now := s.clock.Now()
+	s.linkMu.Lock()
+	defer s.linkMu.Unlock()
+	s.verified = now
+	if complete > 0 {
+		s.heard = now
 	}
 	return nil
 }
--- a/internal/lineowner/conn.go
+++ b/internal/lineowner/conn.go
@@ -76,26 +76,30 @@
 		return nil, err
 	}
 	c = &conn{net: n, in: line.NewReader(n, readBuffer), settings: map[string]string{}, prepared: map[line.Prepared]string{}}
-	defer c.bind(ctx)()
-	defer func() {
-		if err != nil {
-			c.close()
-		}
-	}()
-	if _, err := n.Write(line.Append(nil, line.WordStart, i.Group, user, i.ID)); err != nil {
+	if err := c.start(ctx, i, user); err != nil {
+		c.close()
 		return nil, err
 	}
+	return c, nil
+}
+
+// start runs the start-up of the session.
+func (c *conn) start(ctx context.Context, i gypsumyard.ListedInstance, user string) error {
+	defer c.bind(ctx)()
+	if _, err := c.net.Write(line.Append(nil, line.WordStart, i.Group, user, i.ID)); err != nil {
+		return err
+	}
 	m, err := c.in.Read()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	switch m.Word {
 	case line.WordReady:
-		return c, nil
+		return nil
 	case line.WordError:
-		return nil, line.ParseError(m.Rest)
+		return line.ParseError(m.Rest)
 	}
-	return nil, fmt.Errorf("%w: %s in answer to start", line.ErrMalformed, m.Word)
+	return fmt.Errorf("%w: %s in answer to start", line.ErrMalformed, m.Word)
 }
 
 // bind ends the use of the connection with ctx until the returned function is
--- a/internal/member/platform.go
+++ b/internal/member/platform.go
@@ -47,13 +47,20 @@
 
 // polls reports whether this host reads the platform's list.
 func (s *Service) polls() bool {
-	v := s.view()
-	if len(v.hosts) <= meshHosts {
+	if len(s.view().hosts) <= meshHosts {
 		return true
 	}
 	self := s.Self()
-	lead := leading(v.regions[self.Region], pollerKey, pollers)
-	return slices.ContainsFunc(lead, func(c candidate) bool { return c.host.Name == self.Name })
+	return slices.ContainsFunc(s.Leading(pollerKey, pollers), func(h gypsumyard.Host) bool { return h.Name == self.Name })
+}
+
+// Leading returns the n hosts of this region that are first in rendezvous order
+// for the key, in this host's view.
+func (s *Service) Leading(key string, n int) (hosts []gypsumyard.Host) {
+	for _, c := range leading(s.view().regions[s.self.host.Region], key, n) {
+		hosts = append(hosts, c.host)
+	}
+	return hosts
 }
 
 func (s *Service) pollList(ctx context.Context) {
