lineowner, member, peer: give a group to a host that reaches more instances; gate commits that are not acknowledged

Commits that no replica acknowledged held the slots that reads needed. The owner now asks other hosts which instances they reach, assigns the group to one that reaches enough, and uses the store's claim object as evidence while replicas are out of reach. Requests that need evidence are refused at once after 2 s without any.

--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -340,13 +340,23 @@
 	now := s.clock.Now()
 	s.linkMu.Lock()
 	defer s.linkMu.Unlock()
-	s.verified = now
+	s.heard = now
 	if complete > 0 {
-		s.heard = now
+		s.verified = now
 	}
 	return nil
 }
 
+// Newer returns the copies that are newer than after. A host that the store
+// does not serve says that it is complete up to nothing: it verifies nothing.
+func (s *Service) Newer(after gypsumyard.Version) (list []gypsumyard.Object, complete gypsumyard.Version) {
+	list, complete = s.copies.Newer(after)
+	if s.StoreLost() {
+		complete = 0
+	}
+	return list, complete
+}
+
 func (s *Service) expireLoop() {
 	for s.clock.Sleep(s.stopping, expireInterval) == nil {
 		s.expire()
--- a/internal/lineowner/duty.go
+++ b/internal/lineowner/duty.go
@@ -60,6 +60,16 @@
 	return gypsumyard.Generation(v), err
 }
 
+// current returns the generation of the latest claim for the group. Zero means
+// that there was none.
+func (c *claims) current(ctx context.Context, group string) (gypsumyard.Generation, error) {
+	o, err := c.store.Get(ctx, c.prefix+group)
+	if errors.Is(err, gypsumyard.ErrNotFound) {
+		return 0, nil
+	}
+	return gypsumyard.Generation(o.Version), err
+}
+
 // confirm finds out whether a claim whose answer was lost has taken effect.
 func (c *claims) confirm(ctx context.Context, name string, value []byte, lost error) (gypsumyard.Generation, error) {
 	now, err := c.store.Get(ctx, name)
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -88,6 +88,12 @@
 		if old != nil && owned {
 			g.demote(old)
 		}
+		if owned {
+			g.checkClaim()
+		}
+		if owned && g.giveAway(g.clock.Now()) {
+			continue
+		}
 		if why.reason == "" || g.clock.Now().Before(g.election.notBefore) {
 			continue
 		}
@@ -183,6 +189,9 @@
 		if i == p || !i.usable() || i.status.role != gypsumyard.RoleReplica {
 			continue
 		}
+		if now.Sub(i.answersSince) < stuckFor {
+			e.behind = now // It may still catch up.
+		}
 		replicas++
 		if i.status.received.Compare(best) > 0 {
 			best = i.status.received
@@ -229,6 +238,8 @@
 	}
 	log.Info("election begins")
 	g.metrics.elections.Inc(1)
+	g.setElecting(true)
+	defer g.setElecting(false)
 	if why.planned {
 		defer g.handOver(why.primary)()
 	}
@@ -245,6 +256,12 @@
 	g.metrics.promotions.Inc(1)
 }
 
+func (g *group) setElecting(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.electing = on
+}
+
 // handOver holds back new work of a leaving primary and gives its open
 // transactions time to end. The returned function ends the hold.
 func (g *group) handOver(p *instance) (resume func()) {
@@ -311,7 +328,9 @@
 		return nil, errFenceOld
 	}
 	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.listed.ID, Holder: g.service.self, Generation: generation}
-	err = g.service.promotions.Promote(g.ctx, o)
+	order, stop := context.WithTimeout(g.ctx, promoteBound)
+	defer stop()
+	err = g.service.promotions.Promote(order, o)
 	g.log.WithFields(logrus.Fields{"instance": o.Instance, "generation": generation}).WithError(err).Info("promotion ordered")
 	if err != nil && !errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
 		return nil, err
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/maphash"
 	"time"
 
@@ -138,7 +139,7 @@
 	}
 	grant, err := g.admitter.Acquire(ctx, t)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("wait for a slot: %w", err)
 	}
 	g.metrics.queueWait.Record(grant.Waited)
 	u = &use{group: g, job: j, grant: grant, began: g.clock.Now()}
@@ -228,10 +229,10 @@
 // notRun classifies an error before which nothing was sent.
 func notRun(err error) error {
 	var e *gypsumyard.Error
-	if errors.As(err, &e) {
-		return e
+	if !errors.As(err, &e) {
+		return gypsumyard.Errorf(gypsumyard.ClassNotRun, "%w", err)
 	}
-	return gypsumyard.Errorf(gypsumyard.ClassNotRun, "%w", err)
+	return e
 }
 
 // unknown classifies an error after which the statement may have run.
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -20,6 +20,10 @@
 	// spareForStatements is how many connections transactions leave to single
 	// statements.
 	spareForStatements = 4
+	// A queue that has not been empty for standingAfter accepts a request only
+	// if its wait is expected to be under standingWait.
+	standingAfter = 500 * time.Millisecond
+	standingWait  = 200 * time.Millisecond
 	// aheadOfSlots is how many short statements may be on their way to an
 	// instance beyond its slots, so that no slot idles for a round trip.
 	aheadOfSlots = 1
@@ -56,8 +60,11 @@
 	samples     []sample
 	leading     *instance
 	leadingTerm gypsumyard.Term
+	// electing indicates that an election goes on.
+	electing bool
 	// handingOver holds back new work of the primary.
 	handingOver  bool
+	commits      commitGate
 	transactions map[string]*transaction
 	inFlight     int
 	lastRequest  time.Time
@@ -67,6 +74,12 @@
 	// owned ends with the ownership of the group.
 	owned  context.Context
 	disown context.CancelCauseFunc
+	// proven is the latest evidence from instances, claim what the store says.
+	proven proof
+	claim  claimState
+	// evidenceAt is up to when it was certain who leads.
+	evidenceAt time.Time
+	opinions   opinions
 	// election is the state of the search for a new primary.
 	election election
 }
@@ -79,7 +92,7 @@
 		clock:        s.clock,
 		log:          s.log.WithField("database", name),
 		metrics:      s.metrics,
-		admitter:     admit.New(name, admit.WithClock(s.clock)),
+		admitter:     admit.New(name, admit.WithClock(s.clock), admit.WithStandingQueue(standingAfter, standingWait)),
 		learner:      admit.NewLearner(),
 		ctx:          ctx,
 		cancel:       cancel,
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -50,6 +50,8 @@
 	// applied is the highest position that any answer has shown in the log.
 	applied   gypsumyard.Position
 	reachable bool
+	// answersSince is since when it has been reachable.
+	answersSince time.Time
 	// silentSince is when the first of the unanswered requests was sent.
 	silentSince time.Time
 	// refused indicates that nothing listened at the address.
@@ -89,7 +91,7 @@
 	defer c.close()
 	for ctx.Err() == nil {
 		sent := g.clock.Now()
-		s, fresh, err := c.order(ctx, "STATUS", pollTimeout)
+		s, fresh, err := c.order(ctx, statusOrder, pollTimeout)
 		if ctx.Err() != nil {
 			return
 		}
@@ -192,7 +194,7 @@
 	if i.reachable {
 		return
 	}
-	i.reachable = true
+	i.reachable, i.answersSince = true, g.clock.Now()
 	if i.alive.Err() != nil {
 		i.alive, i.giveUp = context.WithCancelCause(context.Background())
 		g.log.WithField("instance", i.listed.ID).Info("instance regained")
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,6 +21,11 @@
 	// primary acknowledges its first commit.
 	fenceWait     = leadWindow - promotionTime
 	promotionTime = 150 * time.Millisecond
+	// hopelessAfter is how long no instance has been known to lead when requests
+	// that need one are refused at once. An election takes less.
+	hopelessAfter = 2 * time.Second
+	// hopelessRetry is when their callers may come back.
+	hopelessRetry = 500 * time.Millisecond
 	// sampleAge is how long samples of the primary's position are kept. It
 	// exceeds the staleness that routes accept.
 	sampleAge = 12 * time.Second
@@ -85,18 +91,33 @@
 			seen = append(seen, i.sampledAt)
 		}
 	}
+	slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
 	others := evidenceNeeded(len(g.instances), g.settings.SyncReplicas) - 1
-	if len(seen) < others {
-		return nil, at
+	switch {
+	case others == 0:
+		at = p.sampledAt
+	case len(seen) >= others:
+		at = earlier(p.sampledAt, seen[others-1])
 	}
-	slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
-	at = p.sampledAt
-	if others > 0 && seen[others-1].Before(at) {
-		at = seen[others-1]
+	if !at.IsZero() && (g.proven.primary != p || g.proven.term != p.status.term || at.After(g.proven.at)) {
+		g.proven = proof{p, p.status.term, at}
+	}
+	if t := earlier(p.sampledAt, g.claimEvidence(p)); t.After(at) {
+		at = t
+	}
+	if at.IsZero() {
+		return nil, at
 	}
 	return p, at
 }
 
+// A proof says that at a time enough instances showed that the primary led.
+type proof struct {
+	primary *instance
+	term    gypsumyard.Term
+	at      time.Time
+}
+
 // updateSamples adds a sample if the evidence has advanced. It is called with
 // the lock held.
 func (g *group) updateSamples() {
@@ -137,7 +158,7 @@
 // gathered no longer than leadWindow before arrived.
 func (g *group) awaitLead(ctx context.Context, arrived time.Time) (*instance, error) {
 	var found *instance
-	err := g.await(ctx, func() bool {
+	err := g.awaitEvidence(ctx, func() bool {
 		p, at := g.lead()
 		if p == nil || at.Before(arrived.Add(-leadWindow)) || g.handingOver {
 			return false
@@ -145,16 +166,42 @@
 		found = p
 		return true
 	})
-	return found, err
+	if err != nil {
+		return nil, fmt.Errorf("wait for an instance that is known to lead: %w", err)
+	}
+	return found, nil
 }
 
 // awaitFloor returns the position that a read must see by the staleness alone.
 func (g *group) awaitFloor(ctx context.Context, staleness time.Duration, arrived time.Time) (p gypsumyard.Position, err error) {
-	err = g.await(ctx, func() (ok bool) {
+	err = g.awaitEvidence(ctx, func() (ok bool) {
 		p, ok = g.floor(staleness, arrived)
 		return ok
 	})
-	return p, err
+	if err != nil {
+		return p, fmt.Errorf("wait for a position that bounds the staleness: %w", err)
+	}
+	return p, nil
+}
+
+// awaitEvidence is await for what needs evidence of who leads. It fails at once
+// if there has been none for so long that none is to be expected soon.
+func (g *group) awaitEvidence(ctx context.Context, check func() bool) error {
+	hopeless := false
+	err := g.await(ctx, func() bool {
+		if check() {
+			hopeless = false
+			return true
+		}
+		hopeless = !g.electing && !g.evidenceAt.IsZero() && g.clock.Since(g.evidenceAt) > hopelessAfter
+		return hopeless
+	})
+	if err == nil && hopeless {
+		e := gypsumyard.Errorf(gypsumyard.ClassNotRun, "no instance has been known to lead for %v", hopelessAfter)
+		e.RetryAfter = hopelessRetry
+		return e
+	}
+	return err
 }
 
 // await waits until check, which is called with the lock held, returns true.
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -53,7 +54,10 @@
 		p.targets = g.readTargets(j, p.needed)
 		return len(p.targets) > 0
 	})
-	return p, err
+	if err != nil {
+		return p, fmt.Errorf("wait for an instance that holds position %v: %w", p.needed, err)
+	}
+	return p, nil
 }
 
 // readTargets returns the instances whose log holds the position. It is called
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -37,6 +37,8 @@
 	promotions gypsumyard.PromotionCaller
 	lists      Lists
 	members    gypsumyard.Membership
+	assigner   assigner
+	peers      gypsumyard.Peers
 	self       string
 	handles    atomic.Uint64
 	ctx        context.Context
@@ -86,7 +88,7 @@
 func (s *Service) Name() string { return Name }
 
 // Needs lists the services that Start looks up.
-func (s *Service) Needs() []string { return []string{"lists", "members"} }
+func (s *Service) Needs() []string { return []string{"lists", "members", "peer"} }
 
 // Done returns a channel that is closed when the service has ended.
 func (s *Service) Done() <-chan struct{} { return s.done }
@@ -103,10 +105,19 @@
 	if err != nil {
 		return fmt.Errorf("owner: %w", err)
 	}
+	s.assigner, err = kernel.Lookup[assigner](k, "members")
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
+	s.peers, err = kernel.Lookup[gypsumyard.Peers](k, "peer")
+	if err != nil {
+		return fmt.Errorf("owner: %w", err)
+	}
 	s.self = s.members.Self().Name
 	s.claims.holder = s.self
 	s.started = true
 	s.work.Go(s.follow)
+	s.work.Go(s.repeatAssignments)
 	return nil
 }
 
@@ -274,9 +285,29 @@
 // CancelStatement does nothing: the line protocol cannot cancel a statement.
 func (s *Service) CancelStatement(context.Context, *gypsumyard.Request) error { return nil }
 
-// ProbeInstance is not offered: evidence comes from the instances themselves.
-func (s *Service) ProbeInstance(context.Context, string, string) (gypsumyard.InstanceStatus, error) {
-	return gypsumyard.InstanceStatus{}, fmt.Errorf("owner: probe: %w", gypsumyard.ErrUnavailable)
+// ProbeInstance reads the status of an instance over a fresh connection.
+func (s *Service) ProbeInstance(ctx context.Context, database, instance string) (st gypsumyard.InstanceStatus, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("owner: probe %s of %s: %w", instance, database, err)
+		}
+	}()
+	s.mu.Lock()
+	started := s.started
+	s.mu.Unlock()
+	if !started {
+		return st, gypsumyard.ErrUnavailable
+	}
+	for _, l := range s.lists.Instances(database) {
+		if l.ID != instance {
+			continue
+		}
+		c := control{instance: l, user: s.self}
+		defer c.close()
+		now, _, err := c.order(ctx, statusOrder, probeTimeout)
+		return gypsumyard.InstanceStatus{Role: now.role, Applied: now.applied, Fence: now.held}, err
+	}
+	return st, gypsumyard.ErrNotFound
 }
 
 // AcceptRelease does nothing: a group needs no hand-over from its last owner.
--- a/internal/lineowner/single.go
+++ b/internal/lineowner/single.go
@@ -15,7 +15,16 @@
 	if reads {
 		prefix = p.prefix()
 	}
+	if !reads {
+		if err := g.enterCommit(); err != nil {
+			u.instance.pool.put(u.conn)
+			return res, false, err
+		}
+	}
 	a, sent, err := g.run(ctx, j, u, prefix, !reads)
+	if !reads {
+		g.leaveCommit(err == nil)
+	}
 	if err != nil {
 		u.instance.pool.discard(u.conn)
 		return g.singleFailed(ctx, j, u, sent, err)
--- a/internal/lineowner/status.go
+++ b/internal/lineowner/status.go
@@ -28,6 +28,9 @@
 	connections int
 }
 
+// statusOrder asks an instance for its status.
+const statusOrder = "STATUS"
+
 // statusFields is how many fields the row of a status has.
 const statusFields = 7
 
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	instance *instance
 	conn     *conn
 	readOnly bool
+	// wrote indicates that a statement may have written. Only the holder of
+	// the turn uses it.
+	wrote bool
 
 	// turn is held by the statement that runs.
 	turn sync.Mutex
@@ -96,6 +100,7 @@
 		instance: u.instance,
 		conn:     u.conn,
 		readOnly: readOnly,
+		wrote:    j.writes(),
 	}
 	g.register(t)
 	res.Transaction, res.Owner = t.handle, g.service.self
@@ -113,6 +118,12 @@
 	return gypsumyard.Result{}, ctx.Err() == nil, notRun(err)
 }
 
+// writes reports whether the statement itself writes.
+func (j *job) writes() bool {
+	verb, _, _ := strings.Cut(j.Text, " ")
+	return line.Verb(verb) == line.Write || line.Verb(verb) == line.Execute && j.Prepared.Verb == line.Write
+}
+
 // commits reports whether the statement ends a transaction and keeps its work.
 func (j *job) commits() bool { return j.Text == string(line.Commit) }
 
@@ -150,6 +161,15 @@
 	}
 	defer t.turn.Unlock()
 	defer g.leaveTransaction(t)
+	t.wrote = t.wrote || j.writes()
+	if t.wrote && j.commits() {
+		if err := g.enterCommit(); err != nil {
+			// The commit was not sent: a rollback makes the promise true.
+			g.end(t, false)
+			return gypsumyard.Result{TxStatus: 'I'}, err
+		}
+		defer func() { g.leaveCommit(err == nil) }()
+	}
 	targets := []gypsumyard.Target{{Instance: t.instance.listed.ID, Reason: "transaction"}}
 	u, err := g.admit(ctx, j, targets)
 	if err != nil {
--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -45,6 +45,7 @@
 	out = append(out, s.askSeeds(now)...)
 	s.judgeFreshness(now)
 	s.forget(now)
+	s.expireAssigned(now)
 	return out
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -104,6 +104,7 @@
 	freshFrom uint64
 
 	helping   map[string][]helped
+	assigned  map[string]assigned
 	differs   time.Time
 	synced    time.Time
 	retried   time.Time
@@ -137,6 +138,7 @@
 		queue:    queue{sent: map[string]int{}},
 		changes:  make(chan struct{}),
 		helping:  map[string][]helped{},
+		assigned: map[string]assigned{},
 		suspects: map[string]*record{},
 		probing:  map[string]*record{},
 	}
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -46,6 +46,8 @@
 type view struct {
 	hosts   []gypsumyard.Host
 	regions map[string][]candidate
+	// assigned maps databases to the hosts that own them for a time.
+	assigned map[string]string
 	// owners maps a database's name to its ownership. It only ever holds
 	// names that the lists know.
 	owners sync.Map
@@ -58,11 +60,29 @@
 	ok     bool
 }
 
+// assignee returns the host to which the database is assigned, if it can own
+// databases.
+func (v *view) assignee(region, database string) (gypsumyard.Host, bool) {
+	name, ok := v.assigned[database]
+	if !ok {
+		return gypsumyard.Host{}, false
+	}
+	for _, c := range v.regions[region] {
+		if c.host.Name == name {
+			return c.host, true
+		}
+	}
+	return gypsumyard.Host{}, false
+}
+
 func (v *view) owner(region, database string) (gypsumyard.Host, bool) {
 	if o, ok := v.owners.Load(database); ok && o.(*ownership).region == region {
 		return o.(*ownership).host, o.(*ownership).ok
 	}
-	h, ok := first(v.regions[region], database)
+	h, ok := v.assignee(region, database)
+	if !ok {
+		h, ok = first(v.regions[region], database)
+	}
 	v.owners.Store(database, &ownership{region, h, ok})
 	return h, ok
 }
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -250,7 +250,10 @@
 
 // buildView copies the table for readers.
 func (s *Service) buildView() *view {
-	v := &view{regions: map[string][]candidate{}}
+	v := &view{regions: map[string][]candidate{}, assigned: map[string]string{}}
+	for database, a := range s.assigned {
+		v.assigned[database] = a.host
+	}
 	now := s.clock.Now()
 	for _, r := range s.records {
 		if r.gone() {
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -86,6 +86,10 @@
 
 func (p *peers) Name() string { return p.name }
 
+func (p *peers) AssignDatabase(context.Context, gypsumyard.Host, gypsumyard.Assignment) error {
+	return nil
+}
+
 func (p *peers) ReleaseDatabase(_ context.Context, to gypsumyard.Host, database string) error {
 	p.released <- to.Name + " " + database
 	return nil
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
@@ -88,6 +89,8 @@
 		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
 		err = g.acceptRelease(b.Released)
+	case *peerpb.Call_Assigned:
+		err = g.assign(b.Assigned)
 	case *peerpb.Call_Cancel:
 		err = g.cancelSession(b.Cancel)
 	default:
@@ -147,6 +150,20 @@
 	return nil
 }
 
+// An assigner is the service "members" as its peers use it.
+type assigner interface {
+	Assign(a gypsumyard.Assignment)
+}
+
+func (g *gossipServer) assign(a *peerpb.Assigned) error {
+	members, err := kernel.Lookup[assigner](g.service.kernel, "members")
+	if err != nil {
+		return err
+	}
+	members.Assign(gypsumyard.Assignment{Database: a.GetDatabase(), Host: a.GetHost(), Remaining: time.Duration(a.GetRemainingNs())})
+	return nil
+}
+
 func (g *gossipServer) reply(id uint64, r *peerpb.Reply) bool {
 	select {
 	case g.stream.data <- outgoing{frame: replyFrame(id, r)}:
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -74,6 +74,14 @@
 	return err
 }
 
+// AssignDatabase tells a host who owns a database for a time.
+func (s *Service) AssignDatabase(ctx context.Context, to gypsumyard.Host, a gypsumyard.Assignment) (err error) {
+	defer annotate(&err, "assign database at", to)
+	p := &peerpb.Assigned{Database: a.Database, Host: a.Host, RemainingNs: int64(a.Remaining)}
+	_, err = s.call(ctx, to, &peerpb.Call{Body: &peerpb.Call_Assigned{Assigned: p}})
+	return err
+}
+
 // ForwardCancel hands a cancel key to the host that gave it to a caller.
 func (s *Service) ForwardCancel(ctx context.Context, to gypsumyard.Host, process, secret uint32) (err error) {
 	defer annotate(&err, "forward cancel key to", to)
--- a/peers.go
+++ b/peers.go
@@ -1,6 +1,9 @@
 package gypsumyard
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Peers is the way to the parts of other hosts, apart from requests.
 type Peers interface {
@@ -16,6 +19,19 @@
 	// ReleaseDatabase tells a host that this one has finished its work as the
 	// owner of the database.
 	ReleaseDatabase(ctx context.Context, to Host, database string) error
+	// AssignDatabase tells a host who owns a database for a time.
+	AssignDatabase(ctx context.Context, to Host, a Assignment) error
+}
+
+// An Assignment makes a host the owner of a database for a time, whatever the
+// order of the hosts says. A host that cannot reach enough instances gives the
+// database to one that can.
+type Assignment struct {
+	Database string
+	// Host is the name of the owner.
+	Host string
+	// Remaining is how long the assignment still holds.
+	Remaining time.Duration
 }
 
 // An ObjectReplica keeps copies of versioned objects. A version never goes
