lineowner, emulate: elections of two hosts at a time, tighter samples, stand-in of a group of the line protocol

Cause: a test with two hosts before one group (TestOldPrimaryIsNotRead) read at a primary that had been replaced. The second host saw held replicas, began an election of its own at once and promoted the old primary while the first host's order was on the way, which cut back acknowledged commits. An election now settles after a foreign claim, confirms its claim and its fences just before the order, and held replicas are left to their election for 700 ms. Samples now come from what the replicas have received. Requests of a group that was taken over without a primary were never refused early (TestNoPromotionWithoutEnoughFences).

--- /dev/null
+++ b/internal/emulate/linegroup/session.go
@@ -0,0 +1,310 @@
+package linegroup
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+)
+
+// A session is one connection to an instance.
+type session struct {
+	instance *Instance
+	net      net.Conn
+	in       *line.Reader
+	ended    chan struct{}
+	state    byte
+	readOnly bool
+	term     gypsumyard.Term
+	items    map[string]string
+	values   map[string]string
+	prepared map[string]line.Prepared
+}
+
+func newSession(i *Instance, n net.Conn) *session {
+	return &session{
+		instance: i, net: n, in: line.NewReader(n, 4096), ended: make(chan struct{}), state: 'I',
+		values: map[string]string{}, prepared: map[string]line.Prepared{},
+	}
+}
+
+func (s *session) serve() {
+	defer close(s.ended)
+	defer s.net.Close()
+	m, err := s.in.Read()
+	if err != nil || m.Word != line.WordStart || s.silent() {
+		s.hang()
+		return
+	}
+	if code := s.refusal(m.Fields(3)); code != "" {
+		_, _ = s.net.Write(line.Append(nil, line.WordError, code, s.instance.id))
+		return
+	}
+	if !s.write(line.Append(nil, line.WordReady, "I", s.position())) {
+		return
+	}
+	for {
+		m, err := s.in.Read()
+		f := m.Fields(2)
+		if err != nil || m.Word != line.WordQuery || len(f) != 2 {
+			return
+		}
+		if s.silent() {
+			s.hang()
+			return
+		}
+		out := s.query(f[0], f[1])
+		if out == nil || !s.write(append(out, line.Append(nil, line.WordReady, string(s.state), s.position())...)) {
+			return
+		}
+	}
+}
+
+// hang waits until the other side closes the connection.
+func (s *session) hang() {
+	for {
+		if _, err := s.in.Read(); err != nil {
+			return
+		}
+	}
+}
+
+func (s *session) silent() (on bool) {
+	s.instance.set(func() { on = s.instance.silent })
+	return on
+}
+
+func (s *session) refusal(f []string) (code string) {
+	i := s.instance
+	i.set(func() {
+		switch {
+		case i.refuseStart != "":
+			code = i.refuseStart
+		case len(f) < 2 || f[0] != i.group.name || len(f) == 3 && f[2] != i.id:
+			code = string(line.CodeWrongNode)
+		case len(i.sessions) > i.group.connections:
+			code = string(line.CodeTooMany)
+		}
+	})
+	return code
+}
+
+func (s *session) write(b []byte) bool {
+	_, err := s.net.Write(b)
+	return err == nil
+}
+
+func (s *session) position() (p string) {
+	s.instance.set(func() { p = line.FormatPosition(s.instance.at(s.instance.applied)) })
+	return p
+}
+
+func (s *session) fail(code line.Code) []byte {
+	if s.state == 'T' {
+		s.state = 'E'
+	}
+	return line.Append(nil, line.WordError, string(code), s.instance.id)
+}
+
+func complete() []byte { return line.Append(nil, line.WordComplete, "-") }
+
+// query answers one statement up to the ready message. It returns nil if the
+// answer is lost.
+func (s *session) query(id, text string) []byte {
+	i := s.instance
+	verb, rest, _ := strings.Cut(text, " ")
+	switch verb {
+	case "STATUS", "PAUSE", "DEMOTE", "RESUME":
+		return s.order(verb, rest)
+	case "RESET":
+		clear(s.values)
+		clear(s.prepared)
+		return complete()
+	}
+	after := gypsumyard.Position{}
+	if verb == "AFTER" {
+		p, statement, _ := strings.Cut(rest, " ")
+		after, _ = line.ParsePosition(p)
+		text = statement
+	}
+	st, err := line.Parse(text)
+	if err != nil {
+		return s.fail(line.CodeMalformed)
+	}
+	busy := false
+	i.set(func() { busy = i.busy })
+	switch {
+	case s.state == 'E' && st.Verb != line.Rollback && st.Verb != line.Commit:
+		return s.fail(line.CodeMalformed)
+	case busy:
+		return s.fail(line.CodeBusy)
+	case !after.IsZero() && !s.covers(after):
+		return s.fail(line.CodeLagging)
+	}
+	return s.statement(id, text, st)
+}
+
+func (s *session) covers(p gypsumyard.Position) (ok bool) {
+	i := s.instance
+	i.set(func() {
+		n := int(p.Offset)
+		ok = n <= i.applied && (n == 0 || i.log[n-1].Position == p)
+	})
+	return ok
+}
+
+func (s *session) statement(id, text string, st line.Statement) []byte {
+	switch st.Verb {
+	case line.Begin:
+		return s.begin(st)
+	case line.Rollback:
+		s.state, s.items = 'I', nil
+		return complete()
+	case line.Set:
+		s.values[st.Name] = st.Value
+		return complete()
+	case line.Prepare:
+		s.prepared[st.Name] = st.Prepared
+		return complete()
+	case line.Deallocate:
+		delete(s.prepared, st.Name)
+		return complete()
+	case line.Execute:
+		p, ok := s.prepared[st.Name]
+		if !ok {
+			return s.fail(line.CodeUnknown)
+		}
+		st.Verb = p.Verb
+	}
+	time.Sleep(s.instance.group.work)
+	return s.work(id, text, st)
+}
+
+func (s *session) begin(st line.Statement) (out []byte) {
+	i := s.instance
+	i.set(func() {
+		if !st.ReadOnly && i.role != gypsumyard.RolePrimary {
+			out = s.fail(line.CodeReadOnly)
+			return
+		}
+		s.state, s.readOnly, s.term, s.items = 'T', st.ReadOnly, i.term, map[string]string{}
+		out = complete()
+	})
+	return out
+}
+
+// work carries out a read, a write or a commit.
+func (s *session) work(id, text string, st line.Statement) (out []byte) {
+	i := s.instance
+	lost, lead := false, false
+	i.set(func() {
+		lead = i.role == gypsumyard.RolePrimary && (s.state == 'I' || s.readOnly || i.term == s.term)
+		i.group.runs = append(i.group.runs, Run{i.id, id, text, i.at(i.applied)})
+		if lost = i.loseAnswers > 0; lost {
+			i.loseAnswers--
+		}
+	})
+	plain := s.state == 'T' && !s.readOnly
+	switch {
+	case st.Verb == line.Commit:
+		out = s.commit(plain, lead)
+	case plain && !lead, st.Verb == line.Write && (!lead || s.readOnly && s.state == 'T'):
+		return s.fail(line.CodeReadOnly)
+	case st.Verb == line.Write:
+		out = s.put(text)
+	default:
+		out = s.read(text)
+	}
+	if lost {
+		return nil
+	}
+	return out
+}
+
+func (s *session) commit(plain, lead bool) []byte {
+	items := s.items
+	s.state, s.items = 'I', nil
+	switch {
+	case !plain || len(items) == 0:
+		return s.done(nil)
+	case !lead:
+		return s.fail(line.CodeReadOnly)
+	}
+	return s.save(items)
+}
+
+// put writes an item, as a transaction of its own outside one.
+func (s *session) put(text string) []byte {
+	f := strings.Fields(text)
+	item, data := f[1], f[len(f)-1]
+	if f[0] == string(line.Execute) {
+		item = f[2]
+	}
+	if s.state == 'T' {
+		s.items[item] = data
+		return s.done(nil)
+	}
+	return s.save(map[string]string{item: data})
+}
+
+func (s *session) save(items map[string]string) []byte {
+	if _, ok := s.instance.group.commit(s.instance, items, s.ended); !ok {
+		return s.fail(line.CodeTimeout)
+	}
+	return s.done(nil)
+}
+
+func (s *session) read(text string) []byte {
+	f := strings.Fields(text)
+	item := f[len(f)-1]
+	data, found := "", false
+	s.instance.set(func() {
+		for _, r := range s.instance.log[:s.instance.applied] {
+			if v, ok := r.Items[item]; ok {
+				data, found = v, true
+			}
+		}
+	})
+	if v, ok := s.items[item]; ok {
+		data, found = v, true
+	}
+	if !found {
+		return s.done(nil)
+	}
+	return s.done([]string{data})
+}
+
+// done returns rows and the message that ends them.
+func (s *session) done(rows []string) (out []byte) {
+	for _, r := range rows {
+		out = line.Append(out, line.WordRow, r)
+	}
+	return line.Append(out, line.WordComplete, "digest-of-"+s.instance.id)
+}
+
+// order answers the orders of a proxy.
+func (s *session) order(verb, rest string) (out []byte) {
+	i := s.instance
+	n, _ := strconv.ParseUint(rest, 10, 64)
+	term := gypsumyard.Term(n)
+	i.set(func() {
+		switch {
+		case verb == "PAUSE" && i.role == gypsumyard.RoleReplica && term > i.term:
+			i.held = max(i.held, term)
+		case verb == "DEMOTE" && i.role == gypsumyard.RolePrimary && term > i.term:
+			i.role = gypsumyard.RoleReplica
+			if p := i.group.primaryLocked(); p != nil && !i.deaf {
+				i.follow(p)
+			}
+		case verb == "RESUME":
+			i.held = 0
+		}
+		row := fmt.Sprintf("%s %d %s %d 0 0 %d", i.role, i.term, line.FormatPosition(i.received()), i.held, len(i.sessions))
+		out = append(line.Append(nil, line.WordRow, row), complete()...)
+	})
+	return out
+}
--- a/internal/lineowner/claim.go
+++ b/internal/lineowner/claim.go
@@ -66,6 +66,13 @@
 	g.work.Go(func() { g.readClaim(now) })
 }
 
+// note takes over the latest claim. It is called with the lock held.
+func (c *claimState) note(gen gypsumyard.Generation, now time.Time) {
+	if !c.known || gen != c.generation {
+		c.known, c.generation, c.firstSeen = true, gen, now
+	}
+}
+
 func (g *group) readClaim(sent time.Time) {
 	ctx, cancel := context.WithTimeout(g.ctx, claimReadTimeout)
 	defer cancel()
@@ -78,9 +85,7 @@
 		g.log.WithError(err).Debug("latest claim is not known")
 		return
 	}
-	if !c.known || gen != c.generation {
-		c.known, c.generation, c.firstSeen = true, gen, g.clock.Now()
-	}
+	c.note(gen, g.clock.Now())
 	c.lastSeen = sent
 	g.updateSamples()
 	g.broadcast()
--- a/internal/lineowner/duty.go
+++ b/internal/lineowner/duty.go
@@ -18,6 +18,8 @@
 	store  gypsumyard.Store
 	prefix string
 	holder string
+	// started is when this process started.
+	started int64
 
 	mu     sync.Mutex
 	number int
@@ -26,12 +28,14 @@
 // A claim is the value of the object.
 type claim struct {
 	Holder string `json:"holder"`
-	// Number tells the claims of one holder apart.
-	Number int `json:"number"`
+	// Started tells the processes of one holder apart, Number their claims.
+	Started int64 `json:"started"`
+	Number  int   `json:"number"`
 }
 
-// take writes a claim for the group and returns its generation.
-func (c *claims) take(ctx context.Context, group string) (gen gypsumyard.Generation, err error) {
+// take writes a claim for the group. It returns its generation and that of the
+// claim before, or zero if there was none.
+func (c *claims) take(ctx context.Context, group string) (gen, before gypsumyard.Generation, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("claim the promotion of %s: %w", group, err)
@@ -40,10 +44,10 @@
 	name := c.prefix + group
 	c.mu.Lock()
 	c.number++
-	value, err := json.Marshal(claim{c.holder, c.number})
+	value, err := json.Marshal(claim{c.holder, c.started, c.number})
 	c.mu.Unlock()
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	var expected gypsumyard.Version
 	old, err := c.store.Get(ctx, name)
@@ -51,13 +55,15 @@
 	case err == nil:
 		expected = old.Version
 	case !errors.Is(err, gypsumyard.ErrNotFound):
-		return 0, err
+		return 0, 0, err
 	}
+	before = gypsumyard.Generation(expected)
 	v, err := c.store.Put(ctx, name, expected, value)
 	if errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
-		return c.confirm(ctx, name, value, err)
+		gen, err = c.confirm(ctx, name, value, err)
+		return gen, before, err
 	}
-	return gypsumyard.Generation(v), err
+	return gypsumyard.Generation(v), before, err
 }
 
 // current returns the generation of the latest claim for the group. Zero means
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -34,6 +35,12 @@
 	// promotedWithin is how long a promotion may take until the instance shows
 	// it.
 	promotedWithin = 3 * time.Second
+	// settleFor is how long the order of an election that another host has
+	// begun may take to have an effect.
+	settleFor = 1500 * time.Millisecond
+	// heldFor is how long replicas may be held before another election is
+	// begun in place of the one that holds them.
+	heldFor = 700 * time.Millisecond
 	// claimTimeout bounds the claim of a generation.
 	claimTimeout = 800 * time.Millisecond
 	// handOverPatience is how long open transactions of a leaving primary may
@@ -48,7 +55,9 @@
 var (
 	errTooFewFenced = errors.New("too few instances are fenced")
 	errFenceOld     = errors.New("answers to the fencing orders are too old")
-	errNotPromoted  = errors.New("instance does not show its promotion")
+	// errOtherElection indicates that another host promotes.
+	errOtherElection = errors.New("another host has begun an election")
+	errNotPromoted   = errors.New("instance does not show its promotion")
 )
 
 // An election is the state of the search for a new primary. Only supervise uses
@@ -62,6 +71,11 @@
 	// written, and mark what was missing.
 	behind time.Time
 	mark   gypsumyard.Position
+	// heldSince is since when replicas are held for a term above the
+	// primary's.
+	heldSince time.Time
+	// claimed is the generation of this host's last claim.
+	claimed gypsumyard.Generation
 	// demotedAt is when a primary of an old term was last told to step down.
 	demotedAt time.Time
 }
@@ -116,7 +130,7 @@
 	switch {
 	case p.listed.Leaving && g.successor(p):
 		return electionCause{"the primary is leaving", true, p}
-	case g.heldReplicas(p):
+	case g.heldReplicas(p, now):
 		return electionCause{"replicas are held for a later term", false, p}
 	case g.stuck(p, now):
 		return electionCause{"replicas do not receive the log of the primary", false, p}
@@ -169,12 +183,18 @@
 // heldReplicas reports whether an election was begun and not finished: a
 // replica that is held receives nothing until a promotion. It is called with
 // the lock held.
-func (g *group) heldReplicas(p *instance) bool {
+func (g *group) heldReplicas(p *instance, now time.Time) bool {
+	e := &g.election
 	for _, i := range g.instances {
-		if i != p && i.known && i.reachable && i.status.held > p.status.term {
-			return true
+		if i == p || !i.known || !i.reachable || i.status.held <= p.status.term {
+			continue
 		}
+		if e.heldSince.IsZero() {
+			e.heldSince = now
+		}
+		return now.Sub(e.heldSince) >= heldFor
 	}
+	e.heldSince = time.Time{}
 	return false
 }
 
@@ -238,14 +258,12 @@
 	}
 	log.Info("election begins")
 	g.metrics.elections.Inc(1)
-	g.setElecting(true)
-	defer g.setElecting(false)
 	if why.planned {
 		defer g.handOver(why.primary)()
 	}
 	chosen, err := g.electOnce()
 	e := &g.election
-	e.behind, e.leaderless = time.Time{}, time.Time{}
+	e.behind, e.leaderless, e.heldSince = time.Time{}, time.Time{}, time.Time{}
 	if err != nil {
 		e.notBefore = g.clock.Now().Add(electionPause)
 		log.WithError(err).Warn("election failed")
@@ -302,10 +320,13 @@
 func (g *group) electOnce() (chosen *instance, err error) {
 	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
 	defer cancel()
-	generation, err := g.service.claims.take(ctx, g.name)
+	generation, before, err := g.service.claims.take(ctx, g.name)
 	if err != nil {
 		return nil, err
 	}
+	if err := g.settle(generation, before); err != nil {
+		return nil, err
+	}
 	term, instances := g.nextTerm()
 	answers := g.fence(instances, term)
 	needed := fencesNeeded(len(instances), g.syncReplicas())
@@ -321,9 +342,14 @@
 		"term": term, "generation": generation, "fenced": len(answers), "needed": needed,
 		"instance": best.instance.listed.ID, "received": best.status.received.String(),
 	}).Info("instance chosen to lead")
+	g.setElecting(true)
+	defer g.setElecting(false)
 	if err := g.clock.Sleep(g.ctx, fenceWait); err != nil {
 		return nil, err
 	}
+	if err := g.confirmFences(answers, term, needed, generation); err != nil {
+		return nil, err
+	}
 	if g.clock.Since(fencedAt) > fenceAge {
 		return nil, errFenceOld
 	}
@@ -338,6 +364,74 @@
 	return best.instance, g.awaitPromoted(best.instance, term)
 }
 
+// settle waits for the outcome of an election that another host may have begun
+// a moment ago: its order to promote may be on the way. It fails if that election
+// has found a primary.
+func (g *group) settle(generation, before gypsumyard.Generation) error {
+	g.mu.Lock()
+	c := &g.claim
+	now := g.clock.Now()
+	foreign := before != 0 && before != g.election.claimed
+	if c.known && c.generation == before && now.Sub(c.firstSeen) > settleFor {
+		foreign = false
+	}
+	c.note(generation, now)
+	g.election.claimed = generation
+	newest := g.leadingTerm
+	g.mu.Unlock()
+	if !foreign {
+		return nil
+	}
+	g.log.WithFields(logrus.Fields{"generation": generation, "before": before}).Info("another host may be promoting, waiting for its outcome")
+	ctx, cancel := context.WithTimeout(g.ctx, settleFor)
+	defer cancel()
+	err := g.await(ctx, func() bool {
+		for _, i := range g.instances {
+			if i.known && i.status.term > newest {
+				return true
+			}
+		}
+		return false
+	})
+	if err == nil {
+		return errOtherElection
+	}
+	return g.ctx.Err()
+}
+
+// confirmFences checks that no other host has claimed the promotion since, and
+// that enough instances are still held: a promotion by another host ends holds.
+func (g *group) confirmFences(answers []fenced, term gypsumyard.Term, needed int, generation gypsumyard.Generation) error {
+	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
+	defer cancel()
+	latest, err := g.service.claims.current(ctx, g.name)
+	if err != nil {
+		return err
+	}
+	if latest != generation {
+		return fmt.Errorf("%w: claim %d follows %d", errOtherElection, latest, generation)
+	}
+	var held atomic.Int64
+	var wg sync.WaitGroup
+	for _, f := range answers {
+		wg.Go(func() {
+			s, _, err := f.instance.orders.order(g.ctx, statusOrder, orderTimeout)
+			if err != nil {
+				g.log.WithField("instance", f.instance.listed.ID).WithError(err).Warn("fence is not confirmed")
+				return
+			}
+			if s.role == gypsumyard.RoleReplica && s.term < term && (s.held == f.status.held || s.held >= term) {
+				held.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if n := int(held.Load()); n < needed {
+		return fmt.Errorf("%w: %d of %d are still held", errTooFewFenced, n, len(answers))
+	}
+	return nil
+}
+
 func (g *group) syncReplicas() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/lineowner/fitness.go
+++ b/internal/lineowner/fitness.go
@@ -161,7 +161,7 @@
 	ids, reached, silent := g.reach()
 	fences := fencesNeeded(len(ids), g.settings.SyncReplicas)
 	evidence := evidenceNeeded(len(ids), g.settings.SyncReplicas)
-	if p, at := g.lead(); p != nil || g.evidenceAt.IsZero() {
+	if p, at := g.lead(); p != nil {
 		g.evidenceAt = later(at, g.evidenceAt)
 	}
 	lost := now.Sub(g.evidenceAt)
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -77,7 +77,8 @@
 	// proven is the latest evidence from instances, claim what the store says.
 	proven proof
 	claim  claimState
-	// evidenceAt is up to when it was certain who leads.
+	// evidenceAt is up to when it was certain who leads, or when the group was
+	// taken over.
 	evidenceAt time.Time
 	opinions   opinions
 	// election is the state of the search for a new primary.
@@ -99,6 +100,7 @@
 		transactions: map[string]*transaction{},
 		changed:      make(chan struct{}),
 		lastRequest:  s.clock.Now(),
+		evidenceAt:   s.clock.Now(),
 	}
 	g.owned, g.disown = context.WithCancelCause(ctx)
 	g.update()
--- /dev/null
+++ b/internal/lineowner/harness_test.go
@@ -0,0 +1,294 @@
+package lineowner
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/sirupsen/logrus"
+)
+
+const groupName = "appraisal"
+
+// A fixture is one or more hosts before an emulated group.
+type fixture struct {
+	t     *testing.T
+	group *linegroup.Group
+	store *memstore.Store
+	hosts []*hostFixture
+	next  int
+}
+
+// A hostFixture is one host.
+type hostFixture struct {
+	*Service
+	lists   *fakeLists
+	members *fakeMembers
+	kernel  *kernel.Kernel
+	orders  *orders
+}
+
+// orders carries promotions to the emulated group.
+type orders struct {
+	group *linegroup.Group
+	mu    sync.Mutex
+	list  []gypsumyard.PromotionOrder
+	// before is called before an order is carried out.
+	before func()
+}
+
+func (o *orders) Promote(_ context.Context, p gypsumyard.PromotionOrder) error {
+	o.mu.Lock()
+	o.list = append(o.list, p)
+	before := o.before
+	o.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	return o.group.Promote(p.Instance)
+}
+
+// sent returns the orders.
+func (o *orders) sent() []gypsumyard.PromotionOrder {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]gypsumyard.PromotionOrder(nil), o.list...)
+}
+
+type service struct {
+	name string
+	done chan struct{}
+}
+
+func (s service) Name() string                                { return s.name }
+func (s service) Needs() []string                             { return nil }
+func (s service) Start(context.Context, *kernel.Kernel) error { return nil }
+func (s service) Stop(context.Context) error                  { close(s.done); return nil }
+func (s service) Done() <-chan struct{}                       { return s.done }
+
+type fakeLists struct {
+	service
+	mu      sync.Mutex
+	desired *gypsumyard.DesiredState
+	listed  func() []gypsumyard.ListedInstance
+	changed chan struct{}
+}
+
+func (l *fakeLists) Desired() *gypsumyard.DesiredState { return l.desired }
+
+func (l *fakeLists) Instances(string) []gypsumyard.ListedInstance { return l.listed() }
+
+func (l *fakeLists) Changes() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *fakeLists) change() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+type fakeMembers struct {
+	service
+	self  gypsumyard.Host
+	hosts []gypsumyard.Host
+	mu    sync.Mutex
+	// owner is the name of the host that owns the group.
+	owner    string
+	assigned []gypsumyard.Assignment
+	changed  chan struct{}
+}
+
+func (m *fakeMembers) Self() gypsumyard.Host    { return m.self }
+func (m *fakeMembers) Hosts() []gypsumyard.Host { return m.hosts }
+
+func (m *fakeMembers) Owner(string) (gypsumyard.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return gypsumyard.Host{Name: m.owner}, true
+}
+
+func (m *fakeMembers) Changes() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changed
+}
+
+func (m *fakeMembers) Assign(a gypsumyard.Assignment) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.assigned = append(m.assigned, a)
+	m.owner = a.Host
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *fakeMembers) Assigned(string) (gypsumyard.Assignment, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.assigned) == 0 {
+		return gypsumyard.Assignment{}, false
+	}
+	return m.assigned[len(m.assigned)-1], true
+}
+
+// fakePeers answers for other hosts.
+type fakePeers struct {
+	service
+	gypsumyard.Peers
+	probe func(host, instance string) (gypsumyard.InstanceStatus, error)
+}
+
+func (p *fakePeers) ProbeInstance(_ context.Context, via gypsumyard.Host, _, instance string) (gypsumyard.InstanceStatus, error) {
+	if p.probe == nil {
+		return gypsumyard.InstanceStatus{}, gypsumyard.ErrUnavailable
+	}
+	return p.probe(via.Name, instance)
+}
+
+func (p *fakePeers) AssignDatabase(context.Context, gypsumyard.Host, gypsumyard.Assignment) error {
+	return nil
+}
+
+func newFixture(t *testing.T, instances int, options ...linegroup.Option) *fixture {
+	t.Helper()
+	g, err := linegroup.New(groupName, instances, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return &fixture{t: t, group: g, store: memstore.New()}
+}
+
+// addHost starts a host that owns the group.
+func (f *fixture) addHost(name string, peers *fakePeers, others ...string) *hostFixture {
+	f.t.Helper()
+	d := &gypsumyard.DesiredState{
+		Groups: map[string]gypsumyard.Group{groupName: {Name: groupName, Connections: 30, SyncReplicas: 1}},
+		Routes: map[string]gypsumyard.Route{},
+	}
+	h := &hostFixture{
+		lists:   &fakeLists{service: service{"lists", make(chan struct{})}, desired: d, listed: f.group.Listed, changed: make(chan struct{})},
+		members: &fakeMembers{service: service{"members", make(chan struct{})}, self: gypsumyard.Host{Name: name}, owner: name, changed: make(chan struct{})},
+		orders:  &orders{group: f.group},
+	}
+	for _, o := range others {
+		h.members.hosts = append(h.members.hosts, gypsumyard.Host{Name: o, State: gypsumyard.HostLive})
+	}
+	if peers == nil {
+		peers = &fakePeers{}
+	}
+	peers.service = service{"peer", make(chan struct{})}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	if testing.Verbose() {
+		log.SetOutput(f.t.Output())
+	}
+	h.Service = New(f.store, "claims/", h.orders, WithClock(clock.Boot()), WithLogger(log))
+	var err error
+	h.kernel, err = kernel.New(h.lists, h.members, peers, h.Service)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := h.kernel.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := h.kernel.Stop(ctx); err != nil {
+			f.t.Error(err)
+		}
+	})
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+// A statement is what a test sends.
+type statement struct {
+	text        string
+	class       gypsumyard.StatementClass
+	consistency gypsumyard.Consistency
+	staleness   time.Duration
+	position    gypsumyard.Position
+	settings    []gypsumyard.Setting
+	prepared    line.Prepared
+	tx          gypsumyard.Result
+	timeout     time.Duration
+}
+
+// run sends a statement to the host and returns the answer's lines.
+func (f *fixture) run(h *hostFixture, s statement) (string, gypsumyard.Result, error) {
+	f.next++
+	id := fmt.Sprintf("q%d", f.next)
+	if s.consistency == "" {
+		s.consistency = gypsumyard.ConsistencyPrimary
+	}
+	if s.timeout == 0 {
+		s.timeout = 3 * time.Second
+	}
+	b := line.Batch{Consistency: s.consistency, ID: id, Text: s.text, Prepared: s.prepared}
+	r := &gypsumyard.Request{
+		Session: "s1", Customer: "route", Database: groupName, Class: s.class, Messages: b.Marshal(),
+		MaxStaleness: s.staleness, Position: s.position, Settings: s.settings,
+		Transaction: s.tx.Transaction, Owner: s.tx.Owner, Deadline: h.clock.Now().Add(s.timeout),
+	}
+	var out bytes.Buffer
+	ctx, cancel := context.WithTimeout(f.t.Context(), 2*s.timeout)
+	defer cancel()
+	res, err := h.Execute(ctx, r, &out)
+	return out.String(), res, err
+}
+
+func (f *fixture) write(h *hostFixture, text string) (gypsumyard.Result, error) {
+	_, res, err := f.run(h, statement{text: text, class: gypsumyard.StatementWrite})
+	return res, err
+}
+
+// eventually waits until check returns true.
+func (f *fixture) eventually(what string, check func() bool) {
+	f.t.Helper()
+	end := time.Now().Add(8 * time.Second)
+	for !check() {
+		if time.Now().After(end) {
+			f.t.Fatalf("not in time: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// deadAddr returns an address at which nothing answers.
+func (f *fixture) deadAddr() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// runQuiet is run for other goroutines than the test's.
+func (f *fixture) runQuiet(h *hostFixture, s statement) (string, gypsumyard.Result, error) {
+	b := line.Batch{Consistency: gypsumyard.ConsistencyPrimary, ID: "parallel", Text: s.text}
+	r := &gypsumyard.Request{
+		Session: "s2", Customer: "route", Database: groupName, Class: s.class, Messages: b.Marshal(), Deadline: h.clock.Now().Add(s.timeout),
+	}
+	var out bytes.Buffer
+	res, err := h.Execute(context.Background(), r, &out)
+	return out.String(), res, err
+}
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -143,11 +143,11 @@
 	var refusal *line.Error
 	switch {
 	case err == nil:
-		g.takeStatus(i, sent, s)
 		if fresh && !i.silentSince.IsZero() {
 			i.pool.suspect()
 		}
 		g.noteAnswer(i)
+		g.takeStatus(i, sent, s)
 	case errors.As(err, &refusal) && (refusal.Code == line.CodeBusy || refusal.Code == line.CodeTooMany):
 		g.noteAnswer(i) // It is alive but tells nothing.
 	default:
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -29,6 +29,9 @@
 	// sampleAge is how long samples of the primary's position are kept. It
 	// exceeds the staleness that routes accept.
 	sampleAge = 12 * time.Second
+	// sampleGap is the time after the last sample at which one is taken that not
+	// all replicas confirm.
+	sampleGap = 300 * time.Millisecond
 	// sampleSlack is taken off the staleness that a route accepts, for the time
 	// between the choice of a sample and the read.
 	sampleSlack = 20 * time.Millisecond
@@ -131,16 +134,51 @@
 		}).Info("primary found")
 		g.leading, g.leadingTerm = p, p.status.term
 	}
-	if n := len(g.samples); n > 0 && !at.After(g.samples[n-1].at) {
-		return
+	s, ok := g.acknowledgedBy(p, at)
+	if n := len(g.samples); n > 0 {
+		last := g.samples[n-1].at
+		if !ok || !s.at.After(last) {
+			// What the primary has written is a higher bound than needed, so it
+			// is used only if not all replicas answer.
+			s = sample{at, p.status.received}
+			last = last.Add(sampleGap)
+		}
+		if !s.at.After(last) {
+			return
+		}
+	} else if !ok {
+		s = sample{at, p.status.received}
 	}
-	g.samples = append(g.samples, sample{at, p.status.received})
+	g.samples = append(g.samples, s)
 	limit := g.clock.Now().Add(-sampleAge)
 	for len(g.samples) > 1 && g.samples[0].at.Before(limit) {
 		g.samples = g.samples[1:]
 	}
 }
 
+// acknowledgedBy returns a sample from what the replicas have received, if all
+// have answered: an acknowledged commit is on as many as the group demands. A
+// primary whose commits are not acknowledged does not raise it. It is called
+// with the lock held.
+func (g *group) acknowledgedBy(p *instance, at time.Time) (s sample, ok bool) {
+	var received []gypsumyard.Position
+	for _, i := range g.instances {
+		if !i.known || i.status.term != p.status.term {
+			return s, false
+		}
+		at = earlier(at, i.sampledAt)
+		if i != p {
+			received = append(received, i.status.received)
+		}
+	}
+	needed := g.settings.SyncReplicas
+	if needed < 1 || len(received) < needed {
+		return s, false
+	}
+	slices.SortFunc(received, func(a, b gypsumyard.Position) int { return b.Compare(a) })
+	return sample{at, received[needed-1]}, true
+}
+
 // floor returns the lowest position that covers all commits that were
 // acknowledged longer ago than staleness, or false if no sample tells. It is
 // called with the lock held.
@@ -193,7 +231,7 @@
 			hopeless = false
 			return true
 		}
-		hopeless = !g.electing && !g.evidenceAt.IsZero() && g.clock.Since(g.evidenceAt) > hopelessAfter
+		hopeless = !g.electing && g.clock.Since(g.evidenceAt) > hopelessAfter
 		return hopeless
 	})
 	if err == nil && hopeless {
--- /dev/null
+++ b/internal/lineowner/owner_test.go
@@ -0,0 +1,325 @@
+package lineowner
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against a promotion that misses evidence, or an acknowledged commit,
+// at some number of instances.
+func TestFencesMeetEvidenceAndCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "instances")
+		sync := rapid.IntRange(0, n-1).Draw(t, "sync")
+		f, e := fencesNeeded(n, sync), evidenceNeeded(n, sync)
+		if f < 1 || f > n || e < 1 || e > n {
+			t.Fatalf("%d fences and %d for evidence of %d", f, e, n)
+		}
+		if f+e <= n {
+			t.Fatalf("%d fences miss %d instances that prove the lead, of %d", f, e, n)
+		}
+		if sync > 0 && f+sync+1 <= n {
+			t.Fatalf("%d fences miss a commit on %d of %d", f, sync+1, n)
+		}
+	})
+}
+
+// Guards against answers that differ from what the instance has said.
+func TestStatementsOfAllKinds(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	res, err := f.write(h, "WRITE rug-1 blue")
+	is.NoErr(err)
+	is.Equal(res.Position.Offset, gypsumyard.Offset(1))
+	out, _, err := f.run(h, statement{text: "READ rug-1", class: gypsumyard.StatementRead})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(out, "ROW blue\r\nCOMPLETE "))
+	out, _, err = f.run(h, statement{
+		text: "EXECUTE s9 rug-1 red", class: gypsumyard.StatementWrite, prepared: line.Prepared{Verb: line.Write, Shape: "q1"},
+	})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(out, "COMPLETE "))
+	out, _, err = f.run(h, statement{
+		text: "READ rug-1", class: gypsumyard.StatementRead, consistency: gypsumyard.ConsistencySession, staleness: time.Second,
+		position: gypsumyard.Position{Term: 1, Offset: 2},
+	})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(out, "ROW red\r\n"))
+}
+
+// Guards against a read that misses a commit of its own session on a replica
+// that trails.
+func TestReadYourWritesBehindLag(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3, linegroup.WithLag(400*time.Millisecond))
+	h := f.addHost("host-1", nil)
+	for n := range 20 {
+		data := "v" + strings.Repeat("x", n+1)
+		res, err := f.write(h, "WRITE rug-1 "+data)
+		is.NoErr(err)
+		out, _, err := f.run(h, statement{
+			text: "READ rug-1", class: gypsumyard.StatementRead, consistency: gypsumyard.ConsistencySession, staleness: 2 * time.Second,
+			position: res.Position,
+		})
+		is.NoErr(err)
+		is.True(strings.HasPrefix(out, "ROW "+data+"\r\n"))
+	}
+}
+
+// Guards against statements of a transaction on another connection, and against
+// a transaction that is kept although it was rolled back.
+func TestTransactions(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, tx, err := f.run(h, statement{text: "WRITE a 1", class: gypsumyard.StatementBegin})
+	is.NoErr(err)
+	is.Equal(tx.TxStatus, byte('T'))
+	out, _, err := f.run(h, statement{text: "READ a", class: gypsumyard.StatementRead, tx: tx})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(out, "ROW 1\r\n"))
+	_, res, err := f.run(h, statement{text: "COMMIT", class: gypsumyard.StatementCommit, tx: tx})
+	is.NoErr(err)
+	is.Equal(res.TxStatus, byte('I'))
+	_, _, err = f.run(h, statement{text: "READ a", class: gypsumyard.StatementRead, tx: tx})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun) // It has ended.
+	_, tx, err = f.run(h, statement{text: "WRITE a 2", class: gypsumyard.StatementBegin})
+	is.NoErr(err)
+	is.NoErr(h.Abandon(t.Context(), &gypsumyard.Request{Session: "s1", Database: groupName, Transaction: tx.Transaction}))
+	out, _, err = f.run(h, statement{text: "READ a", class: gypsumyard.StatementRead})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(out, "ROW 1\r\n"))
+}
+
+// Guards against a promise for a write that has run: its answer is lost, so
+// nothing is known.
+func TestLostAnswers(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	f.group.Primary().LoseAnswers(1)
+	_, err = f.write(h, "WRITE a 2")
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
+	// A read that has lost its answer runs again.
+	f.group.Primary().LoseAnswers(1)
+	out, _, err := f.run(h, statement{text: "READ a", class: gypsumyard.StatementRead})
+	is.NoErr(err)
+	is.True(strings.HasPrefix(out, "ROW 2\r\n"))
+	// A transaction whose first answer is lost is begun anew.
+	f.group.Primary().LoseAnswers(1)
+	_, tx, err := f.run(h, statement{text: "WRITE a 3", class: gypsumyard.StatementBegin})
+	is.NoErr(err)
+	f.group.Primary().LoseAnswers(1)
+	_, _, err = f.run(h, statement{text: "COMMIT", class: gypsumyard.StatementCommit, tx: tx})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
+}
+
+// Guards against the crash of the process when an instance refuses a session.
+func TestRefusedStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	for _, i := range f.group.Instances() {
+		i.RefuseStart("TOOMANY")
+	}
+	h := f.addHost("host-1", nil)
+	_, _, err := f.run(h, statement{text: "READ a", class: gypsumyard.StatementRead, timeout: 300 * time.Millisecond})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+	for _, i := range f.group.Instances() {
+		i.RefuseStart("")
+	}
+	_, err = f.write(h, "WRITE a 1")
+	is.NoErr(err)
+}
+
+// Guards against an acknowledged commit that a new primary lacks, and against
+// writes that stall for long when a primary crashes.
+func TestPrimaryCrash(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	for range 20 {
+		_, err := f.write(h, "WRITE a 1")
+		is.NoErr(err)
+	}
+	began := time.Now()
+	f.group.Primary().Crash()
+	_, err := f.write(h, "WRITE a 2")
+	if gypsumyard.ClassOf(err) == gypsumyard.ClassUnknown && err != nil {
+		_, err = f.write(h, "WRITE a 2") // The crash met the statement itself.
+	}
+	is.NoErr(err)
+	is.True(time.Since(began) < 3*time.Second)
+	for _, p := range f.group.Acknowledged() {
+		is.True(f.group.Primary().Holds(p))
+	}
+	sent := h.orders.sent()
+	is.Equal(len(sent), 1)
+	is.True(sent[0].Generation > 0)
+	is.Equal(sent[0].Holder, "host-1")
+}
+
+// Guards against the choice of a replica that lacks acknowledged commits
+// because it received nothing for a while.
+func TestLongestLogIsPromoted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	f.group.Instances()[1].SetDeaf(true)
+	for range 5 {
+		_, err := f.write(h, "WRITE a 2")
+		is.NoErr(err)
+	}
+	f.group.Instances()[0].Crash()
+	f.eventually("a new primary", func() bool { return len(h.orders.sent()) > 0 })
+	is.Equal(h.orders.sent()[0].Instance, f.group.Instances()[2].ID())
+}
+
+// Guards against a promotion with too few fenced instances: an acknowledged
+// commit may be on the instance that is out of reach.
+func TestNoPromotionWithoutEnoughFences(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	f.group.Instances()[2].SetSilent(true)
+	f.group.Instances()[0].Crash()
+	time.Sleep(1500 * time.Millisecond)
+	is.Equal(len(h.orders.sent()), 0)
+	began := time.Now()
+	_, _, err = f.run(h, statement{text: "WRITE a 2", class: gypsumyard.StatementWrite, timeout: 4 * time.Second})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+	is.True(time.Since(began) < 2*time.Second) // Refused when it is hopeless, not at its deadline.
+	f.group.Instances()[2].SetSilent(false)
+	f.eventually("a promotion", func() bool { return len(h.orders.sent()) > 0 })
+}
+
+// Guards against a read at a primary that another host has replaced: the host
+// that still reaches the old primary must not rely on it.
+func TestOldPrimaryIsNotRead(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3, linegroup.WithPromotion(150*time.Millisecond))
+	a := f.addHost("host-a", nil)
+	_, err := f.write(a, "WRITE a 1")
+	is.NoErr(err)
+	// The old primary no longer hears the replicas, and they are held and
+	// promoted by another host that does not reach the old primary.
+	old := f.group.Primary()
+	old.SetDeaf(true)
+	b := f.addHost("host-b", nil)
+	b.lists.listed = func() []gypsumyard.ListedInstance {
+		l := f.group.Listed()
+		for n := range l {
+			if l[n].ID == old.ID() {
+				l[n].Addr = f.deadAddr()
+			}
+		}
+		return l
+	}
+	b.lists.change()
+	f.eventually("a promotion by the other host", func() bool { return len(b.orders.sent()) > 0 })
+	_, err = f.write(b, "WRITE a 2")
+	is.NoErr(err)
+	for range 20 {
+		out, _, err := f.run(a, statement{text: "READ a", class: gypsumyard.StatementRead, timeout: time.Second})
+		if err == nil {
+			is.True(strings.HasPrefix(out, "ROW 2\r\n"))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against work for an instance that leaves, and against a leaving
+// primary that keeps its role.
+func TestLeavingPrimaryHandsOver(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	old := f.group.Primary()
+	old.SetLeaving()
+	h.lists.change()
+	f.eventually("a hand-over", func() bool { return f.group.Primary() != old })
+	_, err = f.write(h, "WRITE a 2")
+	is.NoErr(err)
+	for _, p := range f.group.Acknowledged() {
+		is.True(f.group.Primary().Holds(p))
+	}
+	mark := len(f.group.Runs())
+	for range 10 {
+		_, _, err := f.run(h, statement{
+			text: "READ a", class: gypsumyard.StatementRead, consistency: gypsumyard.ConsistencyBounded, staleness: time.Second,
+		})
+		is.NoErr(err)
+	}
+	for _, r := range f.group.Runs()[mark:] {
+		is.True(r.Instance != old.ID())
+	}
+}
+
+// Guards against commits that nobody acknowledges and that take the slots of
+// reads: a primary whose replicas receive nothing.
+func TestUnacknowledgedCommitsLeaveSlots(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	for _, i := range f.group.Instances()[1:] {
+		i.SetDeaf(true)
+	}
+	ended := make(chan error, 40)
+	for range 40 {
+		go func() {
+			_, _, err := f.runQuiet(h, statement{text: "WRITE a 2", class: gypsumyard.StatementWrite, timeout: time.Second})
+			ended <- err
+		}()
+		time.Sleep(10 * time.Millisecond)
+	}
+	began := time.Now()
+	_, _, err = f.run(h, statement{
+		text: "READ a", class: gypsumyard.StatementRead, consistency: gypsumyard.ConsistencyBounded, staleness: 3 * time.Second,
+	})
+	is.NoErr(err)
+	is.True(time.Since(began) < 300*time.Millisecond)
+	for range 40 {
+		is.True(<-ended != nil)
+	}
+}
+
+// Guards against an owner that keeps a group although it reaches too few
+// instances and another host reaches enough.
+func TestGroupIsGivenAway(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	peers := &fakePeers{probe: func(host, instance string) (gypsumyard.InstanceStatus, error) {
+		if host != "host-2" {
+			return gypsumyard.InstanceStatus{}, gypsumyard.ErrUnavailable
+		}
+		return gypsumyard.InstanceStatus{Role: gypsumyard.RoleReplica}, nil
+	}}
+	h := f.addHost("host-1", peers, "host-2", "host-3")
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	f.group.Instances()[1].SetSilent(true)
+	f.group.Instances()[2].SetSilent(true)
+	f.eventually("the group is given away", func() bool {
+		a, ok := h.members.Assigned(groupName)
+		return ok && a.Host == "host-2"
+	})
+	_, err = f.write(h, "WRITE a 2")
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotOwner)
+}
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -114,7 +114,7 @@
 		return fmt.Errorf("owner: %w", err)
 	}
 	s.self = s.members.Self().Name
-	s.claims.holder = s.self
+	s.claims.holder, s.claims.started = s.self, s.clock.Now().UnixNano()
 	s.started = true
 	s.work.Go(s.follow)
 	s.work.Go(s.repeatAssignments)
