--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -20,15 +20,21 @@
 	// retryMin and retryMax bound the pause after a failed call to the store.
 	retryMin = 50 * time.Millisecond
 	retryMax = 400 * time.Millisecond
-	// verifiers is how many hosts renew their watches so often that a change
-	// which a watch has missed is in force in time. Others ask them.
+	// verifiers is how many hosts watch the store, so that its calls do not grow
+	// with the fleet. Others ask them. They renew their watches so often that a
+	// change which a watch has missed is in force in time.
 	verifiers = 3
 	// verifierKey places the verifiers.
 	verifierKey = "desired-state"
-	// verifyWait bounds a watch of a verifier, and of a host that has not
-	// heard from one for verifyWait. restWait bounds the watches of others.
-	verifyWait = 1500 * time.Millisecond
-	restWait   = 10 * time.Second
+	// desiredWait bounds a watch of the desired state, instancesWait one of the
+	// instances, for which there is more time.
+	desiredWait   = 1200 * time.Millisecond
+	instancesWait = 2400 * time.Millisecond
+	// verifiedFor is how long the answer of a verifier is relied on. A host that
+	// has had none for so long watches the store itself.
+	verifiedFor = 1500 * time.Millisecond
+	// restPause is the pause between two looks whether to watch.
+	restPause = 200 * time.Millisecond
 	// peerInterval is the time between two questions to a verifier while the
 	// store answers, and peerIntervalLost while it does not.
 	peerInterval     = 600 * time.Millisecond
@@ -153,6 +159,12 @@
 func (s *Service) follow(prefix string) {
 	pause := retryMin
 	for s.stopping.Err() == nil {
+		if s.rests(prefix) {
+			if s.clock.Sleep(s.stopping, restPause) != nil {
+				return
+			}
+			continue
+		}
 		err := s.followOnce(prefix)
 		if err == nil {
 			pause = retryMin
@@ -176,7 +188,11 @@
 	if after == 0 {
 		return s.list(prefix)
 	}
-	ctx, cancel := context.WithTimeout(s.stopping, s.watchWait())
+	wait := desiredWait
+	if prefix == s.names.Instances {
+		wait = instancesWait
+	}
+	ctx, cancel := context.WithTimeout(s.stopping, wait)
 	defer cancel()
 	events, v, err := s.store.Watch(ctx, prefix, after)
 	if errors.Is(err, gypsumyard.ErrHistoryGone) {
@@ -197,16 +213,14 @@
 	Leading(key string, n int) []gypsumyard.Host
 }
 
-// watchWait returns how long the next watch may last. A watch can miss changes
-// and the loss of its history without an error.
-func (s *Service) watchWait() time.Duration {
+// rests reports whether this host leaves the watch of the store to others. A
+// watch can miss changes and the loss of its history without an error, so that
+// all hosts would have to renew theirs often.
+func (s *Service) rests(prefix string) bool {
 	s.linkMu.Lock()
-	recent := s.clock.Since(s.verified) < verifyWait
+	recent := !s.verified.IsZero() && s.clock.Since(s.verified) < verifiedFor
 	s.linkMu.Unlock()
-	if !recent || s.verifies() {
-		return verifyWait
-	}
-	return restWait
+	return recent && s.completeOf(prefix) > 0 && !s.verifies()
 }
 
 // verifies reports whether this host is one of the verifiers.
