--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,265 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+)
+
+var names = Names{Desired: "desired/main", Instances: "instances/", Hosts: "hosts/"}
+
+// decoder decodes the test's own objects.
+type decoder struct{}
+
+func (decoder) DesiredState(o gypsumyard.Object) (*gypsumyard.DesiredState, error) {
+	var n int64
+	if err := json.Unmarshal(o.Value, &n); err != nil {
+		return nil, err
+	}
+	return &gypsumyard.DesiredState{Number: n, Version: o.Version, Groups: map[string]gypsumyard.Group{"g": {Name: "g", Connections: 10}}}, nil
+}
+
+func (decoder) Instance(o gypsumyard.Object) (i gypsumyard.ListedInstance, err error) {
+	err = json.Unmarshal(o.Value, &i)
+	i.ID = strings.TrimPrefix(o.Name, names.Instances)
+	return i, err
+}
+
+type part struct {
+	name string
+	done chan struct{}
+}
+
+func (p part) Name() string                                { return p.name }
+func (p part) Needs() []string                             { return nil }
+func (p part) Start(context.Context, *kernel.Kernel) error { return nil }
+func (p part) Stop(context.Context) error                  { close(p.done); return nil }
+func (p part) Done() <-chan struct{}                       { return p.done }
+
+// members are the hosts of a test, the first of which verifies.
+type members struct {
+	part
+	self  string
+	hosts []gypsumyard.Host
+}
+
+func (m *members) Self() gypsumyard.Host                { return gypsumyard.Host{Name: m.self} }
+func (m *members) Hosts() []gypsumyard.Host             { return m.hosts }
+func (m *members) Owner(string) (gypsumyard.Host, bool) { return gypsumyard.Host{}, false }
+func (m *members) Changes() <-chan struct{}             { return nil }
+
+func (m *members) Leading(string, int) []gypsumyard.Host { return m.hosts[:1] }
+
+// peers fetches from the services of other hosts in the same process.
+type peers struct {
+	part
+	gypsumyard.Peers
+	mu    sync.Mutex
+	hosts map[string]*Service
+}
+
+func (p *peers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version, error) {
+	p.mu.Lock()
+	s := p.hosts[from.Name]
+	p.mu.Unlock()
+	if s == nil {
+		return nil, 0, gypsumyard.ErrUnavailable
+	}
+	list, v := s.Newer(after)
+	return list, v, nil
+}
+
+// start runs the service of a host.
+func start(t *testing.T, store gypsumyard.Store, p *peers, self string, hosts ...string) *Service {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := New(store, decoder{}, names, "region", WithLogger(log))
+	m := &members{part: part{"members", make(chan struct{})}, self: self}
+	for _, h := range hosts {
+		m.hosts = append(m.hosts, gypsumyard.Host{Name: h, State: gypsumyard.HostLive})
+	}
+	own := &peers{part: part{"peer", make(chan struct{})}, hosts: map[string]*Service{}}
+	if p != nil {
+		p.mu.Lock()
+		p.hosts[self] = s
+		own.hosts = p.hosts
+		p.mu.Unlock()
+	}
+	k, err := kernel.New(s, m, own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := k.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func put(t *testing.T, store *memstore.Store, name, value string) {
+	t.Helper()
+	old, _ := store.Get(t.Context(), name) // A missing object has version 0.
+	if _, err := store.Put(t.Context(), name, old.Version, []byte(value)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func number(s *Service) int64 {
+	if d := s.Desired(); d != nil {
+		return d.Number
+	}
+	return 0
+}
+
+func eventually(t *testing.T, within time.Duration, what string, check func() bool) {
+	t.Helper()
+	end := time.Now().Add(within)
+	for !check() {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", within, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// applyWithin is the time in which a desired state must be in force, as the
+// users' pages say.
+const applyWithin = 3 * time.Second
+
+// Guards against a change that a watch has missed without an error, on the host
+// that watches and on one that asks it.
+func TestMissedChange(t *testing.T) {
+	store := memstore.New()
+	put(t, store, names.Desired, "1")
+	p := &peers{hosts: map[string]*Service{}}
+	a := start(t, store, p, "a", "a", "b")
+	b := start(t, store, p, "b", "a", "b")
+	eventually(t, applyWithin, "the first state on both", func() bool { return number(a) == 1 && number(b) == 1 })
+	store.SetDeaf(true)
+	put(t, store, names.Desired, "2")
+	store.Compact()
+	time.AfterFunc(time.Second, func() { store.SetDeaf(false) })
+	eventually(t, applyWithin, "the second state on both", func() bool { return number(a) == 2 && number(b) == 2 })
+}
+
+// Guards against a host that the store refuses and that keeps an old state
+// although another host has a newer one.
+func TestRefusedHostLearnsFromPeer(t *testing.T) {
+	store, refused := memstore.New(), memstore.New()
+	put(t, store, names.Desired, "1")
+	p := &peers{hosts: map[string]*Service{}}
+	a := start(t, store, p, "a", "a", "b")
+	refused.SetDown(true)
+	b := start(t, refused, p, "b", "a", "b")
+	eventually(t, applyWithin, "the first state on both", func() bool { return number(a) == 1 && number(b) == 1 })
+	put(t, store, names.Desired, "2")
+	eventually(t, applyWithin, "the second state on both", func() bool { return number(a) == 2 && number(b) == 2 })
+}
+
+// Guards against store calls that grow with the fleet.
+func TestHostsThatAskMakeNoWatches(t *testing.T) {
+	is := is.New(t)
+	store, own := memstore.New(), memstore.New()
+	put(t, store, names.Desired, "1")
+	put(t, own, names.Desired, "1")
+	p := &peers{hosts: map[string]*Service{}}
+	start(t, store, p, "a", "a", "b")
+	b := start(t, own, p, "b", "a", "b")
+	eventually(t, applyWithin, "the state", func() bool { return number(b) == 1 })
+	time.Sleep(1500 * time.Millisecond)
+	before := own.Calls("watch")
+	time.Sleep(2 * time.Second)
+	is.Equal(own.Calls("watch"), before)
+}
+
+// Guards against an instance that is taken for gone because its entry expired
+// while the store was away, and against one that stays for ever.
+func TestLapsedEntry(t *testing.T) {
+	is := is.New(t)
+	store := memstore.New()
+	put(t, store, names.Desired, "1")
+	put(t, store, names.Instances+"i-1", `{"Group":"g","Slots":2}`)
+	s := start(t, store, nil, "a", "a")
+	eventually(t, time.Second, "the instance", func() bool { return len(s.Instances("g")) == 1 })
+	is.NoErr(store.Delete(t.Context(), names.Instances+"i-1", 0))
+	time.Sleep(2 * time.Second)
+	is.Equal(len(s.Instances("g")), 1) // It may be back within two seconds.
+	eventually(t, 3*time.Second, "the instance is gone", func() bool { return len(s.Instances("g")) == 0 })
+	// One that has announced that it leaves is gone at once.
+	put(t, store, names.Instances+"i-2", `{"Group":"g","Slots":2,"Leaving":true}`)
+	eventually(t, time.Second, "the leaving instance", func() bool { return len(s.Instances("g")) == 1 })
+	is.NoErr(store.Delete(t.Context(), names.Instances+"i-2", 0))
+	eventually(t, time.Second, "the leaving instance is gone", func() bool { return len(s.Instances("g")) == 0 })
+}
+
+// Guards against an entry of another writer that disturbs the others.
+func TestUnreadableEntry(t *testing.T) {
+	store := memstore.New()
+	put(t, store, names.Desired, "1")
+	put(t, store, names.Instances+"i-1", `{"Group":"g","Slots":2}`)
+	put(t, store, names.Instances+"i-2", `\x00\xff`)
+	s := start(t, store, nil, "a", "a")
+	eventually(t, time.Second, "the readable instance", func() bool { return len(s.Instances("g")) == 1 })
+	put(t, store, names.Desired, `"broken"`)
+	put(t, store, names.Desired, "3")
+	eventually(t, applyWithin, "the state after a broken one", func() bool { return number(s) == 3 })
+}
+
+// Guards against a version that goes back, whatever the order and the source of
+// the objects.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		s := New(memstore.New(), decoder{}, names, "region", WithLogger(log))
+		highest := int64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			v := rapid.Int64Range(1, 20).Draw(t, "version")
+			s.Apply([]gypsumyard.Object{{Name: names.Desired, Version: gypsumyard.Version(v), Value: fmt.Append(nil, v)}})
+			highest = max(highest, v)
+			if number(s) != highest {
+				t.Fatalf("state %d in force after %d", number(s), highest)
+			}
+		}
+	})
+}
+
+// Guards against a host that is not registered because an earlier process of
+// its name has left an entry, or because an answer was lost.
+func TestRegistry(t *testing.T) {
+	is := is.New(t)
+	store := memstore.New()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	put(t, store, names.Hosts+"host-1", `{"name":"host-1","region":"elsewhere"}`)
+	self := gypsumyard.Host{Name: "host-1", Region: "region"}
+	r := NewRegistry(store, store, names.Hosts, self, log)
+	store.LoseAnswers(1)
+	is.NoErr(r.Start(t.Context(), nil))
+	eventually(t, 2*time.Second, "the registration", func() bool {
+		hosts, err := r.Hosts(t.Context())
+		return err == nil && len(hosts) == 1 && hosts[0] == self
+	})
+	is.NoErr(r.Stop(t.Context()))
+	is.NoErr(r.Leave(t.Context()))
+	hosts, err := r.Hosts(t.Context())
+	is.NoErr(err)
+	is.Equal(len(hosts), 0)
+}
