--- /dev/null
+++ b/internal/linecaller/session_test.go
@@ -0,0 +1,392 @@
+package linecaller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+type part struct {
+	name string
+	done chan struct{}
+}
+
+func (p part) Name() string                                { return p.name }
+func (p part) Needs() []string                             { return nil }
+func (p part) Start(context.Context, *kernel.Kernel) error { return nil }
+func (p part) Stop(context.Context) error                  { close(p.done); return nil }
+func (p part) Done() <-chan struct{}                       { return p.done }
+
+// executor stands for the owners. It answers with what reply returns.
+type executor struct {
+	part
+	mu        sync.Mutex
+	requests  []*gypsumyard.Request
+	abandoned []string
+	reply     func(r *gypsumyard.Request, b line.Batch) (string, gypsumyard.Result, error)
+}
+
+func (e *executor) Execute(_ context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	b, err := line.UnmarshalBatch(r.Messages)
+	if err != nil {
+		return gypsumyard.Result{}, err
+	}
+	e.mu.Lock()
+	e.requests = append(e.requests, r)
+	reply := e.reply
+	e.mu.Unlock()
+	out, res, err := reply(r, b)
+	if err == nil {
+		_, err = sink.Write([]byte(out))
+	}
+	return res, err
+}
+
+func (e *executor) Abandon(_ context.Context, r *gypsumyard.Request) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.abandoned = append(e.abandoned, r.Transaction)
+	return nil
+}
+
+func (e *executor) CancelStatement(context.Context, *gypsumyard.Request) error { return nil }
+
+func (e *executor) last() *gypsumyard.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[len(e.requests)-1]
+}
+
+type lists struct {
+	part
+	gypsumyard.Lists
+	desired *gypsumyard.DesiredState
+	ready   chan struct{}
+}
+
+func (l *lists) Ready() <-chan struct{}            { return l.ready }
+func (l *lists) Desired() *gypsumyard.DesiredState { return l.desired }
+func (l *lists) Changes() <-chan struct{}          { return nil }
+
+type members struct {
+	part
+	gypsumyard.Membership
+}
+
+func (members) Self() gypsumyard.Host { return gypsumyard.Host{Name: "host-1"} }
+
+type fixture struct {
+	*testing.T
+	server   *Server
+	executor *executor
+	lists    *lists
+}
+
+// ok answers as an instance does that keeps a transaction open if one is.
+func ok(r *gypsumyard.Request, b line.Batch) (string, gypsumyard.Result, error) {
+	res := gypsumyard.Result{Position: gypsumyard.Position{Term: 3, Offset: 7}, TxStatus: 'I'}
+	if r.Class == gypsumyard.StatementBegin || r.Class == gypsumyard.StatementBeginRead || r.Transaction != "" {
+		res.TxStatus, res.Transaction, res.Owner = 'T', "t1", "host-2"
+	}
+	if b.Text == string(line.Commit) {
+		res.TxStatus, res.Transaction, res.Owner = 'I', "", ""
+	}
+	return "COMPLETE 7.1f\r\n", res, nil
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	d := &gypsumyard.DesiredState{Routes: map[string]gypsumyard.Route{
+		"orders": {Database: "orders", Group: "g", Consistency: gypsumyard.ConsistencyPrimary, StatementTimeout: time.Second},
+		"logs": {
+			Database: "logs", Group: "g", Consistency: gypsumyard.ConsistencySession, MaxStaleness: time.Second, StatementTimeout: time.Second,
+		},
+	}}
+	f := &fixture{
+		T:        t,
+		executor: &executor{part: part{"dispatch", make(chan struct{})}, reply: ok},
+		lists:    &lists{part: part{"lists", make(chan struct{})}, desired: d, ready: make(chan struct{})},
+	}
+	close(f.lists.ready)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.server = New(netip.MustParseAddrPort("127.0.0.1:0"), WithLogger(log))
+	k, err := kernel.New(f.executor, f.lists, members{part: part{"members", make(chan struct{})}}, f.server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := k.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+// A caller is one connection of a test.
+type caller struct {
+	t   *testing.T
+	net net.Conn
+	in  *bufio.Reader
+}
+
+func (f *fixture) dial(start string) *caller {
+	f.Helper()
+	n, err := net.Dial("tcp", f.server.Addr().String())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = n.Close() })
+	c := &caller{f.T, n, bufio.NewReader(n)}
+	c.send(start)
+	return c
+}
+
+func (c *caller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.net, text+"\r\n"); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// expect reads lines that begin with the given texts.
+func (c *caller) expect(want ...string) {
+	c.t.Helper()
+	_ = c.net.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for _, w := range want {
+		s, err := c.in.ReadString('\n')
+		if err != nil || !strings.HasPrefix(s, w) || !strings.HasSuffix(s, "\r\n") {
+			c.t.Fatalf("have %q, %v, want %q", s, err, w)
+		}
+	}
+}
+
+func (c *caller) expectEnd() {
+	c.t.Helper()
+	_ = c.net.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if s, err := c.in.ReadString('\n'); err == nil {
+		c.t.Fatalf("have %q, want the end of the session", s)
+	}
+}
+
+// Guards against wrong answers at the start of a session.
+func TestStart(t *testing.T) {
+	f := newFixture(t)
+	f.dial("START orders u1").expect("READY I -\r\n")
+	c := f.dial("START nothing u1")
+	c.expect("ERROR NODATABASE")
+	c.expectEnd()
+	c = f.dial("GET / HTTP/1.1")
+	c.expect("ERROR MALFORMED")
+	c.expectEnd()
+}
+
+// Guards against session values and prepared statements that do not reach the
+// owner, and against a position that is lost between two statements.
+func TestSessionState(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	c := f.dial("START logs u1")
+	c.expect("READY")
+	c.send("QUERY a1 SET zone north")
+	c.expect("COMPLETE -", "READY I -")
+	c.send("QUERY a2 PREPARE s1 WRITE q2c")
+	c.expect("COMPLETE -", "READY I -")
+	c.send("QUERY a3 EXECUTE s1 item data")
+	c.expect("COMPLETE 7.1f", "READY I 3.7")
+	r := f.executor.last()
+	is.Equal(r.Settings, []gypsumyard.Setting{{Name: "zone", Value: "north"}})
+	is.Equal(r.Class, gypsumyard.StatementWrite)
+	b, err := line.UnmarshalBatch(r.Messages)
+	is.NoErr(err)
+	is.Equal(b.Prepared, line.Prepared{Verb: line.Write, Shape: "q2c"})
+	is.Equal(b.Text, "EXECUTE s1 item data")
+	is.Equal(b.ID, "a3")
+	c.send("QUERY a4 READ item")
+	c.expect("COMPLETE 7.1f", "READY I 3.7")
+	is.Equal(f.executor.last().Position, gypsumyard.Position{Term: 3, Offset: 7})
+	c.send("QUERY a5 EXECUTE s2 item data")
+	c.expect("ERROR UNKNOWN", "READY I")
+	c.send("QUERY a6 DEALLOCATE s1")
+	c.expect("COMPLETE -", "READY I")
+	c.send("QUERY a7 EXECUTE s1 item data")
+	c.expect("ERROR UNKNOWN", "READY I")
+}
+
+// Guards against a transaction that holds a connection before it has done
+// anything, and against one that outlives its session.
+func TestTransaction(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	c := f.dial("START orders u1")
+	c.expect("READY")
+	c.send("QUERY a1 BEGIN")
+	c.expect("COMPLETE -", "READY T -")
+	is.Equal(len(f.executor.requests), 0)
+	c.send("QUERY a2 WRITE item data")
+	c.expect("COMPLETE 7.1f", "READY T")
+	is.Equal(f.executor.last().Class, gypsumyard.StatementBegin)
+	c.send("QUERY a3 COMMIT")
+	c.expect("COMPLETE 7.1f", "READY I")
+	is.Equal(f.executor.last().Transaction, "t1")
+	c.send("QUERY a4 BEGIN READ")
+	c.expect("COMPLETE -", "READY T")
+	c.send("QUERY a5 READ item")
+	c.expect("COMPLETE 7.1f", "READY T")
+	is.Equal(f.executor.last().Class, gypsumyard.StatementBeginRead)
+	_ = c.net.Close()
+	end := time.Now().Add(2 * time.Second)
+	for {
+		f.executor.mu.Lock()
+		n := len(f.executor.abandoned)
+		f.executor.mu.Unlock()
+		if n == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the transaction was not abandoned")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against answers in a failed transaction other than those of the
+// protocol, and against the success of its commit.
+func TestFailedTransaction(t *testing.T) {
+	f := newFixture(t)
+	c := f.dial("START orders u1")
+	c.expect("READY")
+	for _, end := range []string{"ROLLBACK", "COMMIT"} {
+		f.executor.reply = ok
+		c.send("QUERY a1 BEGIN")
+		c.expect("COMPLETE -", "READY T")
+		f.executor.reply = func(*gypsumyard.Request, line.Batch) (string, gypsumyard.Result, error) {
+			return "", gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassLoad, "no slot")
+		}
+		c.send("QUERY a2 READ item")
+		c.expect("ERROR ABORTED", "READY E")
+		c.send("QUERY a3 READ item")
+		c.expect("ERROR MALFORMED", "READY E")
+		c.send("QUERY a4 " + end)
+		if end == "COMMIT" {
+			c.expect("ERROR ABORTED", "READY I")
+		} else {
+			c.expect("COMPLETE -", "READY I")
+		}
+	}
+}
+
+// Guards against a promise for a write that may have run, and against doubt
+// where nothing can be kept.
+func TestCodes(t *testing.T) {
+	lost := gypsumyard.Errorf(gypsumyard.ClassUnknown, "connection is broken")
+	refused := gypsumyard.Errorf(gypsumyard.ClassNotRun, "no primary")
+	for _, c := range []struct {
+		name, text, code string
+		begin            bool
+		err              error
+	}{
+		{"write lost", "WRITE a 1", "INDOUBT", false, lost},
+		{"read lost", "READ a", "FAILED", false, lost},
+		{"write refused", "WRITE a 1", "BUSY", false, refused},
+		{"write lost in a transaction", "WRITE a 1", "ABORTED", true, lost},
+		{"read lost in a transaction", "READ a", "ABORTED", true, lost},
+		{"commit lost", "COMMIT", "INDOUBT", true, lost},
+		{"commit refused", "COMMIT", "ABORTED", true, refused},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.executor.reply = func(*gypsumyard.Request, line.Batch) (string, gypsumyard.Result, error) {
+				return "", gypsumyard.Result{}, c.err
+			}
+			s := f.dial("START orders u1")
+			s.expect("READY")
+			state := "I"
+			if c.begin {
+				s.send("QUERY a1 BEGIN")
+				s.expect("COMPLETE -", "READY T")
+				state = "E"
+			}
+			if c.text == "COMMIT" {
+				state = "I"
+			}
+			s.send("QUERY a2 " + c.text)
+			s.expect("ERROR "+c.code, "READY "+state)
+		})
+	}
+}
+
+// Guards against input that ends more than its own session.
+func TestHostileInput(t *testing.T) {
+	f := newFixture(t)
+	for _, text := range []string{"QUERY", "QUERY a1", "QUERY - READ a", "NONSENSE", "QUERY a1 READ a\nQUERY a2 WRITE b 1"} {
+		c := f.dial("START orders u1")
+		c.expect("READY")
+		c.send(text)
+		c.expect("ERROR MALFORMED")
+		c.expectEnd()
+	}
+	c := f.dial("START orders u1")
+	c.expect("READY")
+	for _, text := range []string{"AFTER 3.1 READ a", "STATUS", "COMMIT", "ROLLBACK", "READ"} {
+		c.send("QUERY a1 " + text)
+		c.expect("ERROR MALFORMED", "READY I")
+	}
+	c.send("QUERY a1 READ a")
+	c.expect("COMPLETE", "READY I")
+}
+
+// Guards against a drain that cuts a statement or a transaction, or that leaves
+// idle sessions open.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	started, proceed := make(chan struct{}), make(chan struct{})
+	f.executor.reply = func(r *gypsumyard.Request, b line.Batch) (string, gypsumyard.Result, error) {
+		if b.Text == "READ slow" {
+			close(started)
+			<-proceed
+		}
+		return ok(r, b)
+	}
+	idle, busy, open := f.dial("START orders u1"), f.dial("START orders u2"), f.dial("START orders u3")
+	idle.expect("READY")
+	busy.expect("READY")
+	open.expect("READY")
+	open.send("QUERY a1 BEGIN")
+	open.expect("COMPLETE", "READY T")
+	busy.send("QUERY a1 READ slow")
+	<-started
+	f.server.CloseIdle()
+	idle.expectEnd()
+	close(proceed)
+	busy.expect("COMPLETE", "READY I")
+	busy.expectEnd()
+	open.send("QUERY a2 WRITE a 1")
+	open.expect("COMPLETE", "READY T")
+	late := f.dial("START orders u4")
+	late.expect("READY")
+	late.send("QUERY a1 READ a")
+	late.expect("COMPLETE", "READY I")
+	f.server.EndTransactions()
+	open.expectEnd()
+	late.expectEnd()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	is.NoErr(f.server.Drain(ctx))
+}
