--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -146,3 +146,10 @@
 		}()
 	}
 }
+
+// Log returns the records of the instance's log.
+func (i *Instance) Log() []Record {
+	i.group.mu.Lock()
+	defer i.group.mu.Unlock()
+	return append([]Record(nil), i.log...)
+}
--- /dev/null
+++ b/internal/emulate/objects/server.go
@@ -0,0 +1,207 @@
+// Package objects emulates the users' platform over HTTP: its store of objects
+// and its call that orders promotions.
+package objects
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+)
+
+// An Order is a call that orders a promotion.
+type Order struct {
+	Service, ID, Holder string
+	Generation          uint64
+}
+
+// A Server serves a memstore.Store.
+type Server struct {
+	store   *memstore.Store
+	promote func(Order) error
+	server  http.Server
+	addr    netip.AddrPort
+
+	mu    sync.Mutex
+	delay time.Duration
+}
+
+// Start serves the store on a loopback port. promote carries out promotions.
+func Start(store *memstore.Store, promote func(Order) error) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{store: store, promote: promote, addr: l.Addr().(*net.TCPAddr).AddrPort()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /promote", s.order)
+	mux.HandleFunc("GET /v1/objects/{kind}", s.list)
+	mux.HandleFunc("POST /v1/objects/{kind}", s.create)
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.put)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
+	s.server.Handler = s.delayed(mux)
+	go func() { _ = s.server.Serve(l) }() // It ends with Close.
+	return s, nil
+}
+
+// Addr returns the address of the server.
+func (s *Server) Addr() netip.AddrPort { return s.addr }
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.server.Close() }
+
+// SetDelay makes all answers late.
+func (s *Server) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+func (s *Server) delayed(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		d := s.delay
+		s.mu.Unlock()
+		time.Sleep(d)
+		h.ServeHTTP(w, r)
+	})
+}
+
+type meta struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+type object struct {
+	Meta meta            `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+func encode(o gypsumyard.Object) object {
+	_, name, _ := strings.Cut(o.Name, "/")
+	return object{Meta: meta{name, uint64(o.Version)}, Spec: o.Value}
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // The other side is gone.
+}
+
+// fail answers with the status for err. An answer that is lost ends the
+// connection.
+func fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, gypsumyard.ErrNotFound):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, gypsumyard.ErrConflict):
+		w.WriteHeader(http.StatusConflict)
+	case errors.Is(err, gypsumyard.ErrHistoryGone):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, gypsumyard.ErrOutcomeUnknown):
+		panic(http.ErrAbortHandler)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	prefix := r.PathValue("kind") + "/"
+	if watch := r.FormValue("watch"); watch != "" {
+		s.watch(w, r, prefix, watch)
+		return
+	}
+	objects, v, err := s.store.List(r.Context(), prefix)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	items := []object{}
+	for _, o := range objects {
+		items = append(items, encode(o))
+	}
+	answer(w, map[string]any{"items": items, "hasMore": false, "asOf": v})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, prefix, watch string) {
+	after, _ := strconv.ParseUint(watch, 10, 64)
+	ms, _ := strconv.Atoi(r.FormValue("waitMs"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	defer cancel()
+	objects, v, err := s.store.Watch(ctx, prefix, gypsumyard.Version(after))
+	if err != nil && ctx.Err() == nil {
+		fail(w, err)
+		return
+	}
+	type event struct {
+		Object  object `json:"object"`
+		Deleted bool   `json:"deleted"`
+	}
+	events := []event{}
+	for _, o := range objects {
+		events = append(events, event{encode(o), o.Deleted})
+	}
+	answer(w, map[string]any{"events": events, "asOf": v})
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	o, err := s.store.Get(r.Context(), r.PathValue("kind")+"/"+r.PathValue("name"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	answer(w, encode(o))
+}
+
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(o object) string { return o.Meta.Name })
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(object) string { return r.PathValue("name") })
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, name func(object) string) {
+	var o object
+	data, err := io.ReadAll(r.Body)
+	if err != nil || json.Unmarshal(data, &o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	o.Meta.Name = name(o)
+	v, err := s.store.Put(r.Context(), r.PathValue("kind")+"/"+o.Meta.Name, gypsumyard.Version(o.Meta.Revision), o.Spec)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	o.Meta.Revision = uint64(v)
+	answer(w, o)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	if err := s.store.Delete(r.Context(), r.PathValue("kind")+"/"+r.PathValue("name"), 0); err != nil {
+		fail(w, err)
+	}
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var in struct{ Service, ID string }
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	n, _ := strconv.ParseUint(r.Header.Get("Gypsumyard-Fencing-Token"), 10, 64)
+	if err := s.promote(Order{in.Service, in.ID, r.Header.Get("Gypsumyard-Duty-Holder"), n}); err != nil {
+		fail(w, err)
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// A mode is what a proxy does with the bytes that pass.
+type mode string
+
+const (
+	modePass mode = "pass"
+	// modeSilent holds the bytes of both directions back, for good on the
+	// connections that are open.
+	modeSilent mode = "silent"
+	// modeOneWay holds back the bytes from the server.
+	modeOneWay mode = "one-way"
+	// modeSlow delays the bytes of both directions.
+	modeSlow mode = "slow"
+)
+
+// slowBy is the delay of each piece in modeSlow.
+const slowBy = 60 * time.Millisecond
+
+// A proxy passes connections on to one address.
+type proxy struct {
+	listener net.Listener
+	mu       sync.Mutex
+	to       netip.AddrPort
+	mode     mode
+	conns    map[net.Conn]bool
+}
+
+func newProxy(to netip.AddrPort) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, to: to, mode: modePass, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+}
+
+func (p *proxy) get() mode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// reset ends all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(c net.Conn) {
+	s, err := net.Dial("tcp", p.to.String())
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[c], p.conns[s] = true, true
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { p.copy(s, c, false) })
+	wg.Go(func() { p.copy(c, s, true) })
+	wg.Wait()
+	p.mu.Lock()
+	delete(p.conns, c)
+	delete(p.conns, s)
+	p.mu.Unlock()
+}
+
+// copy passes bytes on. A connection that was silenced stays silent.
+func (p *proxy) copy(to, from net.Conn, fromServer bool) {
+	defer to.Close()
+	buffer := make([]byte, 16<<10)
+	silent := false
+	for {
+		n, err := from.Read(buffer)
+		m := p.get()
+		silent = silent || m == modeSilent || m == modeOneWay && fromServer
+		if m == modeSlow {
+			time.Sleep(slowBy)
+		}
+		if n > 0 && !silent {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF || !silent {
+				return
+			}
+			return
+		}
+	}
+}
