--- a/cmd/gypsumyardd/main.go
+++ b/cmd/gypsumyardd/main.go
@@ -4,14 +4,19 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/gypsumyard/gypsumyard/internal/linehost"
 	"github.com/gypsumyard/gypsumyard/internal/logs"
+	"github.com/gypsumyard/gypsumyard/internal/metrics"
 	"github.com/gypsumyard/gypsumyard/platform"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 )
@@ -43,6 +48,7 @@
 		Usage: "run one host on the platform",
 		Flags: []cli.Flag{
 			settings,
+			&cli.Uint16Flag{Name: "metrics-port", Usage: "`PORT` at which /metrics is served, 0 for none"},
 			&cli.StringFlag{Name: "log-level", Usage: "least `LEVEL` of log lines", Value: "info"},
 		},
 		Action: serve,
@@ -72,11 +78,16 @@
 	defer out.Close()
 	log := logs.New(out, level)
 	defer logReloads(log)()
-	h, err := linehost.New(s, linehost.WithLogger(log))
+	registry := prometheus.NewRegistry()
+	scope, closer := metrics.NewScope(registry)
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	h, err := linehost.New(s, linehost.WithLogger(log), linehost.WithMetrics(scope),
+		linehost.WithMetricsHandler(c.Uint16("metrics-port"), mux))
 	if err != nil {
-		return err
+		return errors.Join(err, closer.Close())
 	}
-	return h.Run(ctx)
+	return errors.Join(h.Run(ctx), closer.Close())
 }
 
 // logReloads notes each request to reload. Nothing that the platform changes
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/dispatch"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/member"
+	"github.com/gypsumyard/gypsumyard/internal/metrics"
 	"github.com/gypsumyard/gypsumyard/internal/operator"
 	"github.com/gypsumyard/gypsumyard/internal/owner"
 	"github.com/gypsumyard/gypsumyard/internal/peer"
@@ -29,13 +30,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 )
 
-// metricsInterval is the time between two reports of the metrics to the
-// registry that scrapers read.
-const metricsInterval = time.Second
-
 // A Host is one process of the system, or one of several in a process.
 type Host struct {
 	settings config.Settings
@@ -138,25 +134,7 @@
 }
 
 func (h *Host) startMetrics() {
-	h.scope, h.metrics = NewScope(h.registry)
-}
-
-// NewScope returns the scope of a host's metrics, which reports to the registry
-// once a metricsInterval until it is closed.
-func NewScope(r *prometheus.Registry) (tally.Scope, io.Closer) {
-	reporter := tallyprom.NewReporter(tallyprom.Options{
-		Registerer: r,
-		Gatherer:   r,
-		// A summary, the default for timers, holds about 70 KB, and each
-		// database has two.
-		DefaultTimerType: tallyprom.HistogramTimerType,
-	})
-	return tally.NewRootScope(tally.ScopeOptions{
-		Prefix:          "gypsumyard",
-		CachedReporter:  reporter,
-		Separator:       tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
-	}, metricsInterval)
+	h.scope, h.metrics = metrics.NewScope(h.registry)
 }
 
 // entry returns a logger whose lines name the host and the service.
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -47,6 +49,9 @@
 	clock    gypsumyard.Clock
 	log      *logrus.Logger
 	scope    tally.Scope
+	// metricsPort and metricsHandler serve the metrics unless the port is zero.
+	metricsPort    uint16
+	metricsHandler http.Handler
 
 	registry  *catalog.Registry
 	lists     *catalog.Service
@@ -69,6 +74,11 @@
 // WithMetrics sets the scope of the metrics.
 func WithMetrics(m tally.Scope) Option { return func(h *Host) { h.scope = m } }
 
+// WithMetricsHandler serves the metrics at a port of the host's address.
+func WithMetricsHandler(port uint16, handler http.Handler) Option {
+	return func(h *Host) { h.metricsPort, h.metricsHandler = port, handler }
+}
+
 // New assembles a host.
 func New(s platform.Settings, options ...Option) (h *Host, err error) {
 	defer func() {
@@ -99,7 +109,12 @@
 	h.caller = linecaller.New(s.Callers, linecaller.WithClock(h.clock), linecaller.WithLogger(h.entry("caller")),
 		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
 	h.readiness = newReadiness(s.Readiness, h.ready, h.entry("readiness"))
-	return []kernel.Service{h.registry, peers, h.members, h.lists, h.owner, dispatcher, h.caller, h.readiness}
+	services := []kernel.Service{h.registry, peers, h.members, h.lists, h.owner, dispatcher, h.caller, h.readiness}
+	if h.metricsPort != 0 {
+		addr := netip.AddrPortFrom(s.Host.Addr.Addr(), h.metricsPort)
+		services = append(services, newMetricsServer(addr, h.metricsHandler, h.entry("metrics")))
+	}
+	return services
 }
 
 // entry returns a logger whose lines name the service.
--- a/internal/linehost/readiness.go
+++ b/internal/linehost/readiness.go
@@ -13,6 +13,50 @@
 	"github.com/sirupsen/logrus"
 )
 
+// A metricsServer is the kernel service "metrics". It serves counters and
+// histograms to scrapers.
+type metricsServer struct {
+	addr   netip.AddrPort
+	log    logrus.FieldLogger
+	server http.Server
+	done   chan struct{}
+}
+
+func newMetricsServer(addr netip.AddrPort, h http.Handler, log logrus.FieldLogger) *metricsServer {
+	m := &metricsServer{addr: addr, log: log, done: make(chan struct{})}
+	m.server.Handler = h
+	return m
+}
+
+// Name returns "metrics".
+func (m *metricsServer) Name() string { return "metrics" }
+
+// Needs returns nothing.
+func (m *metricsServer) Needs() []string { return nil }
+
+// Done returns a channel that is closed after Stop.
+func (m *metricsServer) Done() <-chan struct{} { return m.done }
+
+// Start listens. A host whose metrics cannot be served works all the same.
+func (m *metricsServer) Start(context.Context, *kernel.Kernel) error {
+	l, err := net.Listen("tcp", m.addr.String())
+	if err != nil {
+		m.log.WithError(err).Error("metrics are not served")
+		close(m.done)
+		return nil
+	}
+	go func() {
+		defer close(m.done)
+		if err := m.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			m.log.WithError(err).Error("metrics are no longer served")
+		}
+	}()
+	return nil
+}
+
+// Stop closes the server.
+func (m *metricsServer) Stop(context.Context) error { return m.server.Close() }
+
 // readiness is the kernel service "readiness". It answers every request with
 // status 200 while the host should get new callers, and else with 503.
 type readiness struct {
--- a/internal/slopes/databases.go
+++ b/internal/slopes/databases.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"github.com/gypsumyard/gypsumyard/internal/metrics"
 	"io"
 	"net"
 	"time"
@@ -11,7 +12,6 @@
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/admit"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
-	"github.com/gypsumyard/gypsumyard/internal/host"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/owner"
 	"github.com/gypsumyard/gypsumyard/internal/route"
@@ -99,7 +99,7 @@
 }
 
 // hostMetrics returns a scope that reports as a host's does.
-func hostMetrics() (tally.Scope, io.Closer) { return host.NewScope(prometheus.NewRegistry()) }
+func hostMetrics() (tally.Scope, io.Closer) { return metrics.NewScope(prometheus.NewRegistry()) }
 
 func startOwner(ctx context.Context, m tally.Scope, databases []gypsumyard.Database) (s *owner.Service, stop func() error, err error) {
 	s = owner.New(
