--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -209,6 +209,7 @@
 	j.tried++
 	a, sent, err = u.conn.run(ctx, exchange{setup: setup, id: j.ID, text: prefix + text})
 	if err != nil {
+		u.instance.kickPoll() // It may be down.
 		return a, sent, err
 	}
 	u.ran = a.failure == nil
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -14,7 +14,7 @@
 const (
 	// pollInterval is the time between two status requests to an instance of a
 	// group that is in use, quietInterval that of one that is not.
-	pollInterval  = 150 * time.Millisecond
+	pollInterval  = 240 * time.Millisecond
 	quietInterval = 500 * time.Millisecond
 	// quietAfter is how long a group has had no requests when it counts as not
 	// in use.
@@ -129,10 +129,15 @@
 // kickPolls asks for a status of each instance at once.
 func (g *group) kickPolls() {
 	for _, i := range g.instances {
-		select {
-		case i.kick <- struct{}{}:
-		default:
-		}
+		i.kickPoll()
+	}
+}
+
+// kickPoll asks for a status of the instance at once.
+func (i *instance) kickPoll() {
+	select {
+	case i.kick <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -14,6 +14,9 @@
 	// serve them, busyCost from an instance that uses all its slots.
 	primaryCost = 2 * time.Millisecond
 	busyCost    = 8 * time.Millisecond
+	// domainCost keeps reads in the failure domain of this host while it has
+	// free slots: bytes between failure domains are paid for.
+	domainCost = 4 * time.Millisecond
 )
 
 // A placement tells where a request may run.
@@ -73,6 +76,9 @@
 		}
 		t := gypsumyard.Target{Instance: i.listed.ID, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
 		t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+		if i.listed.FailureDomain != g.service.domain {
+			t.Cost += domainCost
+		}
 		switch {
 		case i == primary && !g.handingOver:
 			t.Cost += primaryCost
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -40,6 +40,7 @@
 	assigner   assigner
 	peers      gypsumyard.Peers
 	self       string
+	domain     string
 	handles    atomic.Uint64
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -113,7 +114,7 @@
 	if err != nil {
 		return fmt.Errorf("owner: %w", err)
 	}
-	s.self = s.members.Self().Name
+	s.self, s.domain = s.members.Self().Name, s.members.Self().FailureDomain
 	s.claims.holder, s.claims.started = s.self, s.clock.Now().UnixNano()
 	s.started = true
 	s.work.Go(s.follow)
