--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -29,6 +29,8 @@
 	calmAfter = 2 * time.Second
 	// orderTimeout bounds an order to an instance.
 	orderTimeout = 300 * time.Millisecond
+	// fenceGrace is how long an election waits for more fences than it needs.
+	fenceGrace = 50 * time.Millisecond
 	// fenceAge is how old the answers to the fencing orders may be when the
 	// order to promote leaves. This process may have been suspended meanwhile.
 	fenceAge = 1500 * time.Millisecond
@@ -328,8 +330,8 @@
 		return nil, err
 	}
 	term, instances := g.nextTerm()
-	answers := g.fence(instances, term)
 	needed := fencesNeeded(len(instances), g.syncReplicas())
+	answers := g.fence(instances, term, needed)
 	if len(answers) < needed {
 		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(instances), needed)
 	}
@@ -450,24 +452,38 @@
 }
 
 // fence tells replicas to receive nothing and primaries to step down. It
-// returns the answers of those that have done so for the term.
-func (g *group) fence(instances []*instance, term gypsumyard.Term) (answers []fenced) {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
+// returns the answers of those that have done so for the term. With enough of
+// them it waits only a moment for the rest, one of which may be dead.
+func (g *group) fence(instances []*instance, term gypsumyard.Term, needed int) (answers []fenced) {
+	results := make(chan *fenced, len(instances))
 	for _, i := range instances {
-		wg.Go(func() {
+		g.work.Go(func() {
 			at := g.clock.Now()
 			s, err := g.fenceOne(i, term)
 			if err != nil {
 				g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "term": term}).WithError(err).Warn("instance is not fenced")
+				results <- nil
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			answers = append(answers, fenced{i, s, at})
+			results <- &fenced{i, s, at}
 		})
 	}
-	wg.Wait()
+	var enough <-chan time.Time
+	for range instances {
+		select {
+		case f := <-results:
+			if f != nil {
+				answers = append(answers, *f)
+			}
+		case <-enough:
+			return answers
+		}
+		if len(answers) >= needed && enough == nil {
+			t := g.clock.NewTimer(fenceGrace)
+			defer t.Stop()
+			enough = t.C()
+		}
+	}
 	return answers
 }
 
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -87,7 +87,7 @@
 
 // watch polls the status of the instance until ctx is done.
 func (g *group) watch(ctx context.Context, i *instance) {
-	c := control{instance: i.listed, user: g.service.self}
+	c := &control{instance: i.listed, user: g.service.self}
 	defer c.close()
 	for ctx.Err() == nil {
 		sent := g.clock.Now()
@@ -96,7 +96,7 @@
 			return
 		}
 		g.takePoll(i, sent, s, fresh, err)
-		if err != nil && !fresh && c.conn == nil {
+		if err != nil && !fresh && !c.connected() {
 			continue // A fresh connection tells whether the instance is silent.
 		}
 		g.pausePolls(ctx, i)
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -303,7 +303,7 @@
 		if l.ID != instance {
 			continue
 		}
-		c := control{instance: l, user: s.self}
+		c := &control{instance: l, user: s.self}
 		defer c.close()
 		now, _, err := c.order(ctx, statusOrder, probeTimeout)
 		return gypsumyard.InstanceStatus{Role: now.role, Applied: now.applied, Fence: now.held}, err
--- a/internal/lineowner/status.go
+++ b/internal/lineowner/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -77,17 +78,21 @@
 type control struct {
 	instance gypsumyard.ListedInstance
 	user     string
-	conn     *conn
+
+	mu   sync.Mutex
+	conn *conn
 }
 
 // order runs one order within the timeout. The connection is opened anew after
 // a failure. It reports whether the order went over a connection that was just
 // opened.
 func (c *control) order(ctx context.Context, text string, timeout time.Duration) (s status, fresh bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if c.conn != nil && !c.conn.alive() {
-		c.close()
+		c.drop()
 	}
 	if c.conn == nil {
 		fresh = true
@@ -98,7 +103,7 @@
 	}
 	a, _, err := c.conn.run(ctx, exchange{id: ownID, text: text, keepRows: true})
 	if err != nil {
-		c.close()
+		c.drop()
 		return s, fresh, err
 	}
 	s, err = parseStatus(a)
@@ -106,6 +111,20 @@
 }
 
 func (c *control) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop()
+}
+
+// connected reports whether a connection is open.
+func (c *control) connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil
+}
+
+// drop closes the connection. It is called with the lock held.
+func (c *control) drop() {
 	if c.conn != nil {
 		c.conn.close()
 		c.conn = nil
