member: a host that returns owns nothing for 2 s; death is declared after 0.8 s

The model in TestOwnerMatchesNaive follows the new rule, as strictly as before; TestReturnedHostWaits is new.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -22,11 +22,11 @@
 	// heartbeatInterval is the time between heartbeats to one target, with a
 	// jitter of a tenth.
 	heartbeatInterval = 200 * time.Millisecond
-	// suspectAfter is three heartbeats.
-	suspectAfter = 600 * time.Millisecond
+	// suspectAfter is two heartbeats and a half.
+	suspectAfter = 500 * time.Millisecond
 	// confirmAfter is how long a suspicion waits for another host that reaches
 	// the suspect.
-	confirmAfter = 500 * time.Millisecond
+	confirmAfter = 300 * time.Millisecond
 	// giveUpAfter is when a host that only heard of a suspicion takes the
 	// suspect for dead: the host that suspected it may have died.
 	giveUpAfter = 3 * time.Second
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -46,6 +46,9 @@
 type view struct {
 	hosts   []gypsumyard.Host
 	regions map[string][]candidate
+	// waiting holds hosts that have returned a moment ago and are used because
+	// their regions have no others.
+	waiting []candidate
 	// assigned maps databases to the hosts that own them for a time.
 	assigned map[string]string
 	// owners maps a database's name to its ownership. It only ever holds
--- a/internal/member/suspect.go
+++ b/internal/member/suspect.go
@@ -12,7 +12,7 @@
 	// helpers is how many hosts are asked to reach a suspect.
 	helpers = 2
 	// helpTimeout is how long a helper waits for the suspect's answer.
-	helpTimeout = 400 * time.Millisecond
+	helpTimeout = 250 * time.Millisecond
 	// maxHelped bounds the hosts that wait for one probe of this host.
 	maxHelped = 16
 	// indirectFor is how long a host that was reached only through others is
@@ -44,6 +44,12 @@
 			s.declare(r, peerpb.MemberState_DEAD)
 		}
 	}
+	for _, r := range s.records {
+		if age := now.Sub(r.returned); age > returnAfter && age <= returnAfter+2*heartbeatInterval {
+			s.invalidate() // The host is eligible again.
+			break
+		}
+	}
 	for _, r := range s.suspects {
 		switch age := now.Sub(r.changed); {
 		case age > giveUpAfter:
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -17,6 +17,10 @@
 	maxHosts = 8192
 	// maxName bounds the names that a peer may send.
 	maxName = 256
+	// returnAfter is how long a host must have been back before it owns
+	// databases again. A host that was paused first finds its connections
+	// broken, and each change of owner costs its requests a moment.
+	returnAfter = 2 * time.Second
 	// forgetAfter is how long a dead host is remembered, so that an old update
 	// does not bring it back.
 	forgetAfter = 10 * time.Minute
@@ -41,6 +45,9 @@
 	// whether it is on the ring.
 	counted uint64
 	inRing  bool
+	// returned is when the host was seen again after it had been taken for
+	// dead.
+	returned time.Time
 	// listed is the state in the platform's list at the last poll.
 	listed gypsumyard.HostState
 }
@@ -131,6 +138,9 @@
 		r.heard = s.clock.Now()
 	}
 	before := r.hostState()
+	if known && before == gypsumyard.HostDead {
+		r.returned = s.clock.Now()
+	}
 	r.host = h
 	r.incarnation = u.Incarnation
 	r.state = u.State
@@ -157,6 +167,9 @@
 		return
 	}
 	s.log.WithFields(map[string]any{"state": u.State, "incarnation": u.Incarnation}).Info("this host refutes an update about itself")
+	if u.State == peerpb.MemberState_DEAD {
+		s.self.returned = s.clock.Now()
+	}
 	s.metrics.Counter("member_refutations").Inc(1)
 	s.setSelf(s.self.state, u.Incarnation+1)
 }
@@ -255,6 +268,7 @@
 		v.assigned[database] = a.host
 	}
 	now := s.clock.Now()
+	var waiting []candidate
 	for _, r := range s.records {
 		if r.gone() {
 			continue
@@ -264,10 +278,22 @@
 		if h.Region == s.self.host.Region {
 			v.hosts = append(v.hosts, h)
 		}
-		if s.eligible(r, now) {
+		switch {
+		case !s.eligible(r, now):
+		case now.Sub(r.returned) < returnAfter:
+			waiting = append(waiting, candidate{h, r.hash})
+		default:
 			v.regions[h.Region] = append(v.regions[h.Region], candidate{h, r.hash})
 		}
 	}
+	for _, c := range waiting {
+		if len(v.regions[c.host.Region]) == 0 {
+			v.waiting = append(v.waiting, c)
+		}
+	}
+	for _, c := range v.waiting {
+		v.regions[c.host.Region] = append(v.regions[c.host.Region], c)
+	}
 	slices.SortFunc(v.hosts, func(a, b gypsumyard.Host) int { return cmp.Compare(a.Name, b.Name) })
 	for _, c := range v.regions {
 		slices.SortFunc(c, func(a, b candidate) int { return cmp.Compare(a.host.Name, b.host.Name) })
