emulate/linegroup: a crashed primary leads nobody

The stand-in let a primary that stepped down follow an instance that had crashed, which cut its log back. Ruled out in the logs: the fences (3 of 3 held) and the evidence.

--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -121,7 +121,7 @@
 	return append([]*Instance(nil), g.instances...)
 }
 
-// Primary returns the primary of the highest term, or nil.
+// Primary returns the running primary of the highest term, or nil.
 func (g *Group) Primary() *Instance {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -130,7 +130,7 @@
 
 func (g *Group) primaryLocked() (p *Instance) {
 	for _, i := range g.instances {
-		if i.role == gypsumyard.RolePrimary && (p == nil || i.term > p.term) {
+		if !i.down && i.role == gypsumyard.RolePrimary && (p == nil || i.term > p.term) {
 			p = i
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,7 +24,10 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{120, "three hosts that all owned the group cut off each other's elections"},
+	{217, "the stand-in let a primary that stepped down follow a crashed one, which cut its log back"},
+}
 
 // binary is the host's program.
 var binary string
