member: only a host that was away for a while counts as returned

Cause: after a partition each side tells the other that its hosts are dead, and they refute it. Ruled out: the links, which were open again within 0.1 s. TestHealKeepsOwners fails before.

--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -21,6 +21,10 @@
 	// databases again. A host that was paused first finds its connections
 	// broken, and each change of owner costs its requests a moment.
 	returnAfter = 2 * time.Second
+	// absentAfter is how long a host must have been taken for dead to count as
+	// returned. After a partition each side hears that its own hosts are dead,
+	// until they refute it.
+	absentAfter = time.Second
 	// forgetAfter is how long a dead host is remembered, so that an old update
 	// does not bring it back.
 	forgetAfter = 10 * time.Minute
@@ -46,7 +50,7 @@
 	counted uint64
 	inRing  bool
 	// returned is when the host was seen again after it had been taken for
-	// dead.
+	// dead for a while, or when this host resumed.
 	returned time.Time
 	// listed is the state in the platform's list at the last poll.
 	listed gypsumyard.HostState
@@ -138,8 +142,8 @@
 		r.heard = s.clock.Now()
 	}
 	before := r.hostState()
-	if known && before == gypsumyard.HostDead {
-		r.returned = s.clock.Now()
+	if now := s.clock.Now(); known && before == gypsumyard.HostDead && now.Sub(r.changed) > absentAfter {
+		r.returned = now
 	}
 	r.host = h
 	r.incarnation = u.Incarnation
@@ -167,9 +171,6 @@
 		return
 	}
 	s.log.WithFields(map[string]any{"state": u.State, "incarnation": u.Incarnation}).Info("this host refutes an update about itself")
-	if u.State == peerpb.MemberState_DEAD {
-		s.self.returned = s.clock.Now()
-	}
 	s.metrics.Counter("member_refutations").Inc(1)
 	s.setSelf(s.self.state, u.Incarnation+1)
 }
