--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -53,9 +53,6 @@
 func (s *Service) resume(now time.Time) {
 	s.log.WithField("pause", now.Sub(s.ticked)).Warn("this host was paused: its view of the hosts is stale")
 	s.metrics.Counter("member_pauses").Inc(1)
-	if now.Sub(s.ticked) > suspectAfter+confirmAfter {
-		s.self.returned = now // Others have taken its databases over.
-	}
 	s.fresh = time.Time{}
 	s.freshFrom = s.sequence + 1
 	for _, r := range s.records {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -178,6 +178,9 @@
 		return fmt.Errorf("members: %w", err)
 	}
 	s.pollList(ctx)
+	s.mu.Lock()
+	s.ticked = s.clock.Now() // The list may have taken long; that was no pause.
+	s.mu.Unlock()
 	s.transport.HandleMembers(s.receive)
 	s.wait.Go(s.beat)
 	s.wait.Go(s.poll)
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -50,7 +50,8 @@
 	counted uint64
 	inRing  bool
 	// returned is when the host was seen again after it had been taken for
-	// dead for a while, or when this host resumed.
+	// dead for a while. It is never set for this host: whoever asks it for a
+	// database believes that it may own it.
 	returned time.Time
 	// listed is the state in the platform's list at the last poll.
 	listed gypsumyard.HostState
