--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -188,7 +188,7 @@
 }
 
 // promote carries a promotion out: replicas that are ahead are cut back, and
-// holds end.
+// holds for the new term or an earlier one end.
 func (g *Group) promote(p *Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -201,7 +201,7 @@
 	}
 	p.term, p.role, p.held, p.applied = term+1, gypsumyard.RolePrimary, 0, len(p.log)
 	for _, i := range g.instances {
-		if i == p || i.down || i.deaf || i.role == gypsumyard.RolePrimary {
+		if i == p || i.down || i.deaf || i.role == gypsumyard.RolePrimary || i.held > p.term {
 			continue
 		}
 		i.follow(p)
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -40,7 +40,7 @@
 	promotedWithin = 3 * time.Second
 	// foreignFor is how long an election that another host has begun may take,
 	// until its order has had its effect.
-	foreignFor = 3500 * time.Millisecond
+	foreignFor = 2500 * time.Millisecond
 	// heldFor is how long replicas may be held before another election is
 	// begun in place of the one that holds them.
 	heldFor = 700 * time.Millisecond
@@ -443,13 +443,14 @@
 	return g.settings.SyncReplicas
 }
 
-// nextTerm returns a term above all that any instance has shown, and the
-// instances.
+// nextTerm returns the term that the next promotion begins, and the instances.
+// Holds of elections that were given up do not raise it: an instance held for a
+// later term than that of the new primary would receive nothing from it.
 func (g *group) nextTerm() (term gypsumyard.Term, instances []*instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, i := range g.instances {
-		term = max(term, i.status.term, i.status.held)
+		term = max(term, i.status.term)
 	}
 	return term + 1, append(instances, g.instances...)
 }
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -45,17 +45,20 @@
 	group *linegroup.Group
 	mu    sync.Mutex
 	list  []gypsumyard.PromotionOrder
-	// before is called before an order is carried out.
-	before func()
+	// refuse is how many orders are refused.
+	refuse int
 }
 
 func (o *orders) Promote(_ context.Context, p gypsumyard.PromotionOrder) error {
 	o.mu.Lock()
 	o.list = append(o.list, p)
-	before := o.before
+	refuse := o.refuse > 0
+	if refuse {
+		o.refuse--
+	}
 	o.mu.Unlock()
-	if before != nil {
-		before()
+	if refuse {
+		return gypsumyard.ErrUnavailable
 	}
 	return o.group.Promote(p.Instance)
 }
--- a/internal/lineowner/owner_test.go
+++ b/internal/lineowner/owner_test.go
@@ -356,3 +356,23 @@
 		}
 	}
 }
+
+// Guards against holds for terms that no promotion reaches: after elections
+// that were given up, replicas would never again receive anything (the own day
+// frozen-duty on svell-pond, a group without writes for 18 s).
+func TestElectionAfterOthersWereGivenUp(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	h.orders.mu.Lock()
+	h.orders.refuse = 3
+	h.orders.mu.Unlock()
+	f.group.Primary().Crash()
+	f.eventually("a write", func() bool {
+		_, err := f.write(h, "WRITE a 2")
+		return err == nil
+	})
+	is.Equal(len(h.orders.sent()), 4)
+}
