lineowner: an order to promote leaves within 1.5 s of its claim

Another host waits 3 s for a foreign claim, which covers the order and its effect. Tests of the package pass.

--- a/internal/lineowner/claim.go
+++ b/internal/lineowner/claim.go
@@ -10,7 +10,7 @@
 const (
 	// electionBound is the longest time between the claim of a generation and
 	// the end of the order to promote that it covers.
-	electionBound = claimTimeout + 4*orderTimeout + fenceAge + promoteBound
+	electionBound = orderWithin + promoteBound + promotedWithin
 	// promoteBound bounds the order to promote.
 	promoteBound = 3 * time.Second
 	// claimAfter is how old the evidence from instances must be before the
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -32,15 +32,15 @@
 	orderTimeout = 300 * time.Millisecond
 	// fenceGrace is how long an election waits for more fences than it needs.
 	fenceGrace = 50 * time.Millisecond
-	// fenceAge is how old the answers to the fencing orders may be when the
-	// order to promote leaves. This process may have been suspended meanwhile.
-	fenceAge = 1500 * time.Millisecond
+	// orderWithin is how soon after the claim the order to promote must leave.
+	// This process may have been suspended meanwhile.
+	orderWithin = 1500 * time.Millisecond
 	// promotedWithin is how long a promotion may take until the instance shows
 	// it.
 	promotedWithin = 3 * time.Second
 	// foreignFor is how long an election that another host has begun may take,
 	// until its order has had its effect.
-	foreignFor = 2500 * time.Millisecond
+	foreignFor = 3 * time.Second
 	// heldFor is how long replicas may be held before another election is
 	// begun in place of the one that holds them.
 	heldFor = 700 * time.Millisecond
@@ -57,7 +57,7 @@
 
 var (
 	errTooFewFenced = errors.New("too few instances are fenced")
-	errFenceOld     = errors.New("answers to the fencing orders are too old")
+	errTooLate      = errors.New("claim is too old for an order to promote")
 	// errOtherElection indicates that another host promotes.
 	errOtherElection = errors.New("another host has begun an election")
 	errNotPromoted   = errors.New("instance does not show its promotion")
@@ -321,6 +321,7 @@
 func (g *group) electOnce() (chosen *instance, err error) {
 	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
 	defer cancel()
+	claimedAt := g.clock.Now()
 	generation, err := g.takeClaim(ctx)
 	if err != nil {
 		return nil, err
@@ -337,7 +338,6 @@
 	if len(answers) < needed {
 		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(instances), needed)
 	}
-	fencedAt := g.clock.Now()
 	best, err := choose(answers)
 	if err != nil {
 		return nil, err
@@ -354,8 +354,8 @@
 	if err := g.confirmFences(answers, term, needed, generation); err != nil {
 		return nil, err
 	}
-	if g.clock.Since(fencedAt) > fenceAge {
-		return nil, errFenceOld
+	if g.clock.Since(claimedAt) > orderWithin {
+		return nil, errTooLate
 	}
 	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.listed.ID, Holder: g.service.self, Generation: generation}
 	order, stop := context.WithTimeout(g.ctx, promoteBound)
