--- a/cmd/gypsumyardd/main.go
+++ b/cmd/gypsumyardd/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/signal"
@@ -41,7 +42,6 @@
 		Name:     "settings",
 		Usage:    "settings `FILE` of the platform",
 		Sources:  cli.EnvVars(platform.SettingsVariable),
-		Required: true,
 	}
 	return &cli.Command{
 		Name:  "gypsumyardd",
@@ -56,6 +56,11 @@
 			Name:   "check",
 			Usage:  "check the settings file and exit",
 			Action: check,
+		}, {
+			Name:      "explain",
+			Usage:     "show what the logs of the hosts say of a request and what happened around it",
+			ArgsUsage: "REQUEST LOG...",
+			Action:    explain,
 		}},
 	}
 }
@@ -65,6 +70,22 @@
 	return err
 }
 
+func explain(_ context.Context, c *cli.Command) (err error) {
+	if c.NArg() < 2 {
+		return errors.New("want the id of a request and the logs of the hosts")
+	}
+	var files []io.Reader
+	for _, path := range c.Args().Slice()[1:] {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		files = append(files, f)
+	}
+	return logs.Explain(os.Stdout, c.Args().First(), files...)
+}
+
 func serve(ctx context.Context, c *cli.Command) error {
 	s, err := platform.LoadSettings(c.String("settings"))
 	if err != nil {
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -346,7 +346,7 @@
 		return fmt.Errorf("from %s: %w", to.Name, err)
 	}
 	if n := s.Apply(objects); n > 0 {
-		s.log.WithFields(logrus.Fields{"host": to.Name, "objects": n, "complete": complete}).Info("newer objects from a peer")
+		s.log.WithFields(logrus.Fields{"member": to.Name, "objects": n, "complete": complete}).Info("newer objects from a peer")
 	}
 	if complete > after {
 		s.adoptComplete(complete)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -89,7 +89,7 @@
 		"session":   a.request.Session,
 		"customer":  a.request.Customer,
 		"database":  a.request.Database,
-		"host":      host.Name,
+		"member":    host.Name,
 		"try":       try,
 	})
 }
--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -304,7 +304,11 @@
 		ss.setState(stateFailed)
 	}
 	ss.server.metrics.fail(code)
-	ss.log.WithFields(logrus.Fields{"request": id, "route": ss.database, "code": code, "reason": text}).Info("statement refused")
+	fields := logrus.Fields{"request": id, "route": ss.database, "code": code, "reason": text}
+	if d := ss.server.desired.Desired(); d != nil {
+		fields["desired"], fields["database"] = d.Number, d.Routes[ss.database].Group
+	}
+	ss.log.WithFields(fields).Info("statement refused")
 	ss.out = line.Append(ss.out, line.WordError, string(code), text)
 }
 
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -271,7 +271,7 @@
 		return
 	}
 	e.notBefore = g.clock.Now().Add(calmAfter)
-	log.WithFields(logrus.Fields{"instance": chosen.listed.ID, "took": g.clock.Since(began)}).Info("election ends")
+	log.WithFields(logrus.Fields{"instance": chosen.listed.ID, "took": g.clock.Since(began).String()}).Info("election ends")
 	g.metrics.promotions.Inc(1)
 }
 
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -16,6 +16,10 @@
 	// retryPause is the pause before a statement that an instance has refused
 	// is sent again.
 	retryPause = 15 * time.Millisecond
+	// One of logEvery ordinary statements is logged, and each that took longer
+	// than slowStatement or was sent twice.
+	logEvery      = 16
+	slowStatement = 500 * time.Millisecond
 	// maxQueue is how many requests of one route may wait for a slot.
 	maxQueue = 1000
 )
@@ -219,11 +223,28 @@
 	return a, sent, nil
 }
 
+// noteRouted logs where a statement has run, and why there. Ordinary ones are
+// sampled.
+func (g *group) noteRouted(j *job, u *use, needed gypsumyard.Position) {
+	took := g.clock.Since(j.arrived)
+	if j.tried < 2 && took < slowStatement && g.routed.Add(1)%logEvery != 0 {
+		return
+	}
+	g.mu.Lock()
+	role, term, age := u.instance.status.role, u.instance.status.term, g.clock.Since(u.instance.sampledAt)
+	applied := u.instance.applied
+	g.mu.Unlock()
+	g.log.WithFields(g.fields(j)).WithFields(logrus.Fields{
+		"instance": u.instance.listed.ID, "why": u.grant.Target.Reason, "role": role, "term": term, "status-age": age.String(),
+		"needed": needed.String(), "applied": applied.String(), "queued": u.grant.Waited.String(),
+	}).Info("statement has run")
+}
+
 // fields are those that lines about a request carry.
 func (g *group) fields(j *job) logrus.Fields {
 	return logrus.Fields{
 		"request": j.ID, "session": j.Session, "route": j.Customer, "class": j.Class, "tried": j.tried,
-		"waited": g.clock.Since(j.arrived),
+		"since": g.clock.Since(j.arrived).String(),
 	}
 }
 
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -50,6 +51,9 @@
 	cancel context.CancelCauseFunc
 	work   sync.WaitGroup
 
+	// routed counts the statements, for sampling their log lines.
+	routed atomic.Uint64
+
 	mu        sync.Mutex
 	settings  gypsumyard.Group
 	instances []*instance
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -219,7 +219,7 @@
 	i.reachable = false
 	i.giveUp(errUnreachable)
 	i.pool.suspect()
-	g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "silent": g.clock.Since(i.silentSince)}).WithError(err).Warn("instance lost")
+	g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "silent": g.clock.Since(i.silentSince).String()}).WithError(err).Warn("instance lost")
 	g.setCapacity()
 }
 
--- a/internal/lineowner/single.go
+++ b/internal/lineowner/single.go
@@ -33,6 +33,7 @@
 	res = gypsumyard.Result{Position: a.position, TxStatus: 'I', Instance: u.instance.listed.ID}
 	if a.failure == nil {
 		g.metrics.count(j, u.instance)
+		g.noteRouted(j, u, p.needed)
 		return res, false, deliver(sink, a)
 	}
 	if again, err := g.judgeRefusal(j, u, a.failure); again {
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -105,6 +105,7 @@
 	g.register(t)
 	res.Transaction, res.Owner = t.handle, g.service.self
 	g.metrics.count(j, u.instance)
+	g.noteRouted(j, u, p.needed)
 	return res, false, deliver(sink, a)
 }
 
@@ -298,7 +299,7 @@
 				continue
 			}
 			if !t.ended {
-				g.log.WithFields(logrus.Fields{"session": t.session, "instance": t.instance.listed.ID, "idle": g.clock.Since(t.usedAt)}).
+				g.log.WithFields(logrus.Fields{"session": t.session, "instance": t.instance.listed.ID, "idle": g.clock.Since(t.usedAt).String()}).
 					Info("idle transaction is rolled back")
 				g.end(t, false)
 			}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -156,7 +156,7 @@
 	}
 	s.noteChange(r)
 	if after := r.hostState(); !known || before != after {
-		s.log.WithFields(map[string]any{"host": h.Name, "state": after, "incarnation": r.incarnation}).Info("state of host")
+		s.log.WithFields(map[string]any{"member": h.Name, "state": after, "incarnation": r.incarnation}).Info("state of host")
 	}
 }
 
--- a/internal/peer/remote.go
+++ b/internal/peer/remote.go
@@ -172,5 +172,5 @@
 		return
 	}
 	s.metrics.Counter("peer_links_broken").Inc(1)
-	s.log.WithFields(map[string]any{"host": l.host, "address": l.remote.to.Addr}).WithError(err).Info("link to host is broken")
+	s.log.WithFields(map[string]any{"member": l.host, "address": l.remote.to.Addr}).WithError(err).Info("link to host is broken")
 }
