--- a/internal/lineowner/pool.go
+++ b/internal/lineowner/pool.go
@@ -171,13 +171,6 @@
 	p.wake()
 }
 
-// counts returns how many connections are open and how many of them are idle.
-func (p *pool) counts() (open, idle int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open, len(p.idle)
-}
-
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
--- a/internal/lineowner/single.go
+++ b/internal/lineowner/single.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/line"
@@ -86,9 +85,3 @@
 	}
 	return false, nil
 }
-
-// isRefusal reports whether err is an instance's refusal of a connection.
-func isRefusal(err error) bool {
-	var e *line.Error
-	return errors.As(err, &e)
-}
