--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
@@ -37,20 +38,9 @@
 	return i, err
 }
 
-type part struct {
-	name string
-	done chan struct{}
-}
-
-func (p part) Name() string                                { return p.name }
-func (p part) Needs() []string                             { return nil }
-func (p part) Start(context.Context, *kernel.Kernel) error { return nil }
-func (p part) Stop(context.Context) error                  { close(p.done); return nil }
-func (p part) Done() <-chan struct{}                       { return p.done }
-
 // members are the hosts of a test, the first of which verifies.
 type members struct {
-	part
+	kerneltest.Stub
 	self  string
 	hosts []gypsumyard.Host
 }
@@ -64,7 +54,7 @@
 
 // peers fetches from the services of other hosts in the same process.
 type peers struct {
-	part
+	kerneltest.Stub
 	gypsumyard.Peers
 	mu    sync.Mutex
 	hosts map[string]*Service
@@ -87,11 +77,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := New(store, decoder{}, names, "region", WithLogger(log))
-	m := &members{part: part{"members", make(chan struct{})}, self: self}
+	m := &members{Stub: kerneltest.New("members"), self: self}
 	for _, h := range hosts {
 		m.hosts = append(m.hosts, gypsumyard.Host{Name: h, State: gypsumyard.HostLive})
 	}
-	own := &peers{part: part{"peer", make(chan struct{})}, hosts: map[string]*Service{}}
+	own := &peers{Stub: kerneltest.New("peer"), hosts: map[string]*Service{}}
 	if p != nil {
 		p.mu.Lock()
 		p.hosts[self] = s
--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -13,25 +13,15 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/gypsumyard/gypsumyard/internal/line"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 )
 
-type part struct {
-	name string
-	done chan struct{}
-}
-
-func (p part) Name() string                                { return p.name }
-func (p part) Needs() []string                             { return nil }
-func (p part) Start(context.Context, *kernel.Kernel) error { return nil }
-func (p part) Stop(context.Context) error                  { close(p.done); return nil }
-func (p part) Done() <-chan struct{}                       { return p.done }
-
 // executor stands for the owners. It answers with what reply returns.
 type executor struct {
-	part
+	kerneltest.Stub
 	mu        sync.Mutex
 	requests  []*gypsumyard.Request
 	abandoned []string
@@ -70,7 +60,7 @@
 }
 
 type lists struct {
-	part
+	kerneltest.Stub
 	gypsumyard.Lists
 	desired *gypsumyard.DesiredState
 	ready   chan struct{}
@@ -81,7 +71,7 @@
 func (l *lists) Changes() <-chan struct{}          { return nil }
 
 type members struct {
-	part
+	kerneltest.Stub
 	gypsumyard.Membership
 }
 
@@ -116,14 +106,14 @@
 	}}
 	f := &fixture{
 		T:        t,
-		executor: &executor{part: part{"dispatch", make(chan struct{})}, reply: ok},
-		lists:    &lists{part: part{"lists", make(chan struct{})}, desired: d, ready: make(chan struct{})},
+		executor: &executor{Stub: kerneltest.New("dispatch"), reply: ok},
+		lists:    &lists{Stub: kerneltest.New("lists"), desired: d, ready: make(chan struct{})},
 	}
 	close(f.lists.ready)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f.server = New(netip.MustParseAddrPort("127.0.0.1:0"), WithLogger(log))
-	k, err := kernel.New(f.executor, f.lists, members{part: part{"members", make(chan struct{})}}, f.server)
+	k, err := kernel.New(f.executor, f.lists, members{Stub: kerneltest.New("members")}, f.server)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/gypsumyard/gypsumyard/internal/line"
 	"github.com/sirupsen/logrus"
 )
@@ -70,19 +71,8 @@
 	return append([]gypsumyard.PromotionOrder(nil), o.list...)
 }
 
-type service struct {
-	name string
-	done chan struct{}
-}
-
-func (s service) Name() string                                { return s.name }
-func (s service) Needs() []string                             { return nil }
-func (s service) Start(context.Context, *kernel.Kernel) error { return nil }
-func (s service) Stop(context.Context) error                  { close(s.done); return nil }
-func (s service) Done() <-chan struct{}                       { return s.done }
-
 type fakeLists struct {
-	service
+	kerneltest.Stub
 	mu      sync.Mutex
 	desired *gypsumyard.DesiredState
 	listed  func() []gypsumyard.ListedInstance
@@ -107,7 +97,7 @@
 }
 
 type fakeMembers struct {
-	service
+	kerneltest.Stub
 	self  gypsumyard.Host
 	hosts []gypsumyard.Host
 	mu    sync.Mutex
@@ -152,7 +142,7 @@
 
 // fakePeers answers for other hosts.
 type fakePeers struct {
-	service
+	kerneltest.Stub
 	gypsumyard.Peers
 	probe func(host, instance string) (gypsumyard.InstanceStatus, error)
 }
@@ -186,8 +176,8 @@
 		Routes: map[string]gypsumyard.Route{},
 	}
 	h := &hostFixture{
-		lists:   &fakeLists{service: service{"lists", make(chan struct{})}, desired: d, listed: f.group.Listed, changed: make(chan struct{})},
-		members: &fakeMembers{service: service{"members", make(chan struct{})}, self: gypsumyard.Host{Name: name}, owner: name, changed: make(chan struct{})},
+		lists:   &fakeLists{Stub: kerneltest.New("lists"), desired: d, listed: f.group.Listed, changed: make(chan struct{})},
+		members: &fakeMembers{Stub: kerneltest.New("members"), self: gypsumyard.Host{Name: name}, owner: name, changed: make(chan struct{})},
 		orders:  &orders{group: f.group},
 	}
 	for _, o := range others {
@@ -196,7 +186,7 @@
 	if peers == nil {
 		peers = &fakePeers{}
 	}
-	peers.service = service{"peer", make(chan struct{})}
+	peers.Stub = kerneltest.New("peer")
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	if testing.Verbose() {
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -1,25 +1,17 @@
 package platform
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/httpcall"
 )
 
-const (
-	// maxAnswer bounds the bytes of an answer. It holds a list of about
-	// 190 objects of the largest size, which base64 makes a third longer.
-	maxAnswer = 256 * MaxValue
-	// maxErrorText bounds the bytes of an answer that an error quotes.
-	maxErrorText = 200
-)
+// maxAnswer bounds the bytes of an answer. It holds a list of about
+// 190 objects of the largest size, which base64 makes a third longer.
+const maxAnswer = 256 * MaxValue
 
 func (c *Client) read(ctx context.Context, url string, out any) error {
 	return c.do(ctx, http.MethodGet, url, nil, out)
@@ -33,29 +25,8 @@
 	if err := c.spend(ctx); err != nil {
 		return fmt.Errorf("%w: call budget: %w", gypsumyard.ErrUnavailable, err)
 	}
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("make request: %w", err)
-	}
 	c.calls.Add(1)
-	resp, err := c.http.Do(r)
-	if err != nil {
-		return lost(method, sent.Load(), err)
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return lost(method, true, err)
-	}
-	if err := statusError(method, resp.StatusCode, data); err != nil {
-		return err
-	}
-	if err := json.Unmarshal(data, out); err != nil {
-		return lost(method, true, err)
-	}
-	return nil
+	return httpcall.Do(ctx, c.http, httpcall.Call{Method: method, URL: url, Body: body, MaxAnswer: maxAnswer}, out)
 }
 
 // spend waits until the budget allows one more call.
@@ -79,30 +50,3 @@
 	}
 	return nil
 }
-
-// lost classifies a call without an answer. Without a connection nothing was
-// sent; an update that was sent may have taken effect.
-func lost(method string, sent bool, err error) error {
-	if sent && method != http.MethodGet {
-		return fmt.Errorf("%w: %w", gypsumyard.ErrOutcomeUnknown, err)
-	}
-	return fmt.Errorf("%w: %w", gypsumyard.ErrUnavailable, err)
-}
-
-// statusError returns the error that an HTTP status stands for.
-func statusError(method string, status int, data []byte) error {
-	text := string(bytes.TrimSpace(data[:min(len(data), maxErrorText)]))
-	switch {
-	case status == http.StatusOK:
-		return nil
-	case status == http.StatusNotFound:
-		return gypsumyard.ErrNotFound
-	case status == http.StatusConflict:
-		return gypsumyard.ErrConflict
-	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
-		return fmt.Errorf("%w: %s", gypsumyard.ErrUnavailable, text)
-	case status >= http.StatusInternalServerError:
-		return lost(method, true, fmt.Errorf("status %d: %s", status, text))
-	}
-	return fmt.Errorf("status %d: %s", status, text)
-}
