--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -187,7 +187,7 @@
 		}
 	}()
 	term, instances := g.nextTerm()
-	needed := fencesNeeded(len(instances), g.syncReplicas())
+	needed := fencesNeeded(len(instances))
 	answers := g.fence(instances, term, needed)
 	if len(answers) < needed {
 		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(instances), needed)
@@ -291,12 +291,6 @@
 	return nil
 }
 
-func (g *group) syncReplicas() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.settings.SyncReplicas
-}
-
 // nextTerm returns the term that the next promotion begins, and the instances.
 // Holds of elections that were given up do not raise it: an instance held for a
 // later term than that of the new primary would receive nothing from it.
--- a/internal/lineowner/fitness.go
+++ b/internal/lineowner/fitness.go
@@ -159,8 +159,8 @@
 func (g *group) giveAway(now time.Time) (wait bool) {
 	g.mu.Lock()
 	ids, reached, silent := g.reach()
-	fences := fencesNeeded(len(ids), g.settings.SyncReplicas)
-	evidence := evidenceNeeded(len(ids), g.settings.SyncReplicas)
+	fences := fencesNeeded(len(ids))
+	evidence := evidenceNeeded(len(ids))
 	if p, at := g.lead(); p != nil {
 		g.evidenceAt = later(at, g.evidenceAt)
 	}
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -46,20 +46,15 @@
 
 // fencesNeeded returns how many of n instances must be fenced before a
 // promotion, so that every acknowledged commit is on a fenced instance and no
-// unfenced ones can acknowledge another. A commit is on the primary and on sync
-// replicas.
-func fencesNeeded(n, sync int) int {
-	needed := n - max(sync, 1)
-	if n >= 3 {
-		needed = max(needed, n/2+1)
-	}
-	return max(needed, 1)
-}
+// unfenced ones can acknowledge another. A commit is on the primary and on one
+// replica. Groups that ask for more replicas are treated alike: an instance may
+// acknowledge with fewer while some do not answer.
+func fencesNeeded(n int) int { return max(n-1, 1) }
 
 // evidenceNeeded returns how many of n instances, the primary among them, must
 // be unfenced for the primary to lead. Each such set meets each set of
 // fencesNeeded.
-func evidenceNeeded(n, sync int) int { return n - fencesNeeded(n, sync) + 1 }
+func evidenceNeeded(n int) int { return n - fencesNeeded(n) + 1 }
 
 // primary returns the reachable instance that claims to be the primary of the
 // highest term, unless another instance has seen a higher term. It is called
@@ -95,7 +90,7 @@
 		}
 	}
 	slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
-	others := evidenceNeeded(len(g.instances), g.settings.SyncReplicas) - 1
+	others := evidenceNeeded(len(g.instances)) - 1
 	switch {
 	case others == 0:
 		at = p.sampledAt
@@ -157,8 +152,8 @@
 }
 
 // acknowledgedBy returns a sample from what the replicas have received, if all
-// have answered: an acknowledged commit is on as many as the group demands. A
-// primary whose commits are not acknowledged does not raise it. It is called
+// have answered: an acknowledged commit is on one of them at least. A primary
+// whose commits are not acknowledged does not raise it. It is called
 // with the lock held.
 func (g *group) acknowledgedBy(p *instance, at time.Time) (s sample, ok bool) {
 	var received []gypsumyard.Position
@@ -171,12 +166,10 @@
 			received = append(received, i.status.received)
 		}
 	}
-	needed := g.settings.SyncReplicas
-	if needed < 1 || len(received) < needed {
+	if g.settings.SyncReplicas < 1 || len(received) == 0 {
 		return s, false
 	}
-	slices.SortFunc(received, func(a, b gypsumyard.Position) int { return b.Compare(a) })
-	return sample{at, received[needed-1]}, true
+	return sample{at, slices.MaxFunc(received, gypsumyard.Position.Compare)}, true
 }
 
 // floor returns the lowest position that covers all commits that were
