--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"math"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -20,6 +21,10 @@
 	// than slowStatement or was sent twice.
 	logEvery      = 16
 	slowStatement = 500 * time.Millisecond
+	// shareRun is the run time of a statement of weight 1. A weight is at most
+	// 2^maxShareSteps and at least the inverse.
+	shareRun      = 20 * time.Millisecond
+	maxShareSteps = 4
 	// maxQueue is how many requests of one route may wait for a slot.
 	maxQueue = 1000
 )
@@ -133,7 +138,7 @@
 	mean, long := g.learner.Expected(j.shape())
 	t := gypsumyard.Ticket{
 		Customer:      j.Customer,
-		Plan:          gypsumyard.Plan{Name: "route", Share: 1, Limit: 1, Priority: true, MaxQueue: maxQueue},
+		Plan:          gypsumyard.Plan{Name: "route", Share: share(mean), Limit: 1, Priority: true, MaxQueue: maxQueue},
 		Priority:      j.RoutePriority == g.topPriority,
 		Long:          long,
 		InTransaction: j.Transaction != "",
@@ -160,6 +165,17 @@
 	return u, nil
 }
 
+// share returns the weight of statements that run for the given time. Under
+// overload short statements get more of the slots than their number: more callers
+// are served, and none starves. It has few steps, so that it rarely changes.
+func share(run time.Duration) float64 {
+	if run <= 0 {
+		return 1
+	}
+	steps := math.Round(math.Log2(float64(shareRun) / float64(run)))
+	return math.Exp2(min(max(steps, -maxShareSteps), maxShareSteps))
+}
+
 // release gives back the slot.
 func (u *use) release() {
 	if u.released {
