member: seeds are asked rarely

All hosts that have just started ask each of the three seeds for its whole table five times a second until one answers. They ask all once and then one at a time every 0.4 s now. TestSeedsAreAskedRarely fails with the old rule.

--- a/internal/member/heartbeat.go
+++ b/internal/member/heartbeat.go
@@ -2,12 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 )
 
+// seedInterval is how often a host that knows only addresses asks one of them.
+const seedInterval = 400 * time.Millisecond
+
 // retryInterval is how often a host that is taken for dead gets a heartbeat, so
 // that both sides of a partition find each other again.
 const retryInterval = time.Second
@@ -134,17 +138,23 @@
 	return []outgoing{s.heartbeat(dead[rand.IntN(len(dead))].host)}
 }
 
-// askSeeds fetches the table of a seed until some host has answered.
+// askSeeds fetches the table of a seed until some host has answered: of all
+// seeds at first, then of one at a time. When a whole region starts, each seed
+// answers all its hosts, and each answer is a whole table.
 func (s *Service) askSeeds(now time.Time) (out []outgoing) {
-	if s.joined {
+	if s.joined || now.Sub(s.askedSeeds) < seedInterval {
 		return nil
 	}
-	for _, addr := range s.seeds {
+	ask := s.seeds
+	if !s.askedSeeds.IsZero() && len(ask) > 0 {
+		ask = []netip.AddrPort{ask[rand.IntN(len(ask))]}
+	}
+	for _, addr := range ask {
 		if addr != s.self.host.Addr {
 			out = append(out, outgoing{gypsumyard.Host{Addr: addr}, s.message(peerpb.MemberKind_SYNC, "")})
 		}
 	}
-	s.synced = now
+	s.synced, s.askedSeeds = now, now
 	return out
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -103,12 +103,14 @@
 	// freshFrom is the first sequence number whose answer proves contact.
 	freshFrom uint64
 
-	helping   map[string][]helped
-	assigned  map[string]assigned
-	differs   time.Time
-	synced    time.Time
-	retried   time.Time
-	forgotten time.Time
+	helping  map[string][]helped
+	assigned map[string]assigned
+	differs  time.Time
+	// askedSeeds is when seeds were last asked.
+	askedSeeds time.Time
+	synced     time.Time
+	retried    time.Time
+	forgotten  time.Time
 }
 
 // An Option changes a Service.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -368,3 +369,26 @@
 		is.Equal(d.sees(w.nodes[3]), gypsumyard.HostLeaving)
 	}
 }
+
+// Guards against seeds that are asked for whole tables by a whole region many
+// times a second when it starts (300 machines, 36 MB a second at one seed).
+func TestSeedsAreAskedRarely(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(1)
+	d := w.nodes[0]
+	d.start()
+	s := d.table
+	s.joined = false
+	for i := range 3 {
+		s.seeds = append(s.seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 9, byte(i)}), 1))
+	}
+	asked := 0
+	for range 50 { // Ten seconds of heartbeats.
+		w.run(heartbeatInterval)
+		s.mu.Lock()
+		asked += len(s.askSeeds(w.clock.Now()))
+		s.mu.Unlock()
+	}
+	is.True(asked > 0)
+	is.True(asked <= 3+int(10*time.Second/seedInterval))
+}
