--- a/cmd/gypsumyardd/main.go
+++ b/cmd/gypsumyardd/main.go
@@ -39,9 +39,9 @@
 
 func newCommand() *cli.Command {
 	settings := &cli.StringFlag{
-		Name:     "settings",
-		Usage:    "settings `FILE` of the platform",
-		Sources:  cli.EnvVars(platform.SettingsVariable),
+		Name:    "settings",
+		Usage:   "settings `FILE` of the platform",
+		Sources: cli.EnvVars(platform.SettingsVariable),
 	}
 	return &cli.Command{
 		Name:  "gypsumyardd",
