operator: a host answers the request that stops it

The host had nothing to finish, and the operators' server was closed before the handler had answered. The server shuts down with half a second for requests in flight now. Ruled out: the ports and the drain itself, which ended with status 0.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -31,6 +31,10 @@
 )
 
 // A Service serves operators. It is found under the name "operator".
+// stopTimeout is how long requests in flight may go on when the service stops,
+// the one that has asked for it among them.
+const stopTimeout = 500 * time.Millisecond
+
 type Service struct {
 	addr    netip.AddrPort
 	token   string
@@ -125,7 +129,14 @@
 }
 
 // Stop ends the service.
-func (s *Service) Stop(context.Context) error { return s.server.Close() }
+func (s *Service) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if s.server.Shutdown(ctx) == nil {
+		return nil
+	}
+	return s.server.Close()
+}
 
 // Done returns a channel that is closed when the service has ended.
 func (s *Service) Done() <-chan struct{} { return s.done }
