lineowner: a refused order needs no wait of others; wording

An order that the platform refuses because the instance does not run has no effect, so its claim is marked as done.

--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -69,7 +69,7 @@
 	demotedAt time.Time
 }
 
-// A cause tells why a primary is replaced.
+// An electionCause tells why a primary is replaced.
 type electionCause struct {
 	reason string
 	// planned indicates that the primary works and leaves.
@@ -214,8 +214,8 @@
 	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.listed.ID, Holder: g.service.self, Generation: generation}
 	order, stop := context.WithTimeout(g.ctx, promoteBound)
 	defer stop()
-	ordered = true
 	err = g.service.promotions.Promote(order, o)
+	ordered = !errors.Is(err, gypsumyard.ErrConflict) // Else the order had no effect.
 	g.log.WithFields(logrus.Fields{"instance": o.Instance, "generation": generation}).WithError(err).Info("promotion ordered")
 	if err != nil && !errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
 		return nil, err
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -167,7 +167,6 @@
 			i = g.newInstance(l)
 		}
 		if l.Leaving && !i.listed.Leaving {
-			i.leaving = g.clock.Now()
 			g.log.WithField("instance", l.ID).Info("instance is leaving")
 		}
 		i.listed = l
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -60,9 +60,8 @@
 	running   int
 	pinned    int
 	// alive ends when the instance becomes unreachable.
-	alive   context.Context
-	giveUp  context.CancelCauseFunc
-	leaving time.Time
+	alive  context.Context
+	giveUp context.CancelCauseFunc
 }
 
 func (g *group) newInstance(l gypsumyard.ListedInstance) *instance {
