--- a/internal/emulate/objects/server.go
+++ b/internal/emulate/objects/server.go
@@ -1,5 +1,3 @@
-// Package objects emulates the users' platform over HTTP: its store of objects
-// and its call that orders promotions.
 package objects
 
 import (
--- /dev/null
+++ b/internal/kernel/kerneltest/doc.go
@@ -0,0 +1,2 @@
+// Package kerneltest helps tests to assemble a kernel.
+package kerneltest
--- a/internal/kernel/kerneltest/stub.go
+++ b/internal/kernel/kerneltest/stub.go
@@ -1,4 +1,3 @@
-// Package kerneltest helps tests to assemble a kernel.
 package kerneltest
 
 import (
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,79 @@
+package logs
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// A stuck output blocks until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out.Write(p)
+}
+
+// Guards against a request that waits for whoever reads the log.
+func TestStuckReaderStopsNobody(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{release: make(chan struct{})}
+	w := NewWriter(out)
+	log := New(w, logrus.InfoLevel)
+	began := time.Now()
+	for range 5 * queueLines {
+		log.Warn("instance lost")
+	}
+	is.True(time.Since(began) < time.Second)
+	close(out.release)
+	w.Close()
+	is.True(strings.Contains(out.out.String(), "log lines left out"))
+}
+
+// Guards against ordinary lines that push out those about failures.
+func TestWarningsGoFirst(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{release: make(chan struct{})}
+	close(out.release)
+	w := NewWriter(out)
+	log := New(w, logrus.InfoLevel)
+	for range 2 * burstLines {
+		log.Info("statement has run")
+	}
+	log.Warn("instance lost")
+	w.Close()
+	is.True(strings.Contains(out.out.String(), "instance lost"))
+	is.True(strings.Count(out.out.String(), "statement has run") < 2*burstLines)
+}
+
+// Guards against the surroundings of a request that hide it, or that leave out
+// what has happened to its group.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	line := func(at, host, rest string) string {
+		return `{"time":"2026-12-04T10:00:` + at + `Z","host":"` + host + `",` + rest + "}\n"
+	}
+	a := line("01.0", "a", `"msg":"statement refused","request":"r1","database":"g","code":"INDOUBT"`) +
+		line("01.5", "a", `"msg":"statement refused","request":"r2","database":"g"`) + "not a log line\n"
+	b := line("00.5", "b", `"msg":"instance lost","database":"g","instance":"i-1"`) +
+		line("00.6", "b", `"msg":"instance lost","database":"other"`) +
+		line("09.0", "b", `"msg":"election begins","database":"g"`)
+	var out bytes.Buffer
+	is.NoErr(Explain(&out, "r1", strings.NewReader(a), strings.NewReader("prefix "+b)))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "instance lost"))
+	is.True(strings.HasPrefix(lines[1], "*"))
+	is.True(Explain(&out, "r3", strings.NewReader(a)) != nil)
+}
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -1,5 +1,3 @@
-// Package logs writes log lines without ever delaying the work that they tell
-// of.
 package logs
 
 import (
--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -1,4 +1,3 @@
-// Package tcp opens connections that notice a silent peer.
 package tcp
 
 import (
--- /dev/null
+++ b/internal/tcp/doc.go
@@ -0,0 +1,2 @@
+// Package tcp opens connections that notice a silent peer.
+package tcp
