tcp: a dial repeats a lost request to connect every 200 ms

Hosts, instances and the store are now dialled in attempts of 200 ms, by one function.

Ruled out: late ownership (gained within 40 ms of each start), instances whose slots are taken by dead connections (no TOOMANY).

--- a/internal/lineowner/conn.go
+++ b/internal/lineowner/conn.go
@@ -71,7 +71,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	n, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", i.Addr.String())
+	n, err := tcp.Dial(ctx, i.Addr, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/clock"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
+	"github.com/gypsumyard/gypsumyard/internal/tcp"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"storj.io/drpc/drpcconn"
@@ -130,8 +131,7 @@
 }
 
 func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: handshakeTimeout}
-	return d.DialContext(ctx, "tcp", to.String())
+	return tcp.Dial(ctx, to, handshakeTimeout)
 }
 
 // Name returns "peer".
--- /dev/null
+++ b/internal/tcp/dialer_test.go
@@ -0,0 +1,106 @@
+package tcp
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	timeout = 2 * time.Second
+	// retransmission is when the kernel repeats a request to connect.
+	retransmission = time.Second
+)
+
+// fullListener returns a listening socket whose queue of connections is full, so
+// that the kernel drops further requests to connect, as happens to those sent to
+// a host without power.
+func fullListener(t *testing.T) (fd int, at netip.AddrPort) {
+	t.Helper()
+	is := is.New(t)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	at = netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(name.(*syscall.SockaddrInet4).Port))
+	for range 10 {
+		n, err := net.DialTimeout("tcp", at.String(), 50*time.Millisecond)
+		if err != nil {
+			return fd, at
+		}
+		t.Cleanup(func() { _ = n.Close() })
+	}
+	t.Fatal("the queue of connections does not fill up")
+	return fd, at
+}
+
+// Guards against a dial that waits for the kernel to repeat a lost request to
+// connect, which takes a second, although the host has come back meanwhile.
+func TestDialRepeatsLostRequests(t *testing.T) {
+	is := is.New(t)
+	fd, at := fullListener(t)
+	const dark = 150 * time.Millisecond
+	time.AfterFunc(dark, func() {
+		for range 2 {
+			_, _, _ = syscall.Accept(fd)
+		}
+	})
+	began := time.Now()
+	n, err := Dial(t.Context(), at, timeout)
+	is.NoErr(err)
+	defer n.Close()
+	is.True(time.Since(began) < retransmission)
+}
+
+// Guards against a dial that outlives its time or its context.
+func TestDialEnds(t *testing.T) {
+	is := is.New(t)
+	_, at := fullListener(t)
+	began := time.Now()
+	_, err := Dial(t.Context(), at, 3*attemptTimeout/2)
+	is.True(err != nil)
+	is.True(time.Since(began) < 2*attemptTimeout)
+
+	ctx, cancel := context.WithTimeout(t.Context(), attemptTimeout/2)
+	defer cancel()
+	began = time.Now()
+	_, err = Dial(ctx, at, timeout)
+	is.True(err != nil)
+	is.True(time.Since(began) < attemptTimeout)
+}
+
+// Guards against repeating requests that were refused.
+func TestDialReturnsRefusalAtOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	at := netip.MustParseAddrPort(l.Addr().String())
+	is.NoErr(l.Close())
+	began := time.Now()
+	_, err = Dial(t.Context(), at, timeout)
+	is.True(err != nil)
+	is.True(time.Since(began) < attemptTimeout)
+}
+
+// Guards against attempts without a pause to a host that the kernel reports as
+// out of reach at once.
+func TestEarlyTimeoutIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	attempts := 0
+	_, err := repeat(ctx, func() (net.Conn, error) {
+		attempts++
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ETIMEDOUT}
+	})
+	is.True(err != nil)
+	is.Equal(attempts, 1)
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -43,7 +43,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	n, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", a.Addr.String())
+	n, err := tcp.Dial(ctx, a.Addr, dialTimeout)
 	if err != nil {
 		return nil, err
 	}
@@ -176,7 +176,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	n, err := tcp.Dialer(dialTimeout).DialContext(ctx, "tcp", a.Addr.String())
+	n, err := tcp.Dial(ctx, a.Addr, dialTimeout)
 	if err != nil {
 		return err
 	}
