admit, lineowner: the latency objective of a route decides when later requests go first

Cause: routes carry a latency objective, which the owner did not use. With a fixed 100 ms requests that may take 800 ms were overtaken, although all of the queue could still be served in time; those at its end were refused.

A ticket now says when it is due: half of the objective after its arrival. The batch between hosts carries the objective.

Module test (a burst of a quarter of a second, objective 800 ms): 84 of 127 refused with the fixed time, none with the objective.

--- a/admission.go
+++ b/admission.go
@@ -21,6 +21,10 @@
 	InTransaction bool
 	// Expected is the expected run time. Zero means unknown.
 	Expected time.Duration
+	// Due is from when on the request will hardly meet its latency objective, so
+	// that later requests of its customer go first. Zero means that the
+	// objective is not known.
+	Due time.Time
 	// Deadline is when the caller gives up. Zero means only the plan's
 	// max-wait applies.
 	Deadline time.Time
--- a/internal/admit/fair.go
+++ b/internal/admit/fair.go
@@ -227,7 +227,15 @@
 // oldest would wait without end.
 func (f *fair) newestFirst(now time.Time, l *line) bool {
 	w := l.first
-	return w != nil && l.kind.class != classTransaction && !l.kind.long && !w.deadline.IsZero() && now.Sub(w.arrived) > f.policy.overdueAfter
+	return w != nil && l.kind.class != classTransaction && !l.kind.long && !w.deadline.IsZero() && now.After(f.due(w))
+}
+
+// due returns from when on waiters that came later than w go first.
+func (f *fair) due(w *waiter) time.Time {
+	if !w.ticket.Due.IsZero() {
+		return w.ticket.Due
+	}
+	return w.arrived.Add(f.policy.overdueAfter)
 }
 
 // pick returns the line of which a waiter gets the next slot of the instance,
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -26,7 +26,7 @@
 	// standingWait is the accepted wait while the queue is standing.
 	standingWait time.Duration
 	// overdueAfter is how long the oldest waiter of a line must have waited
-	// before the newest is served first.
+	// before the newest is served first, unless its ticket says when it is due.
 	overdueAfter time.Duration
 	// refuseEarly turns on the estimate of the wait on arrival.
 	refuseEarly bool
--- a/internal/admit/overdue_test.go
+++ b/internal/admit/overdue_test.go
@@ -69,3 +69,29 @@
 	is.True(len(o.waits) >= 3100) // 2 slots run 3,200 requests of 5 ms in 8 s
 	is.True(o.quantile(0.9) < latencyObjective)
 }
+
+// Pattern: a burst leaves a queue of a quarter of a second in front of requests
+// that may take 800 ms.
+//
+// Guards against later requests that overtake earlier ones while all of them
+// can still meet their latency objective.
+func TestQueueWithinObjectiveKeepsOrder(t *testing.T) {
+	is := is.New(t)
+	const objective = 800 * ms
+	s := newSimulation(with(func(p *policy) { p.standingAfter, p.standingWait = 500*ms, 400*ms }), 8, 1, 2)
+	for _, src := range []source{
+		{name: "burst", gap: 10 * time.Microsecond, to: ms},
+		{name: "steady", gap: 2800 * time.Microsecond, to: 3 * time.Second},
+	} {
+		src.customer, src.plan, src.run = "x", plan(1, 1, false), 5*ms
+		src.targets, src.patience, src.queueable = primary, time.Second, objective/2
+		s.add(src)
+	}
+	s.run(6 * time.Second)
+	for _, name := range []string{"burst", "steady"} {
+		o := s.outcomes[name]
+		t.Logf("%s: %d served, %d refused, p50 %v, longest %v", name, len(o.waits), o.refusals(), o.quantile(0.5), o.quantile(1))
+		is.Equal(o.refusals(), 0)
+		is.True(o.quantile(1) < objective)
+	}
+}
--- a/internal/admit/sim_test.go
+++ b/internal/admit/sim_test.go
@@ -28,6 +28,9 @@
 	closed bool
 	// patience is the caller's deadline after arrival. Zero is none.
 	patience time.Duration
+	// queueable is which part of its latency objective a request may spend in
+	// the queue. Zero means that the objective is not known.
+	queueable time.Duration
 
 	// arrivals and runs are random sources of their own, so that all queues
 	// see the same load.
@@ -143,6 +146,9 @@
 	if src.patience > 0 {
 		t.Deadline = now.Add(src.patience)
 	}
+	if src.queueable > 0 {
+		t.Due = now.Add(src.queueable)
+	}
 	w := newWaiter(t, now)
 	w.observe = func(w *waiter) { s.resolved(src, w) }
 	s.queue.arrive(now, w)
--- a/internal/line/batch.go
+++ b/internal/line/batch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 )
@@ -12,6 +13,8 @@
 type Batch struct {
 	Consistency   gypsumyard.Consistency
 	RoutePriority int
+	// Objective is the latency objective of the route. Zero means none.
+	Objective time.Duration
 	// ID and Text are those of the caller.
 	ID   string
 	Text string
@@ -22,7 +25,9 @@
 // Marshal encodes the batch.
 func (b *Batch) Marshal() []byte {
 	out := make([]byte, 0, 64+len(b.ID)+len(b.Text)+len(b.Prepared.Shape))
-	out = binary.AppendVarint(out, int64(b.RoutePriority))
+	for _, n := range []int64{int64(b.RoutePriority), int64(b.Objective)} {
+		out = binary.AppendVarint(out, n)
+	}
 	for _, s := range []string{string(b.Consistency), b.ID, b.Text, string(b.Prepared.Verb), b.Prepared.Shape} {
 		out = binary.AppendUvarint(out, uint64(len(s)))
 		out = append(out, s...)
@@ -37,12 +42,16 @@
 			err = fmt.Errorf("decode batch: %w", err)
 		}
 	}()
-	n, size := binary.Varint(in)
-	if size <= 0 {
-		return b, ErrMalformed
+	var priority, objective int64
+	for _, n := range []*int64{&priority, &objective} {
+		v, size := binary.Varint(in)
+		if size <= 0 {
+			return b, ErrMalformed
+		}
+		*n = v
+		in = in[size:]
 	}
-	b.RoutePriority = int(n)
-	in = in[size:]
+	b.RoutePriority, b.Objective = int(priority), time.Duration(objective)
 	var consistency, verb string
 	for _, s := range []*string{&consistency, &b.ID, &b.Text, &verb, &b.Prepared.Shape} {
 		n, size := binary.Uvarint(in)
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/matryer/is"
@@ -66,6 +67,7 @@
 		in := Batch{
 			Consistency:   gypsumyard.Consistency(rapid.String().Draw(t, "consistency")),
 			RoutePriority: rapid.Int().Draw(t, "priority"),
+			Objective:     time.Duration(rapid.Int64().Draw(t, "objective")),
 			ID:            rapid.String().Draw(t, "id"),
 			Text:          rapid.String().Draw(t, "text"),
 			Prepared:      Prepared{Verb(rapid.String().Draw(t, "verb")), rapid.String().Draw(t, "shape")},
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -25,6 +25,10 @@
 	// 2^maxShareSteps and at least the inverse.
 	shareRun      = 20 * time.Millisecond
 	maxShareSteps = 4
+	// queueShare is the part, one in so many, of a latency objective that a
+	// request may spend in the queue. Its run and other statements of the
+	// operation need the rest.
+	queueShare = 2
 	// maxQueue is how many requests of one route may wait for a slot.
 	maxQueue = 1000
 )
@@ -143,6 +147,7 @@
 		Long:          long,
 		InTransaction: j.Transaction != "",
 		Expected:      mean,
+		Due:           j.due(),
 		Deadline:      j.Deadline,
 		Targets:       targets,
 	}
@@ -165,6 +170,15 @@
 	return u, nil
 }
 
+// due returns when the request has spent a part of its latency objective that
+// leaves little hope to meet it, or zero if its route has no objective.
+func (j *job) due() (at time.Time) {
+	if j.Objective <= 0 {
+		return at
+	}
+	return j.arrived.Add(j.Objective / queueShare)
+}
+
 // share returns the weight of statements that run for the given time. Under
 // overload short statements get more of the slots than their number: more callers
 // are served, and none starves. It has few steps, so that it rarely changes.
