dispatch: a wait for a connection ends when the database has another owner

Requests now wait for the connection only while the membership names the host, and go to the next owner at once. The wait is apart from the request, so nothing that may have been sent is given up.

Ruled out: an earlier end of silent links; they end when the databases move or shortly after, and a shorter limit breaks links to hosts that pause.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -58,7 +58,7 @@
 			if n > 1 {
 				s.logger(a, host, n).Info("request is sent again")
 			}
-			err := s.runAt(a, host)
+			err := s.runAt(ctx, a, host)
 			if err != nil && gypsumyard.ClassOf(err) == gypsumyard.ClassUnknown {
 				a.unknown = err
 			}
@@ -132,9 +132,12 @@
 	return gypsumyard.Host{}, false
 }
 
-func (s *Service) runAt(a *attempt, host gypsumyard.Host) error {
+func (s *Service) runAt(ctx context.Context, a *attempt, host gypsumyard.Host) error {
 	if host.Name != s.self.Name {
 		s.remote.Inc(1)
+		if err := s.connect(ctx, a, host); err != nil {
+			return err
+		}
 		return a.run(s.peers.Executor(host))
 	}
 	s.local.Inc(1)
@@ -145,6 +148,30 @@
 	return a.run(owner)
 }
 
+// connect waits for a connection to the host, but no longer than the request
+// has its place there: a host that has failed may accept connections and not
+// answer.
+func (s *Service) connect(ctx context.Context, a *attempt, host gypsumyard.Host) error {
+	if s.peers.Connected(host) {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	connected := make(chan error, 1)
+	go func() { connected <- s.peers.Connect(ctx, host) }()
+	for {
+		changed := s.members.Changes()
+		if h, ok := s.place(a.request); !ok || h.Name != host.Name {
+			return gypsumyard.Errorf(gypsumyard.ClassNotRun, "host %s failed before it was connected", host.Name)
+		}
+		select {
+		case err := <-connected:
+			return err
+		case <-changed:
+		}
+	}
+}
+
 // repeatable reports whether the request may be sent again after err.
 func (a *attempt) repeatable(ctx context.Context, err error) bool {
 	r := a.request
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -33,6 +33,10 @@
 type Executors interface {
 	// Executor returns the way to the databases that the host owns.
 	Executor(host gypsumyard.Host) gypsumyard.Executor
+	// Connected reports whether a request to the host can be sent at once.
+	Connected(host gypsumyard.Host) bool
+	// Connect returns once that is so. Its errors are of ClassNotRun.
+	Connect(ctx context.Context, host gypsumyard.Host) error
 }
 
 // A Service is the kernel service "dispatch". It implements
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -60,6 +60,10 @@
 
 func (h *hosts) Executor(host gypsumyard.Host) gypsumyard.Executor { return at{h, host.Name} }
 
+func (h *hosts) Connected(gypsumyard.Host) bool { return true }
+
+func (h *hosts) Connect(context.Context, gypsumyard.Host) error { return nil }
+
 func (a at) Execute(_ context.Context, _ *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
 	a.tried = append(a.tried, a.name)
 	_, _ = io.WriteString(sink, a.write)
--- a/internal/peer/execute.go
+++ b/internal/peer/execute.go
@@ -71,7 +71,7 @@
 	}
 	l, err := e.remote.checkedLink(ctx)
 	if err != nil {
-		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassNotRun, "no connection to host %s: %w", e.remote.to.Name, err)
+		return gypsumyard.Result{}, notConnected(e.remote.to, err)
 	}
 	c := &call{operation: op, request: *r, size: len(r.Messages), notify: make(chan struct{}, 1)}
 	c.request.Messages = nil
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -329,3 +329,23 @@
 func (s *Service) Executor(host gypsumyard.Host) gypsumyard.Executor {
 	return executor{s.remote(host)}
 }
+
+// Connected reports whether there is a link to the host that has carried
+// something lately.
+func (s *Service) Connected(host gypsumyard.Host) bool {
+	l := s.remote(host).current()
+	return l != nil && l.short.silence() <= silentAfter && l.bulk.silence() <= silentAfter
+}
+
+// Connect returns once that is so. Its errors are of ClassNotRun.
+func (s *Service) Connect(ctx context.Context, host gypsumyard.Host) error {
+	_, err := s.remote(host).checkedLink(ctx)
+	return notConnected(host, err)
+}
+
+func notConnected(host gypsumyard.Host, err error) error {
+	if err == nil {
+		return nil
+	}
+	return gypsumyard.Errorf(gypsumyard.ClassNotRun, "no connection to host %s: %w", host.Name, err)
+}
