emulate, soak: one caller of the line protocol and one writer of the platform's objects

The soak's caller and its writing of entries and desired state move to packages that other tests use as well. Instances of the stand-in have slots and statements of different run times.

--- /dev/null
+++ b/internal/emulate/lineclient/doc.go
@@ -0,0 +1,2 @@
+// Package lineclient is a caller of the line protocol for tests.
+package lineclient
--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -33,7 +33,8 @@
 	sync         int
 	connections  int
 	lag          time.Duration
-	work         time.Duration
+	work         func(text string) time.Duration
+	slots        int
 	promotion    time.Duration
 	mu           sync.Mutex
 	instances    []*Instance
@@ -54,7 +55,16 @@
 func WithLag(d time.Duration) Option { return func(g *Group) { g.lag = d } }
 
 // WithWork sets how long each read, write and commit runs.
-func WithWork(d time.Duration) Option { return func(g *Group) { g.work = d } }
+func WithWork(d time.Duration) Option {
+	return WithWorkOf(func(string) time.Duration { return d })
+}
+
+// WithWorkOf sets how long a statement of the given text runs.
+func WithWorkOf(work func(text string) time.Duration) Option { return func(g *Group) { g.work = work } }
+
+// WithSlots sets how many statements an instance runs at a time. Further ones
+// wait. The default is 5.
+func WithSlots(n int) Option { return func(g *Group) { g.slots = n } }
 
 // WithPromotion sets how long a promotion takes.
 func WithPromotion(d time.Duration) Option { return func(g *Group) { g.promotion = d } }
@@ -64,7 +74,8 @@
 
 // New starts a group of n instances, the first of which is the primary.
 func New(name string, n int, options ...Option) (*Group, error) {
-	g := &Group{name: name, sync: 1, connections: 30, promotion: 50 * time.Millisecond}
+	g := &Group{name: name, sync: 1, connections: 30, slots: 5, promotion: 50 * time.Millisecond}
+	g.work = func(string) time.Duration { return 0 }
 	g.changed = sync.NewCond(&g.mu)
 	for _, o := range options {
 		o(g)
@@ -95,6 +106,7 @@
 		term:     1,
 		listener: l,
 		sessions: map[*session]bool{},
+		running:  make(chan struct{}, g.slots),
 		started:  time.Now(),
 	}
 	if p := g.primaryLocked(); p != nil {
@@ -149,12 +161,8 @@
 
 // Listed returns the entries of all instances.
 func (g *Group) Listed() (list []gypsumyard.ListedInstance) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, i := range g.instances {
-		list = append(list, gypsumyard.ListedInstance{
-			ID: i.id, Group: g.name, Addr: i.addrLocked(), Slots: 5, Leaving: i.leaving, Role: i.role, Started: i.started,
-		})
+	for _, i := range g.Instances() {
+		list = append(list, i.Listed())
 	}
 	return list
 }
--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -20,9 +20,11 @@
 	applied  int
 	listener net.Listener
 	sessions map[*session]bool
-	started  time.Time
-	down     bool
-	leaving  bool
+	// running holds an element for each statement that runs.
+	running chan struct{}
+	started time.Time
+	down    bool
+	leaving bool
 	// deaf instances receive nothing, and as primaries send nothing.
 	deaf bool
 	// silent instances accept connections and answer nothing.
@@ -35,6 +37,15 @@
 	refuseStart string
 }
 
+// Listed returns the instance's entry.
+func (i *Instance) Listed() gypsumyard.ListedInstance {
+	i.group.mu.Lock()
+	defer i.group.mu.Unlock()
+	return gypsumyard.ListedInstance{
+		ID: i.id, Group: i.group.name, Addr: i.addrLocked(), Slots: i.group.slots, Leaving: i.leaving, Role: i.role, Started: i.started,
+	}
+}
+
 // ID returns the name of the instance.
 func (i *Instance) ID() string { return i.id }
 
--- a/internal/emulate/linegroup/session.go
+++ b/internal/emulate/linegroup/session.go
@@ -180,10 +180,17 @@
 		}
 		st.Verb = p.Verb
 	}
-	time.Sleep(s.instance.group.work)
+	s.use(text)
 	return s.work(id, text, st)
 }
 
+// use holds a slot of the instance for as long as the statement runs.
+func (s *session) use(text string) {
+	s.instance.running <- struct{}{}
+	time.Sleep(s.instance.group.work(text))
+	<-s.instance.running
+}
+
 func (s *session) begin(st line.Statement) (out []byte) {
 	i := s.instance
 	i.set(func() {
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -1,14 +1,14 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/gypsumyard/gypsumyard/internal/emulate/lineclient"
 )
 
 // An outcome is what a caller was told of a write.
@@ -115,7 +115,7 @@
 			}
 			time.Sleep(time.Duration(c.random.IntN(15)) * time.Millisecond)
 		}
-		_ = s.net.Close()
+		s.Close()
 	}
 }
 
@@ -127,8 +127,7 @@
 // A session is one connection.
 type session struct {
 	*client
-	net   net.Conn
-	in    *bufio.Reader
+	*lineclient.Session
 	route string
 	// own is the highest number that was acknowledged in the session.
 	own int
@@ -136,52 +135,10 @@
 
 func (c *client) dial() (*session, error) {
 	h := c.hosts[c.random.IntN(len(c.hosts))]
-	n, err := net.DialTimeout("tcp", h.callers.String(), time.Second)
-	if err != nil {
-		return nil, err
-	}
-	s := &session{client: c, net: n, in: bufio.NewReader(n), route: []string{routePrimary, routeBounded, routeSession}[c.random.IntN(3)]}
-	_ = n.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := fmt.Fprintf(n, "START %s %s\r\n", s.route, c.name); err != nil {
-		return nil, err
-	}
-	if l, err := s.in.ReadString('\n'); err != nil || !strings.HasPrefix(l, "READY") {
-		_ = n.Close()
-		return nil, fmt.Errorf("start: %q, %w", l, err)
-	}
-	return s, nil
-}
-
-// A reply is the answer to one statement.
-type reply struct {
-	rows  []string
-	code  string
-	state string
-}
-
-// query sends a statement. It returns false if no whole answer came.
-func (s *session) query(text string) (r reply, ok bool) {
-	s.next++
-	_ = s.net.SetDeadline(time.Now().Add(4 * time.Second))
-	if _, err := fmt.Fprintf(s.net, "QUERY %s-%d %s\r\n", s.name, s.next, text); err != nil {
-		return r, false
-	}
-	for {
-		l, err := s.in.ReadString('\n')
-		if err != nil {
-			return r, false
-		}
-		word, rest, _ := strings.Cut(strings.TrimSuffix(l, "\r\n"), " ")
-		switch word {
-		case "ROW":
-			r.rows = append(r.rows, rest)
-		case "ERROR":
-			r.code, _, _ = strings.Cut(rest, " ")
-		case "READY":
-			r.state, _, _ = strings.Cut(rest, " ")
-			return r, true
-		}
-	}
+	route := []string{routePrimary, routeBounded, routeSession}[c.random.IntN(3)]
+	c.next++
+	l, err := lineclient.Dial(h.callers, route, fmt.Sprintf("%s-%d", c.name, c.next))
+	return &session{client: c, Session: l, route: route}, err
 }
 
 // operation makes one operation. It returns false if the session must end.
@@ -200,55 +157,47 @@
 	return fmt.Sprintf("%s=%d", s.item, s.number)
 }
 
-func promise(code string) bool {
-	switch code {
-	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY":
-		return true
-	}
-	return false
-}
-
 // conclude notes what became of a write.
-func (s *session) conclude(data string, r reply, ok bool) bool {
+func (s *session) conclude(data string, r lineclient.Reply, ok bool) bool {
 	o := inDoubt
 	switch {
-	case ok && r.code == "":
+	case ok && r.Code == "":
 		o = acknowledged
 		s.own = s.number
 		s.history.serve(s.route)
-	case ok && promise(r.code):
+	case ok && lineclient.NotRun(r.Code):
 		o = promised
 	}
 	s.history.note(s.item, s.number, data, o)
 	if o == inDoubt {
 		s.newItem()
 	}
-	return ok && r.code == ""
+	return ok && r.Code == ""
 }
 
 func (s *session) write() bool {
 	data := s.data()
-	r, ok := s.query("WRITE " + s.item + " " + data)
+	r, ok := s.Query("WRITE " + s.item + " " + data)
 	return s.conclude(data, r, ok)
 }
 
 func (s *session) transaction() bool {
-	if r, ok := s.query("BEGIN"); !ok || r.code != "" {
+	if r, ok := s.Query("BEGIN"); !ok || r.Code != "" {
 		return false
 	}
 	data := s.data()
-	r, ok := s.query("WRITE " + s.item + " " + data)
-	if !ok || r.code != "" {
+	r, ok := s.Query("WRITE " + s.item + " " + data)
+	if !ok || r.Code != "" {
 		s.history.note(s.item, s.number, data, promised) // No commit was sent.
 		return false
 	}
 	if s.random.IntN(4) == 0 {
-		_, ok = s.query("ROLLBACK")
+		_, ok = s.Query("ROLLBACK")
 		s.history.note(s.item, s.number, data, promised)
 		return ok
 	}
 	time.Sleep(time.Duration(s.random.IntN(30)) * time.Millisecond)
-	r, ok = s.query("COMMIT")
+	r, ok = s.Query("COMMIT")
 	return s.conclude(data, r, ok)
 }
 
@@ -263,17 +212,17 @@
 		least = max(s.history.least(s.item, sessionAge), s.ownOf())
 	}
 	item := s.item
-	r, ok := s.query("READ " + item)
-	if !ok || r.code != "" {
+	r, ok := s.Query("READ " + item)
+	if !ok || r.Code != "" {
 		return false
 	}
 	s.history.serve(s.route)
 	seen := 0
-	if len(r.rows) == 1 {
-		name, number, _ := strings.Cut(r.rows[0], "=")
+	if len(r.Rows) == 1 {
+		name, number, _ := strings.Cut(r.Rows[0], "=")
 		seen, _ = strconv.Atoi(number)
 		if name != item {
-			s.history.fail("a read of %s returned %q", item, r.rows[0])
+			s.history.fail("a read of %s returned %q", item, r.Rows[0])
 		}
 	}
 	if seen < least {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -184,10 +183,11 @@
 	w.mu.Lock()
 	w.instances[i.ID()] = p
 	w.mu.Unlock()
-	w.put("servers/"+i.ID(), map[string]any{
-		"service": groupName, "address": p.addr().String(), "zone": "zone-host-1", "version": "v1", "slots": 5, "state": "ready",
-		"coldRemainingMs": 0, "databaseRole": i.Role(), "sequence": 1, "born": time.Now().UnixMilli(),
-	})
+	l := i.Listed()
+	l.FailureDomain = "zone-host-1"
+	if err := objects.ListInstance(w.t.Context(), w.store, l, p.addr(), objects.StateReady); err != nil {
+		w.t.Error(err)
+	}
 }
 
 // proxyOf returns the proxy of an instance.
@@ -197,43 +197,30 @@
 	return w.instances[i.ID()]
 }
 
-// put writes an object, whatever the store's faults.
-func (w *world) put(name string, value any) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		w.t.Error(err)
-		return
-	}
-	for range 200 {
-		old, _ := w.store.Get(w.t.Context(), name) // A missing object has version 0.
-		if _, err := w.store.Put(w.t.Context(), name, old.Version, data); err == nil {
-			return
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
 // changeState writes the next desired state.
 func (w *world) changeState() {
 	w.mu.Lock()
 	w.version += 3
 	version := w.version
 	w.mu.Unlock()
-	route := func(name, kind string, age time.Duration) map[string]any {
-		return map[string]any{
-			"name": "r-" + name, "host": name, "kind": kind, "timeoutMs": 1000 + version, "targetLatencyMs": 200, "priority": 1,
-			"service": groupName, "maxStalenessMs": age.Milliseconds(),
+	route := func(name, kind string, age time.Duration) objects.Route {
+		return objects.Route{
+			Name: "r-" + name, Host: name, Kind: kind, TimeoutMs: int64(1000 + version), TargetLatencyMs: 200, Priority: 1,
+			Service: groupName, MaxStalenessMs: age.Milliseconds(),
 		}
 	}
-	w.put("config/main", map[string]any{
-		"version": version,
-		"routes": []any{
-			route(routePrimary, "primary", 0), route(routeBounded, "bounded_staleness", boundedAge),
-			route(routeSession, "read_your_writes", sessionAge),
+	err := objects.SetDesiredState(w.t.Context(), w.store, objects.DesiredState{
+		Version: version,
+		Routes: []objects.Route{
+			route(routePrimary, objects.KindPrimary, 0), route(routeBounded, objects.KindBounded, boundedAge),
+			route(routeSession, objects.KindSession, sessionAge),
 		},
-		"services": []any{map[string]any{"name": groupName, "connectionLimit": 40, "syncReplicas": 1}},
-		"limits":   map[string]any{"transactionIdleMs": 3000},
+		Services: []objects.Service{{Name: groupName, ConnectionLimit: 40, SyncReplicas: 1}},
+		Limits:   objects.Limits{TransactionIdleMs: 3000},
 	})
+	if err != nil {
+		w.t.Error(err)
+	}
 }
 
 // promote carries out an order and checks its generation.
