linehost, lineowner: scenarios of head of line, shares, drains and reconnects

Four scenarios run whole hosts against the stand-ins and check the history. One of them found a fault: with long reads (150 ms) at all 2 slots of each instance, urgent writes with an objective of 100 ms waited 149 ms in the median. Cause: a statement counts as long by the median of its group, and the long reads had become the median, since they held up all others.

Reads that run for longer than half of the shortest objective of the highest priority now leave the primary to others while a replica can serve them.

--- /dev/null
+++ b/internal/linehost/scenario_test.go
@@ -0,0 +1,271 @@
+package linehost_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard/internal/emulate/lineclient"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/objects"
+	"github.com/gypsumyard/gypsumyard/internal/history"
+	"github.com/matryer/is"
+)
+
+const (
+	// routeUrgent has the highest priority, routeReads and routeOther the
+	// lowest.
+	routeUrgent = "orders"
+	routeReads  = "readings"
+	routeOther  = "reports"
+	routeOwn    = "logs"
+	// ownAge is how old reads of routeOwn may be for other sessions.
+	ownAge = 1500 * time.Millisecond
+	// urgentObjective is the latency objective of routeUrgent.
+	urgentObjective = 100 * time.Millisecond
+	readObjective   = 300 * time.Millisecond
+	// length is how long a load runs.
+	length = 2 * time.Second
+	// learnWithin is the time after which no statement runs that was admitted
+	// before its run time was known: a few runs of the longest.
+	learnWithin = time.Second
+	// backoff is the pause of a caller after a refusal.
+	backoff = 30 * time.Millisecond
+)
+
+func routes() []objects.Route {
+	return []objects.Route{
+		{Host: routeUrgent, Kind: objects.KindPrimary, TargetLatencyMs: urgentObjective.Milliseconds()},
+		{Host: routeReads, Kind: objects.KindBounded, MaxStalenessMs: 1500, TargetLatencyMs: readObjective.Milliseconds(), Priority: 2},
+		{Host: routeOther, Kind: objects.KindBounded, MaxStalenessMs: 1500, TargetLatencyMs: readObjective.Milliseconds(), Priority: 2},
+		{Host: routeOwn, Kind: objects.KindSession, MaxStalenessMs: ownAge.Milliseconds(), TargetLatencyMs: readObjective.Milliseconds(), Priority: 2},
+	}
+}
+
+// longRuns makes statements on items named long run for 150 ms, others for 3 ms.
+func longRuns(text string) time.Duration {
+	if strings.Contains(text, "long") {
+		return 150 * time.Millisecond
+	}
+	return 3 * time.Millisecond
+}
+
+// A caller writes and reads an item of its own, on the hosts in turn.
+type caller struct {
+	site   *site
+	name   string
+	route  string
+	result *result
+	hosts  []*node
+	pause  time.Duration
+	// sessions counts the sessions that were started.
+	sessions int
+	written  int
+}
+
+// start returns a session on the next host that accepts one.
+func (c *caller) start(end time.Time) *lineclient.Session {
+	for time.Now().Before(end) {
+		c.sessions++
+		h := c.hosts[c.sessions%len(c.hosts)]
+		s, err := lineclient.Dial(h.settings.Callers, c.route, fmt.Sprintf("%s-%d", c.name, c.sessions))
+		if err == nil {
+			return s
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// run makes operations until the end, in a new session whenever one ends.
+func (c *caller) run(end time.Time, operation func(s *lineclient.Session) bool) {
+	for s := c.start(end); s != nil; s = c.start(end) {
+		for time.Now().Before(end) && operation(s) {
+			time.Sleep(c.pause)
+		}
+		s.Close()
+	}
+}
+
+// read reads the item and notes how it went.
+func (c *caller) read(s *lineclient.Session, item string) (lineclient.Reply, bool) {
+	began := time.Now()
+	r, ok := s.Query("READ " + item)
+	c.result.note(r, ok, time.Since(began))
+	if r.Code != "" {
+		time.Sleep(backoff)
+	}
+	return r, ok
+}
+
+// write writes the next value of the caller's item.
+func (c *caller) write(s *lineclient.Session) bool {
+	c.written++
+	w := history.Write{
+		Session: fmt.Sprintf("%s-%d", c.name, c.sessions), Tag: fmt.Sprintf("%s=%d", c.name, c.written), Sequence: c.written,
+		Rows: 1, Outcome: history.Unknown, Start: time.Now(),
+	}
+	r, ok := s.Query(fmt.Sprintf("WRITE %s %s", c.name, w.Tag))
+	w.End = time.Now()
+	switch {
+	case ok && r.Code == "":
+		w.Outcome = history.Acknowledged
+	case ok && lineclient.NotRun(r.Code):
+		w.Outcome = history.NotRun
+	}
+	c.site.noteWrite(w)
+	c.result.note(r, ok, w.End.Sub(w.Start))
+	return ok
+}
+
+// readOwn reads the caller's item and notes what was seen.
+func (c *caller) readOwn(s *lineclient.Session) bool {
+	h := history.Read{Session: fmt.Sprintf("%s-%d", c.name, c.sessions), Start: time.Now()}
+	r, ok := c.read(s, c.name)
+	if ok && r.Code == "" {
+		h.End, h.Seen = time.Now(), numberOf(r)
+		c.site.noteRead(h)
+	}
+	return ok
+}
+
+func numberOf(r lineclient.Reply) (n int) {
+	if len(r.Rows) == 1 {
+		_, number, _ := strings.Cut(r.Rows[0], "=")
+		n, _ = strconv.Atoi(number)
+	}
+	return n
+}
+
+// Pattern: long reads of a route with low priority take all slots that they can
+// get, two at each instance, while urgent orders come.
+//
+// Guards against urgent writes that wait for long reads to end.
+func TestUrgentWritesPassLongReads(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3, routes(), linegroup.WithSlots(2), linegroup.WithWorkOf(longRuns), linegroup.WithLag(5*time.Millisecond))
+	long, urgent := newResult(), newResult()
+	end := time.Now().Add(learnWithin + length)
+	var wg sync.WaitGroup
+	for n := range 12 {
+		c := &caller{site: s, name: fmt.Sprintf("r%d", n), route: routeReads, result: long, hosts: s.hosts}
+		wg.Go(func() {
+			c.run(end, func(x *lineclient.Session) bool { _, ok := c.read(x, "long"); return ok })
+		})
+	}
+	time.Sleep(learnWithin)
+	for n := range 4 {
+		c := &caller{site: s, name: fmt.Sprintf("w%d", n), route: routeUrgent, result: urgent, hosts: s.hosts, pause: 15 * time.Millisecond}
+		wg.Go(func() { c.run(end, c.write) })
+	}
+	wg.Wait()
+	t.Logf("long reads: %v", long)
+	t.Logf("urgent writes: %v", urgent)
+	is.Equal(len(urgent.refused), 0)
+	is.True(len(urgent.took) > 100)
+	is.True(urgent.quantile(0.99) < urgentObjective)
+	is.True(len(long.took) > 0)
+	s.check()
+}
+
+// Pattern: one route asks for several times the capacity, another one for little.
+//
+// Guards against a route that takes the share of another.
+func TestRouteKeepsItsShare(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3, routes(), linegroup.WithSlots(2), linegroup.WithWork(10*time.Millisecond), linegroup.WithLag(5*time.Millisecond))
+	greedy, modest := newResult(), newResult()
+	end := time.Now().Add(length)
+	var wg sync.WaitGroup
+	for n := range 60 {
+		c := &caller{site: s, name: fmt.Sprintf("g%d", n), route: routeReads, result: greedy, hosts: s.hosts}
+		wg.Go(func() {
+			c.run(end, func(x *lineclient.Session) bool { _, ok := c.read(x, "short"); return ok })
+		})
+	}
+	for n := range 4 {
+		c := &caller{site: s, name: fmt.Sprintf("m%d", n), route: routeOther, result: modest, hosts: s.hosts, pause: 20 * time.Millisecond}
+		wg.Go(func() {
+			c.run(end, func(x *lineclient.Session) bool { _, ok := c.read(x, "short"); return ok })
+		})
+	}
+	wg.Wait()
+	t.Logf("greedy: %v", greedy)
+	t.Logf("modest: %v", modest)
+	is.Equal(len(modest.refused), 0)
+	is.True(modest.quantile(0.99) < readObjective)
+	// 6 slots run 600 reads of 10 ms a second.
+	is.True(len(greedy.took)+len(modest.took) > 800)
+	s.check()
+}
+
+// Pattern: hosts are drained and started one after the other under load, as an
+// update of all hosts does.
+//
+// Guards against writes that are lost, doubled or falsely refused, sessions that
+// miss their own writes while their database changes hands, and statements that
+// are cut off by more than the end of their session.
+func TestDrainedHostsLoseNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3, routes(), linegroup.WithWork(2*time.Millisecond), linegroup.WithLag(200*time.Millisecond))
+	all := newResult()
+	stop := time.Now().Add(3*grace + length)
+	var wg sync.WaitGroup
+	callers := make([]*caller, 9)
+	for n := range callers {
+		c := &caller{site: s, name: fmt.Sprintf("c%d", n), route: []string{routeOwn, routeUrgent}[n%2], result: all, hosts: s.hosts, pause: 5 * time.Millisecond}
+		callers[n] = c
+		wg.Go(func() {
+			c.run(stop, func(x *lineclient.Session) bool { return c.write(x) && c.readOwn(x) && c.readOwn(x) })
+		})
+	}
+	for _, h := range s.hosts {
+		time.Sleep(200 * time.Millisecond)
+		began := time.Now()
+		h.drain()
+		is.True(time.Since(began) < grace)
+		s.start(h)
+		s.awaitServed(h, routeUrgent)
+	}
+	wg.Wait()
+	t.Logf("%v", all)
+	sessions := 0
+	for _, c := range callers {
+		sessions += c.sessions
+	}
+	is.True(all.cut <= sessions)
+	is.True(len(all.took) > 1000)
+	s.check()
+}
+
+// Pattern: a caller writes, its host is drained, and the caller returns at
+// another host, where its new session reads.
+//
+// Guards against a new session that does not see what an earlier one has
+// written longer ago than the staleness of the route.
+func TestReconnectedSessionSeesEarlierWrites(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2, routes(), linegroup.WithLag(2*ownAge))
+	c := &caller{site: s, name: "c", route: routeOwn, result: newResult(), hosts: s.hosts[:1]}
+	end := time.Now().Add(startWithin)
+	x := c.start(end)
+	is.True(x != nil)
+	is.True(c.write(x))
+	is.True(c.readOwn(x))
+	written := time.Now()
+	s.hosts[0].drain()
+	x.Close()
+	c.hosts = s.hosts[1:]
+	x = c.start(end)
+	is.True(x != nil)
+	defer x.Close()
+	time.Sleep(time.Until(written.Add(ownAge)))
+	r, ok := x.Query("READ " + c.name)
+	is.True(ok)
+	is.Equal(r.Code, "")
+	is.Equal(numberOf(r), 1)
+	s.check()
+}
--- /dev/null
+++ b/internal/linehost/site_test.go
@@ -0,0 +1,220 @@
+package linehost_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/lineclient"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/objects"
+	"github.com/gypsumyard/gypsumyard/internal/history"
+	"github.com/gypsumyard/gypsumyard/internal/linehost"
+	"github.com/gypsumyard/gypsumyard/internal/loopback"
+	"github.com/gypsumyard/gypsumyard/platform"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	groupName = "ledger"
+	// grace is the time that hosts have to end.
+	grace = 2 * time.Second
+	// startWithin bounds the start of a site.
+	startWithin = 10 * time.Second
+)
+
+// A site is hosts of this process, with an emulated group and platform.
+type site struct {
+	t      *testing.T
+	group  *linegroup.Group
+	store  *memstore.Store
+	server *objects.Server
+	hosts  []*node
+
+	mu      sync.Mutex
+	history history.History
+}
+
+// A node is one host.
+type node struct {
+	settings platform.Settings
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func newSite(t *testing.T, hosts int, routes []objects.Route, options ...linegroup.Option) *site {
+	t.Helper()
+	s := &site{t: t, store: memstore.New()}
+	var err error
+	s.group, err = linegroup.New(groupName, 3, options...)
+	s.must(err)
+	t.Cleanup(s.group.Close)
+	s.server, err = objects.Start(s.store, func(o objects.Order) error { return s.group.Promote(o.ID) })
+	s.must(err)
+	t.Cleanup(s.server.Close)
+	for n := range routes {
+		routes[n].Name, routes[n].Service, routes[n].TimeoutMs = "r-"+routes[n].Host, groupName, 1000
+	}
+	s.must(objects.SetDesiredState(t.Context(), s.store, objects.DesiredState{
+		Version: 1, Routes: routes, Services: []objects.Service{{Name: groupName, ConnectionLimit: 30, SyncReplicas: 1}},
+		Limits: objects.Limits{TransactionIdleMs: 3000},
+	}))
+	for n, i := range s.group.Instances() {
+		l := i.Listed()
+		l.FailureDomain = fmt.Sprintf("zone-%d", n)
+		s.must(objects.ListInstance(t.Context(), s.store, l, l.Addr, objects.StateReady))
+	}
+	s.addHosts(hosts)
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	for _, h := range s.hosts {
+		s.awaitServed(h, routes[0].Host)
+	}
+	return s
+}
+
+func (s *site) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) addHosts(n int) {
+	var seeds []netip.AddrPort
+	for i := range n {
+		var at [3]netip.AddrPort
+		for k := range at {
+			a, err := loopback.FreeAddress()
+			s.must(err)
+			at[k] = a
+		}
+		seeds = append(seeds, at[0])
+		s.hosts = append(s.hosts, &node{settings: platform.Settings{
+			Host: gypsumyard.Host{
+				Name: fmt.Sprintf("host-%d", i), FailureDomain: fmt.Sprintf("zone-%d", i), Region: "region", Addr: at[0], State: gypsumyard.HostLive,
+			},
+			Callers: at[1], Readiness: at[2], Store: s.server.Addr(), Promotions: s.server.Addr(), Descriptors: 4300, Grace: grace,
+			Heartbeat: 1200 * time.Millisecond, ApplyWithin: 3 * time.Second, DrainWithin: 7 * time.Second,
+		}})
+	}
+	for _, h := range s.hosts {
+		h.settings.Seeds = seeds[:min(3, len(seeds))]
+	}
+}
+
+func (s *site) start(h *node) {
+	s.t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	host, err := linehost.New(h.settings, linehost.WithLogger(log))
+	s.must(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	h.cancel, h.done = cancel, done
+	go func() {
+		defer close(done)
+		if err := host.Run(ctx); err != nil {
+			s.t.Errorf("%s: %v", h.settings.Host.Name, err)
+		}
+	}()
+	s.t.Cleanup(func() { cancel(); <-done })
+}
+
+// drain tells the host to end, as the platform does, and waits for its end.
+func (h *node) drain() {
+	h.cancel()
+	<-h.done
+}
+
+// awaitServed waits until the host serves the route.
+func (s *site) awaitServed(h *node, route string) {
+	s.t.Helper()
+	for end := time.Now().Add(startWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		c, err := lineclient.Dial(h.settings.Callers, route, "probe")
+		if err != nil {
+			continue
+		}
+		r, ok := c.Query("READ none")
+		c.Close()
+		if ok && r.Code == "" {
+			return
+		}
+	}
+	s.t.Fatalf("%s does not serve %s", h.settings.Host.Name, route)
+}
+
+func (s *site) noteWrite(w history.Write) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Writes = append(s.history.Writes, w)
+}
+
+func (s *site) noteRead(r history.Read) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history.Reads = append(s.history.Reads, r)
+}
+
+// check compares what callers were told with each other and with the log of the
+// primary.
+func (s *site) check() {
+	s.t.Helper()
+	s.history.Rows = map[string]int{}
+	p := s.group.Primary()
+	if p == nil {
+		s.t.Fatal("no instance leads")
+	}
+	for _, r := range p.Log() {
+		for _, data := range r.Items {
+			s.history.Rows[data]++
+		}
+	}
+	for _, v := range history.Check(&s.history) {
+		s.t.Error(v)
+	}
+}
+
+// A result is what became of a number of statements.
+type result struct {
+	mu      sync.Mutex
+	took    []time.Duration
+	refused map[string]int
+	cut     int
+}
+
+func newResult() *result { return &result{refused: map[string]int{}} }
+
+func (r *result) note(reply lineclient.Reply, ok bool, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !ok:
+		r.cut++
+	case reply.Code != "":
+		r.refused[reply.Code]++
+	default:
+		r.took = append(r.took, took)
+	}
+}
+
+func (r *result) quantile(q float64) time.Duration {
+	if len(r.took) == 0 {
+		return 0
+	}
+	slices.Sort(r.took)
+	return r.took[min(int(q*float64(len(r.took))), len(r.took)-1)]
+}
+
+func (r *result) String() string {
+	return fmt.Sprintf("%d served, refused %v, %d cut, p50 %v, p99 %v", len(r.took), r.refused, r.cut,
+		r.quantile(0.5).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond))
+}
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -39,6 +39,9 @@
 	line.Batch
 	// arrived is when the request reached this host.
 	arrived time.Time
+	// urgent indicates that the request's route has the highest priority,
+	// yields that the request would hold up those of such routes at the primary.
+	urgent, yields bool
 	// refused holds the instances that are not to be tried again.
 	refused map[string]bool
 	// tried counts the statements sent.
@@ -52,6 +55,7 @@
 		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassProtocol, "%w", err)
 	}
 	j := &job{Request: r, Batch: batch, arrived: g.clock.Now(), refused: map[string]bool{}}
+	g.rank(j)
 	ctx, cancel := g.bind(ctx, r)
 	defer cancel()
 	if r.Transaction != "" {
@@ -71,6 +75,15 @@
 	}
 }
 
+// rank compares the request with those of the highest priority.
+func (g *group) rank(j *job) {
+	run, _ := g.learner.Expected(j.shape())
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	j.urgent = j.RoutePriority == g.topPriority
+	j.yields = g.topPriority >= 0 && !j.urgent && g.longFrom > 0 && run > g.longFrom
+}
+
 // bind adds the request's deadline and the end of the group to ctx.
 func (g *group) bind(ctx context.Context, r *gypsumyard.Request) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -143,7 +156,7 @@
 	t := gypsumyard.Ticket{
 		Customer:      j.Customer,
 		Plan:          gypsumyard.Plan{Name: "route", Share: share(mean), Limit: 1, Priority: true, MaxQueue: maxQueue},
-		Priority:      j.RoutePriority == g.topPriority,
+		Priority:      j.urgent,
 		Long:          long,
 		InTransaction: j.Transaction != "",
 		Expected:      mean,
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -60,6 +60,9 @@
 	// topPriority is the highest priority of the group's routes, if they
 	// differ. Zero is the highest.
 	topPriority int
+	// longFrom is the run time from which on a statement may make one of the
+	// highest priority miss its latency objective. Zero means none.
+	longFrom    time.Duration
 	idleLimit   time.Duration
 	samples     []sample
 	leading     *instance
@@ -127,6 +130,7 @@
 	}
 	g.idleLimit = d.TransactionIdle
 	g.topPriority = topPriority(d, g.name)
+	g.longFrom = longFrom(d, g.name, g.topPriority)
 	g.relist(listed)
 	g.setCapacity()
 	g.broadcast()
@@ -147,6 +151,17 @@
 	return top
 }
 
+// longFrom returns the least time that a request of the priority may spend in
+// the queue, or zero if none has a latency objective.
+func longFrom(d *gypsumyard.DesiredState, group string, priority int) (least time.Duration) {
+	for _, r := range d.Routes {
+		if r.Group == group && r.Priority == priority && r.Objective > 0 && (least == 0 || r.Objective < least) {
+			least = r.Objective
+		}
+	}
+	return least / queueShare
+}
+
 // relist replaces the instances by the listed ones. An entry with another
 // start or address is another instance. It is called with the lock held.
 func (g *group) relist(listed []gypsumyard.ListedInstance) {
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -63,8 +64,9 @@
 	return p, nil
 }
 
-// readTargets returns the instances whose log holds the position. It is called
-// with the lock held.
+// readTargets returns the instances whose log holds the position. Reads that run
+// for so long that they would hold up urgent requests leave the primary to these
+// while a replica can serve them. It is called with the lock held.
 func (g *group) readTargets(j *job, needed gypsumyard.Position) (targets []gypsumyard.Target) {
 	if len(j.refused) >= len(g.instances) {
 		clear(j.refused)
@@ -88,5 +90,8 @@
 		}
 		targets = append(targets, t)
 	}
+	if j.yields && len(targets) > 1 && primary != nil {
+		targets = slices.DeleteFunc(targets, func(t gypsumyard.Target) bool { return t.Instance == primary.listed.ID })
+	}
 	return targets
 }
