--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -109,7 +109,7 @@
 	began := g.clock.Now()
 	log := g.log.WithField("reason", why.reason)
 	if why.primary != nil {
-		log = log.WithField("primary", why.primary.listed.ID)
+		log = log.WithField("primary", why.primary.id)
 	}
 	log.Info("election begins")
 	g.metrics.elections.Inc(1)
@@ -125,7 +125,7 @@
 		return
 	}
 	e.notBefore = g.clock.Now().Add(calmAfter)
-	log.WithFields(logrus.Fields{"instance": chosen.listed.ID, "took": g.clock.Since(began).String()}).Info("election ends")
+	log.WithFields(logrus.Fields{"instance": chosen.id, "took": g.clock.Since(began).String()}).Info("election ends")
 	g.metrics.promotions.Inc(1)
 }
 
@@ -167,7 +167,8 @@
 type fenced struct {
 	instance *instance
 	status   status
-	at       time.Time
+	// leaving indicates that the instance has announced that it leaves.
+	leaving bool
 }
 
 // electOnce fences enough instances, chooses the one with the longest log and
@@ -198,7 +199,7 @@
 	}
 	g.log.WithFields(logrus.Fields{
 		"term": term, "generation": generation, "fenced": len(answers), "needed": needed,
-		"instance": best.instance.listed.ID, "received": best.status.received.String(),
+		"instance": best.instance.id, "received": best.status.received.String(),
 	}).Info("instance chosen to lead")
 	g.setElecting(true)
 	defer g.setElecting(false)
@@ -211,7 +212,7 @@
 	if g.clock.Since(claimedAt) > orderWithin {
 		return nil, errTooLate
 	}
-	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.listed.ID, Holder: g.service.self, Generation: generation}
+	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.id, Holder: g.service.self, Generation: generation}
 	order, stop := context.WithTimeout(g.ctx, promoteBound)
 	defer stop()
 	err = g.service.promotions.Promote(order, o)
@@ -276,7 +277,7 @@
 		wg.Go(func() {
 			s, _, err := f.instance.orders.order(g.ctx, statusOrder, orderTimeout)
 			if err != nil {
-				g.log.WithField("instance", f.instance.listed.ID).WithError(err).Warn("fence is not confirmed")
+				g.log.WithField("instance", f.instance.id).WithError(err).Warn("fence is not confirmed")
 				return
 			}
 			if s.role == gypsumyard.RoleReplica && s.term < term && (s.held == f.status.held || s.held >= term) {
@@ -310,14 +311,13 @@
 	results := make(chan *fenced, len(instances))
 	for _, i := range instances {
 		g.work.Go(func() {
-			at := g.clock.Now()
-			s, err := g.fenceOne(i, term)
+			f, err := g.fenceOne(i, term)
 			if err != nil {
-				g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "term": term}).WithError(err).Warn("instance is not fenced")
+				g.log.WithFields(logrus.Fields{"instance": i.id, "term": term}).WithError(err).Warn("instance is not fenced")
 				results <- nil
 				return
 			}
-			results <- &fenced{i, s, at}
+			results <- &f
 		})
 	}
 	var enough <-chan time.Time
@@ -339,7 +339,7 @@
 	return answers
 }
 
-func (g *group) fenceOne(i *instance, term gypsumyard.Term) (s status, err error) {
+func (g *group) fenceOne(i *instance, term gypsumyard.Term) (f fenced, err error) {
 	at := g.clock.Now()
 	g.mu.Lock()
 	leads := i.known && i.status.role == gypsumyard.RolePrimary
@@ -348,22 +348,23 @@
 	if leads {
 		orders = []string{fmt.Sprintf("DEMOTE %d", term), fmt.Sprintf("PAUSE %d", term)}
 	}
+	var s status
 	for _, o := range orders {
 		s, _, err = i.orders.order(g.ctx, o, orderTimeout)
 		if err != nil {
 			s, _, err = i.orders.order(g.ctx, o, orderTimeout) // Over a fresh connection.
 		}
 		if err != nil {
-			return s, err
+			return f, err
 		}
 	}
 	if s.role == gypsumyard.RolePrimary || s.held < term && !leads {
-		return s, fmt.Errorf("it is a %s held for term %d", s.role, s.held)
+		return f, fmt.Errorf("it is a %s held for term %d", s.role, s.held)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.takeStatus(i, at, s)
-	return s, nil
+	return fenced{i, s, i.listed.Leaving}, nil
 }
 
 // choose returns the fenced instance with the longest log. One that leaves is
@@ -384,10 +385,10 @@
 // preferred orders instances of equal logs: those that stay go first, then the
 // order is fixed, so that two hosts choose the same.
 func preferred(a, b fenced) bool {
-	if a.instance.listed.Leaving != b.instance.listed.Leaving {
-		return !a.instance.listed.Leaving
+	if a.leaving != b.leaving {
+		return !a.leaving
 	}
-	return a.instance.listed.ID < b.instance.listed.ID
+	return a.instance.id < b.instance.id
 }
 
 // awaitPromoted waits until the instance shows that it leads.
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -120,7 +120,7 @@
 	defer u.release()
 	u.conn, err = u.instance.pool.get(waiting, j.Settings)
 	if err != nil {
-		j.refused[u.instance.listed.ID] = true
+		j.refused[u.instance.id] = true
 		return res, waiting.Err() == nil && !errors.Is(err, errNoMoreConns), notRun(err)
 	}
 	if opensTransaction(j.Class) {
@@ -266,19 +266,20 @@
 	return a, sent, nil
 }
 
-// noteRouted logs where a statement has run, and why there. Ordinary ones are
-// sampled.
+// noteRouted counts a statement that has run and logs where, and why there.
+// Ordinary ones are sampled.
 func (g *group) noteRouted(j *job, u *use, needed gypsumyard.Position) {
-	took := g.clock.Since(j.arrived)
-	if j.tried < 2 && took < slowStatement && g.routed.Add(1)%logEvery != 0 {
-		return
-	}
 	g.mu.Lock()
 	role, term, age := u.instance.status.role, u.instance.status.term, g.clock.Since(u.instance.sampledAt)
 	applied := u.instance.applied
 	g.mu.Unlock()
+	g.metrics.count(j, role)
+	took := g.clock.Since(j.arrived)
+	if j.tried < 2 && took < slowStatement && g.routed.Add(1)%logEvery != 0 {
+		return
+	}
 	g.log.WithFields(g.fields(j)).WithFields(logrus.Fields{
-		"instance": u.instance.listed.ID, "why": u.grant.Target.Reason, "role": role, "term": term, "status-age": age.String(),
+		"instance": u.instance.id, "why": u.grant.Target.Reason, "role": role, "term": term, "status-age": age.String(),
 		"needed": needed.String(), "applied": applied.String(), "queued": u.grant.Waited.String(),
 	}).Info("statement has run")
 }
--- a/internal/lineowner/fitness.go
+++ b/internal/lineowner/fitness.go
@@ -142,7 +142,7 @@
 // for a while. It is called with the lock held.
 func (g *group) reach() (ids []string, reached int, silent bool) {
 	for _, i := range g.instances {
-		ids = append(ids, i.listed.ID)
+		ids = append(ids, i.id)
 		if i.reachable {
 			reached++
 		}
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -167,7 +167,7 @@
 func (g *group) relist(listed []gypsumyard.ListedInstance) {
 	old := map[string]*instance{}
 	for _, i := range g.instances {
-		old[i.listed.ID] = i
+		old[i.id] = i
 	}
 	g.instances = nil
 	for _, l := range listed {
@@ -200,7 +200,7 @@
 	var out []gypsumyard.InstanceCapacity
 	for _, i := range g.instances {
 		out = append(out, gypsumyard.InstanceCapacity{
-			Name:      i.listed.ID,
+			Name:      i.id,
 			Slots:     i.listed.Slots,
 			Ahead:     aheadOfSlots,
 			Available: i.reachable,
@@ -212,7 +212,7 @@
 // find returns the instance of the given name. It is called with the lock held.
 func (g *group) find(name string) *instance {
 	for _, i := range g.instances {
-		if i.listed.ID == name {
+		if i.id == name {
 			return i
 		}
 	}
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -33,15 +33,17 @@
 var errUnreachable = errors.New("instance does not answer")
 
 // An instance is one upstream of a group. The lock of the group guards all
-// fields from known on.
+// fields from listed on.
 type instance struct {
-	listed gypsumyard.ListedInstance
-	pool   *pool
+	id   string
+	pool *pool
 	// orders carries the orders of promotions. Only the election uses it.
 	orders control
 	kick   chan struct{}
 	cancel context.CancelFunc
 
+	// listed is the instance's entry. Its address and start do not change.
+	listed gypsumyard.ListedInstance
 	// known indicates that status has been read.
 	known  bool
 	status status
@@ -67,6 +69,7 @@
 func (g *group) newInstance(l gypsumyard.ListedInstance) *instance {
 	ctx, cancel := context.WithCancel(g.ctx)
 	i := &instance{
+		id:     l.ID,
 		listed: l,
 		pool:   newPool(l, g.service.self, g.clock),
 		orders: control{instance: l, user: g.service.self},
@@ -74,7 +77,7 @@
 		cancel: cancel,
 	}
 	i.alive, i.giveUp = context.WithCancelCause(context.Background())
-	g.work.Go(func() { g.watch(ctx, i) })
+	g.work.Go(func() { g.watch(ctx, i, l) })
 	return i
 }
 
@@ -84,9 +87,9 @@
 	i.pool.close()
 }
 
-// watch polls the status of the instance until ctx is done.
-func (g *group) watch(ctx context.Context, i *instance) {
-	c := &control{instance: i.listed, user: g.service.self}
+// watch polls the status of the instance, which l names, until ctx is done.
+func (g *group) watch(ctx context.Context, i *instance, l gypsumyard.ListedInstance) {
+	c := &control{instance: l, user: g.service.self}
 	defer c.close()
 	for ctx.Err() == nil {
 		sent := g.clock.Now()
@@ -172,7 +175,7 @@
 	i.roundTrip += time.Duration(smoothing * float64(trip-i.roundTrip))
 	if !i.known || s.role != i.status.role || s.term != i.status.term || s.held != i.status.held {
 		g.log.WithFields(logrus.Fields{
-			"instance": i.listed.ID, "role": s.role, "term": s.term, "held": s.held,
+			"instance": i.id, "role": s.role, "term": s.term, "held": s.held,
 			"received": s.received.String(), "applied": s.applied.String(),
 		}).Info("status of instance")
 		if i.known && s.term != i.status.term {
@@ -201,7 +204,7 @@
 	i.reachable, i.answersSince = true, g.clock.Now()
 	if i.alive.Err() != nil {
 		i.alive, i.giveUp = context.WithCancelCause(context.Background())
-		g.log.WithField("instance", i.listed.ID).Info("instance regained")
+		g.log.WithField("instance", i.id).Info("instance regained")
 	}
 	g.setCapacity()
 }
@@ -218,7 +221,7 @@
 	i.reachable = false
 	i.giveUp(errUnreachable)
 	i.pool.suspect()
-	g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "silent": g.clock.Since(i.silentSince).String()}).WithError(err).Warn("instance lost")
+	g.log.WithFields(logrus.Fields{"instance": i.id, "silent": g.clock.Since(i.silentSince).String()}).WithError(err).Warn("instance lost")
 	g.setCapacity()
 }
 
--- a/internal/lineowner/judge.go
+++ b/internal/lineowner/judge.go
@@ -154,5 +154,5 @@
 	g.mu.Unlock()
 	g.election.demotedAt = g.clock.Now()
 	_, _, err := i.orders.order(g.ctx, fmt.Sprintf("DEMOTE %d", term), orderTimeout)
-	g.log.WithFields(logrus.Fields{"instance": i.listed.ID, "term": term}).WithError(err).Info("primary of an old term was told to step down")
+	g.log.WithFields(logrus.Fields{"instance": i.id, "term": term}).WithError(err).Info("primary of an old term was told to step down")
 }
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -125,7 +125,7 @@
 	}
 	if g.leading != p || g.leadingTerm != p.status.term {
 		g.log.WithFields(logrus.Fields{
-			"instance": p.listed.ID, "term": p.status.term, "position": p.status.received.String(), "age": g.clock.Since(at).String(),
+			"instance": p.id, "term": p.status.term, "position": p.status.received.String(), "age": g.clock.Since(at).String(),
 		}).Info("primary found")
 		g.leading, g.leadingTerm = p, p.status.term
 	}
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -29,11 +29,11 @@
 }
 
 // count counts a statement that an instance has run.
-func (m *metrics) count(j *job, i *instance) {
+func (m *metrics) count(j *job, role gypsumyard.Role) {
 	switch {
 	case !j.reads():
 		m.writes.Inc(1)
-	case i.status.role == gypsumyard.RolePrimary:
+	case role == gypsumyard.RolePrimary:
 		m.readsPrimary.Inc(1)
 	default:
 		m.readsReplica.Inc(1)
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -44,7 +44,7 @@
 		if err != nil {
 			return p, err
 		}
-		p.targets = []gypsumyard.Target{{Instance: i.listed.ID, Reason: "primary"}}
+		p.targets = []gypsumyard.Target{{Instance: i.id, Reason: "primary"}}
 		return p, nil
 	}
 	p.needed, err = g.awaitFloor(ctx, j.MaxStaleness, j.arrived)
@@ -73,10 +73,10 @@
 	}
 	primary := g.primary()
 	for _, i := range g.instances {
-		if !i.usable() || j.refused[i.listed.ID] || i != primary && i.status.role == gypsumyard.RolePrimary {
+		if !i.usable() || j.refused[i.id] || i != primary && i.status.role == gypsumyard.RolePrimary {
 			continue
 		}
-		t := gypsumyard.Target{Instance: i.listed.ID, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
+		t := gypsumyard.Target{Instance: i.id, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
 		t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
 		if i.listed.FailureDomain != g.service.domain {
 			t.Cost += domainCost
@@ -91,7 +91,7 @@
 		targets = append(targets, t)
 	}
 	if j.yields && len(targets) > 1 && primary != nil {
-		targets = slices.DeleteFunc(targets, func(t gypsumyard.Target) bool { return t.Instance == primary.listed.ID })
+		targets = slices.DeleteFunc(targets, func(t gypsumyard.Target) bool { return t.Instance == primary.id })
 	}
 	return targets
 }
--- a/internal/lineowner/single.go
+++ b/internal/lineowner/single.go
@@ -29,16 +29,15 @@
 		return g.singleFailed(ctx, j, u, sent, err)
 	}
 	g.giveBack(u, a)
-	res = gypsumyard.Result{Position: a.position, TxStatus: 'I', Instance: u.instance.listed.ID}
+	res = gypsumyard.Result{Position: a.position, TxStatus: 'I', Instance: u.instance.id}
 	if a.failure == nil {
-		g.metrics.count(j, u.instance)
 		g.noteRouted(j, u, p.needed)
 		return res, false, deliver(sink, a)
 	}
 	if again, err := g.judgeRefusal(j, u, a.failure); again {
 		return res, true, err
 	}
-	g.log.WithFields(g.fields(j)).WithField("instance", u.instance.listed.ID).WithError(a.failure).Info("instance refuses statement")
+	g.log.WithFields(g.fields(j)).WithField("instance", u.instance.id).WithError(a.failure).Info("instance refuses statement")
 	return res, false, deliver(sink, a)
 }
 
@@ -54,9 +53,9 @@
 // singleFailed judges a statement whose connection has failed.
 func (g *group) singleFailed(ctx context.Context, j *job, u *use, sent bool, err error) (res gypsumyard.Result, again bool, _ error) {
 	fields := g.fields(j)
-	fields["instance"], fields["sent"] = u.instance.listed.ID, sent
+	fields["instance"], fields["sent"] = u.instance.id, sent
 	g.log.WithFields(fields).WithError(err).Warn("connection failed during a statement")
-	j.refused[u.instance.listed.ID] = true
+	j.refused[u.instance.id] = true
 	switch {
 	case !sent:
 		return res, ctx.Err() == nil, notRun(err)
@@ -76,11 +75,11 @@
 	switch {
 	case failure.Code == line.CodeReadOnly, failure.Code == line.CodeBusy, failure.Code == line.CodeLagging:
 		if j.reads() {
-			j.refused[u.instance.listed.ID] = true
+			j.refused[u.instance.id] = true
 		}
 		return true, notRun(failure)
 	case failure.Code == line.CodeFailed && j.reads() && j.tried <= maxReadRetries:
-		j.refused[u.instance.listed.ID] = true
+		j.refused[u.instance.id] = true
 		return true, unknown(failure)
 	}
 	return false, nil
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -48,7 +48,7 @@
 func (g *group) beginTransaction(ctx context.Context, j *job, u *use, p placement, sink gypsumyard.ResponseSink) (res gypsumyard.Result, again bool, err error) {
 	if !g.permit(u.instance) {
 		u.instance.pool.put(u.conn)
-		j.refused[u.instance.listed.ID] = true
+		j.refused[u.instance.id] = true
 		return res, true, errNoPermit
 	}
 	keep := false
@@ -70,7 +70,7 @@
 		return g.beginFailed(ctx, j, u, sent, err)
 	case a.failure != nil:
 		g.giveBack(u, a)
-		j.refused[u.instance.listed.ID] = readOnly
+		j.refused[u.instance.id] = readOnly
 		return res, true, notRun(a.failure)
 	}
 	a, sent, err = g.run(ctx, j, u, "", j.commits())
@@ -85,10 +85,10 @@
 		// Nothing of the transaction has run yet: it is begun anew.
 		u.conn.dirty = true
 		g.rollBack(u.instance, u.conn)
-		j.refused[u.instance.listed.ID] = readOnly
+		j.refused[u.instance.id] = readOnly
 		return res, true, notRun(a.failure)
 	}
-	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: u.instance.listed.ID}
+	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: u.instance.id}
 	if a.state == 'I' {
 		g.giveBack(u, a)
 		return res, false, deliver(sink, a)
@@ -104,7 +104,6 @@
 	}
 	g.register(t)
 	res.Transaction, res.Owner = t.handle, g.service.self
-	g.metrics.count(j, u.instance)
 	g.noteRouted(j, u, p.needed)
 	return res, false, deliver(sink, a)
 }
@@ -112,9 +111,9 @@
 // beginFailed judges the failure of a connection before anything that is kept
 // can have run: the connection is closed, which rolls back.
 func (g *group) beginFailed(ctx context.Context, j *job, u *use, sent bool, err error) (gypsumyard.Result, bool, error) {
-	j.refused[u.instance.listed.ID] = j.reads()
+	j.refused[u.instance.id] = j.reads()
 	fields := g.fields(j)
-	fields["instance"], fields["sent"] = u.instance.listed.ID, sent
+	fields["instance"], fields["sent"] = u.instance.id, sent
 	g.log.WithFields(fields).WithError(err).Warn("connection failed at the start of a transaction")
 	return gypsumyard.Result{}, ctx.Err() == nil, notRun(err)
 }
@@ -171,7 +170,7 @@
 		}
 		defer func() { g.leaveCommit(err == nil) }()
 	}
-	targets := []gypsumyard.Target{{Instance: t.instance.listed.ID, Reason: "transaction"}}
+	targets := []gypsumyard.Target{{Instance: t.instance.id, Reason: "transaction"}}
 	u, err := g.admit(ctx, j, targets)
 	if err != nil {
 		// The transaction cannot go on in time, so it is given up.
@@ -184,16 +183,16 @@
 	if err != nil {
 		g.end(t, true)
 		fields := g.fields(j)
-		fields["instance"], fields["sent"] = t.instance.listed.ID, sent
+		fields["instance"], fields["sent"] = t.instance.id, sent
 		g.log.WithFields(fields).WithError(err).Warn("connection failed in a transaction")
 		if sent && j.commits() {
 			return gypsumyard.Result{TxStatus: 'I'}, unknown(err)
 		}
 		return gypsumyard.Result{TxStatus: 'I'}, notRun(err)
 	}
-	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: t.instance.listed.ID}
+	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: t.instance.id}
 	if a.failure != nil {
-		g.log.WithFields(g.fields(j)).WithField("instance", t.instance.listed.ID).WithError(a.failure).Info("instance refuses statement")
+		g.log.WithFields(g.fields(j)).WithField("instance", t.instance.id).WithError(a.failure).Info("instance refuses statement")
 	}
 	if a.state == 'I' {
 		t.conn.dirty = a.failure != nil
@@ -299,7 +298,7 @@
 				continue
 			}
 			if !t.ended {
-				g.log.WithFields(logrus.Fields{"session": t.session, "instance": t.instance.listed.ID, "idle": g.clock.Since(t.usedAt).String()}).
+				g.log.WithFields(logrus.Fields{"session": t.session, "instance": t.instance.id, "idle": g.clock.Since(t.usedAt).String()}).
 					Info("idle transaction is rolled back")
 				g.end(t, false)
 			}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -187,7 +187,8 @@
 	case 10:
 		return fault{i.ID() + " receives nothing", during(d, func() { i.SetDeaf(true) }, func() { i.SetDeaf(false) })}
 	case 11:
-		return fault{i.ID() + " loses answers", func() { i.LoseAnswers(1 + r.IntN(5)); w.changeState() }}
+		n := 1 + r.IntN(5)
+		return fault{i.ID() + " loses answers", func() { i.LoseAnswers(n); w.changeState() }}
 	}
 	return fault{i.ID() + " is lost for good", func() { w.replace(i) }}
 }
