admit, lineowner: a standing queue accepts a quarter of the latency objective

The line owner let a queue stand for 500 ms and then accepted a wait of 200 ms, as long as the objective of most requests: with newest first, 9,500 tries waited 200 to 400 ms, were overtaken and refused, came back and displaced others; in the order of arrival most are late. Callers that return were in no module test.

The line owner now uses the admitter's own limits: after 200 ms a standing queue accepts a wait of 50 ms, or of half of the time until the request is due, a quarter of its objective.

--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -39,9 +39,13 @@
 	if !standing || w.ticket.Long || w.ticket.InTransaction {
 		return d
 	}
-	return min(d, max(f.policy.standingWait, standingRuns*w.fair.expected))
+	return min(d, max(f.policy.standingWait, standingRuns*w.fair.expected, w.ticket.Due.Sub(now)/standingShare))
 }
 
+// standingShare is the part, one in so many, of the time until it is due that a
+// request may wait in a standing queue.
+const standingShare = 2
+
 // standingRuns is the least accepted wait in run times of the request, so that
 // requests that run for longer than usual still find a queue.
 const standingRuns = 4
--- a/internal/admit/options.go
+++ b/internal/admit/options.go
@@ -68,15 +68,6 @@
 // them.
 func WithMetrics(scope tally.Scope) Option { return func(s *settings) { s.scope = scope } }
 
-// WithStandingQueue sets how long a customer's queue may stand before its
-// accepted wait falls from the plan's max-wait to wait.
-func WithStandingQueue(after, wait time.Duration) Option {
-	return func(s *settings) {
-		s.policy.standingAfter = after
-		s.policy.standingWait = wait
-	}
-}
-
 func newSettings(database string, options []Option) *settings {
 	discard := logrus.New()
 	discard.SetOutput(io.Discard)
--- a/internal/admit/overdue_test.go
+++ b/internal/admit/overdue_test.go
@@ -43,7 +43,7 @@
 // the instance has slots for nearly all of them.
 func TestBacklogDelaysNoNewcomers(t *testing.T) {
 	is := is.New(t)
-	s := afterOutage(with(func(p *policy) { p.standingAfter, p.standingWait = 500*ms, 200*ms }))
+	s := afterOutage(newFair(defaultPolicy))
 	during, after := s.outcomes["during"], s.outcomes["after"]
 	t.Logf("during: %d served, %d refused; after: %d served, %d refused, p50 %v, p95 %v, p99 %v",
 		len(during.waits), during.refusals(), len(after.waits), after.refusals(),
@@ -58,7 +58,7 @@
 // Guards against an order in which each request waits until it is late.
 func TestOverloadServesMostInTime(t *testing.T) {
 	is := is.New(t)
-	s := newSimulation(with(func(p *policy) { p.standingAfter, p.standingWait = 500*ms, 200*ms }), 6, 1, 2)
+	s := newSimulation(newFair(defaultPolicy), 6, 1, 2)
 	s.add(source{
 		name: "read", customer: "x", plan: plan(1, 1, false), gap: 1920 * time.Microsecond,
 		run: 5 * ms, to: 8 * time.Second, targets: primary, patience: 800 * ms,
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -21,10 +21,6 @@
 	// spareForStatements is how many connections transactions leave to single
 	// statements.
 	spareForStatements = 4
-	// A queue that has not been empty for standingAfter accepts a request only
-	// if its wait is expected to be under standingWait.
-	standingAfter = 500 * time.Millisecond
-	standingWait  = 200 * time.Millisecond
 	// aheadOfSlots is how many short statements may be on their way to an
 	// instance beyond its slots, so that no slot idles for a round trip.
 	aheadOfSlots = 1
@@ -100,7 +96,7 @@
 		clock:        s.clock,
 		log:          s.log.WithField("database", name),
 		metrics:      s.metrics,
-		admitter:     admit.New(name, admit.WithClock(s.clock), admit.WithStandingQueue(standingAfter, standingWait)),
+		admitter:     admit.New(name, admit.WithClock(s.clock)),
 		learner:      admit.NewLearner(),
 		ctx:          ctx,
 		cancel:       cancel,
--- a/internal/lineowner/overload_test.go
+++ b/internal/lineowner/overload_test.go
@@ -18,7 +18,7 @@
 // which more callers could be served, and against long ones that starve.
 func TestShortReadsGoFurtherUnderOverload(t *testing.T) {
 	is := is.New(t)
-	a := admit.New("test", admit.WithStandingQueue(standingAfter, standingWait))
+	a := admit.New("test")
 	defer a.Close()
 	a.SetInstances([]gypsumyard.InstanceCapacity{{Name: "primary", Slots: 2, Available: true}})
 	runs := map[string]time.Duration{"short": 5 * time.Millisecond, "long": 40 * time.Millisecond}
