--- a/internal/admit/estimate.go
+++ b/internal/admit/estimate.go
@@ -32,11 +32,11 @@
 
 // acceptedWait returns how long the request may wait. A queue that has not been
 // empty for a while serves no burst any more: a shorter one gives the same
-// throughput at less delay.
+// throughput at less delay. Work that outranks others does not wait in it.
 func (f *fair) acceptedWait(now time.Time, c *customer, w *waiter) time.Duration {
 	d := w.deadline.Sub(now)
 	standing := c.waiting > 0 && now.Sub(c.standingSince) > f.policy.standingAfter
-	if !standing || w.ticket.Long || w.ticket.InTransaction {
+	if !standing || w.ticket.Long || c.classOf(w.fair.kind.class) != classFair {
 		return d
 	}
 	return min(d, max(f.policy.standingWait, standingRuns*w.fair.expected, w.ticket.Due.Sub(now)/standingShare))
--- a/internal/admit/surge_test.go
+++ b/internal/admit/surge_test.go
@@ -135,3 +135,33 @@
 		})
 	}
 }
+
+// Pattern: a primary gets a little more urgent orders than it can run for half a
+// second, and other work that yields to them.
+//
+// Guards against urgent requests that are refused to keep a queue short in which
+// they need not stand.
+func TestUrgentSurgeIsServed(t *testing.T) {
+	is := is.New(t)
+	// In the order of arrival only refusals on arrival are left.
+	s := newSimulation(with(func(p *policy) { p.overdueAfter = time.Hour }), 9, 1, surgeSlots)
+	const run = 2500 * time.Microsecond
+	s.add(source{
+		name: "other", customer: "y", plan: plan(0.5, 1, false), gap: 4 * run, run: 2 * run, to: 4 * time.Second, targets: primary, patience: 800 * ms,
+	})
+	for _, phase := range []struct {
+		load     float64
+		from, to time.Duration
+	}{{0.5, 0, 4 * time.Second}, {0.7, time.Second, 1500 * ms}} {
+		s.add(source{
+			name: "urgent", customer: "x", plan: plan(4, 1, true), gap: time.Duration(float64(run) / surgeSlots / phase.load), run: run,
+			from: phase.from, to: phase.to, priority: true, targets: primary, patience: 800 * ms,
+		})
+	}
+	s.run(8 * time.Second)
+	urgent, other := s.outcomes["urgent"], s.outcomes["other"]
+	t.Logf("urgent: %d served, %d refused, longest %v; other: %d served, %d refused",
+		len(urgent.waits), urgent.refusals(), urgent.quantile(1), len(other.waits), other.refusals())
+	is.Equal(urgent.refusals(), 0)
+	is.True(len(other.waits) > 0)
+}
