catalog, member, linehost: a host starts while the store is silent

The start waits 400 ms for the host list and repeats the read every 500 ms until the list or another host has answered; the catalog starts before the membership; a list that has had no answer for 400 ms is asked for again, up to five times at once, and the first answer counts.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -253,3 +253,29 @@
 	is.NoErr(err)
 	is.Equal(len(hosts), 0)
 }
+
+// silentStore does not answer the first lists of each prefix.
+type silentStore struct {
+	*memstore.Store
+	until time.Time
+}
+
+func (s *silentStore) List(ctx context.Context, prefix string) ([]gypsumyard.Object, gypsumyard.Version, error) {
+	if time.Now().After(s.until) {
+		return s.Store.List(ctx, prefix)
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// Pattern: all hosts start while the store accepts calls and does not answer.
+//
+// Guards against a host that waits for the answer to its first call although the
+// store is back and answers later ones.
+func TestListIsAskedForAgain(t *testing.T) {
+	const silent = 600 * time.Millisecond
+	store := &silentStore{memstore.New(), time.Now().Add(silent)}
+	put(t, store.Store, names.Desired, "1")
+	s := start(t, store, nil, "a", "a")
+	eventually(t, silent+2*listAgainAfter, "the state", func() bool { return number(s) == 1 })
+}
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -35,6 +35,11 @@
 	verifiedFor = 1500 * time.Millisecond
 	// restPause is the pause between two looks whether to watch.
 	restPause = 200 * time.Millisecond
+	// listAgainAfter is the time without an answer after which a list is asked
+	// for again, since a store that comes back does not answer what was asked
+	// before. Up to maxLists calls are under way.
+	listAgainAfter = 400 * time.Millisecond
+	maxLists       = 5
 	// peerInterval is the time between two questions to a verifier while the
 	// store answers, and peerIntervalLost while it does not.
 	peerInterval     = 600 * time.Millisecond
@@ -240,14 +245,42 @@
 	return members.Hosts()
 }
 
+// list replaces the copies by what the store lists. The first answer counts.
 func (s *Service) list(prefix string) error {
-	list, v, err := s.store.List(s.stopping, prefix)
-	if err != nil {
-		return err
+	ctx, cancel := context.WithCancel(s.stopping)
+	defer cancel()
+	answers := make(chan listed, maxLists)
+	ask := func() {
+		objects, v, err := s.store.List(ctx, prefix)
+		answers <- listed{objects, v, err}
 	}
-	s.noteHeard(prefix)
-	s.replaceAll(prefix, list, v)
-	return nil
+	t := s.clock.NewTimer(listAgainAfter)
+	defer t.Stop()
+	go ask()
+	for calls := 1; ; {
+		select {
+		case l := <-answers:
+			if l.err != nil {
+				return l.err
+			}
+			s.noteHeard(prefix)
+			s.replaceAll(prefix, l.objects, l.version)
+			return nil
+		case <-t.C():
+			if calls < maxLists {
+				calls++
+				go ask()
+				t.Reset(listAgainAfter)
+			}
+		}
+	}
+}
+
+// listed is the answer to one call.
+type listed struct {
+	objects []gypsumyard.Object
+	version gypsumyard.Version
+	err     error
 }
 
 func (s *Service) noteLost(prefix string, err error) {
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -109,7 +109,7 @@
 	h.caller = linecaller.New(s.Callers, linecaller.WithClock(h.clock), linecaller.WithLogger(h.entry("caller")),
 		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
 	h.readiness = newReadiness(s.Readiness, h.ready, h.entry("readiness"))
-	services := []kernel.Service{h.registry, peers, h.members, h.lists, h.owner, dispatcher, h.caller, h.readiness}
+	services := []kernel.Service{h.registry, h.lists, peers, h.members, h.owner, dispatcher, h.caller, h.readiness}
 	if h.metricsPort != 0 {
 		addr := netip.AddrPortFrom(s.Host.Addr.Addr(), h.metricsPort)
 		services = append(services, newMetricsServer(addr, h.metricsHandler, h.entry("metrics")))
--- a/internal/linehost/scenario_test.go
+++ b/internal/linehost/scenario_test.go
@@ -269,3 +269,35 @@
 	is.Equal(numberOf(r), 1)
 	s.check()
 }
+
+// Pattern: all hosts are started anew while the store accepts calls and does not
+// answer them.
+//
+// Guards against hosts that wait for answers to their first calls, and serve
+// nobody, although the store has come back and answers later ones.
+func TestStartWhileStoreIsSilent(t *testing.T) {
+	is := is.New(t)
+	const (
+		silent    = 600 * time.Millisecond
+		forever   = time.Minute
+		patiently = time.Second
+	)
+	s := newSite(t, 3, routes())
+	var wg sync.WaitGroup
+	for _, h := range s.hosts {
+		wg.Go(h.drain)
+	}
+	wg.Wait()
+	s.server.SetDelay(forever)
+	began := time.Now()
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	time.AfterFunc(silent, func() { s.server.SetDelay(0) })
+	for _, h := range s.hosts {
+		s.awaitServed(h, routeUrgent)
+	}
+	took := time.Since(began)
+	t.Logf("served after %v", took)
+	is.True(took < silent+patiently)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -179,7 +179,7 @@
 	if err != nil {
 		return fmt.Errorf("members: %w", err)
 	}
-	s.pollList(ctx)
+	s.pollList(ctx, firstPollTimeout)
 	s.mu.Lock()
 	s.ticked = s.clock.Now() // The list may have taken long; that was no pause.
 	s.mu.Unlock()
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -121,11 +121,11 @@
 		var l gypsumyard.Lists = d.lists
 		d.table.lists.Store(&l)
 	}
-	d.table.pollList(context.Background())
+	d.table.pollList(context.Background(), pollTimeout)
 	d.loop(d.serial, heartbeatInterval, func() { d.table.tick() })
 	d.loop(d.serial, pollInterval, func() {
 		if d.table.polls() {
-			d.table.pollList(context.Background())
+			d.table.pollList(context.Background(), pollTimeout)
 		}
 	})
 }
--- a/internal/member/platform.go
+++ b/internal/member/platform.go
@@ -15,8 +15,12 @@
 	// the list shows as leaving must get no new work after a few seconds.
 	pollInterval     = 5 * time.Second
 	meshPollInterval = 2 * time.Second
-	// pollTimeout bounds one read.
-	pollTimeout = 2 * time.Second
+	// pollTimeout bounds one read, firstPollTimeout the one for which the start
+	// of the host waits. Until the list or another host has answered it is
+	// repeated every firstPollInterval.
+	pollTimeout       = 2 * time.Second
+	firstPollTimeout  = 400 * time.Millisecond
+	firstPollInterval = 500 * time.Millisecond
 	// meshHosts is the size of a region up to which each host reads the list.
 	meshHosts = 9
 	// pollers is how many hosts read the list in larger regions, so that
@@ -33,18 +37,28 @@
 func (s *Service) poll() {
 	for {
 		interval := pollInterval
-		if len(s.view().hosts) <= meshHosts {
+		switch {
+		case !s.hasJoined():
+			interval = firstPollInterval
+		case len(s.view().hosts) <= meshHosts:
 			interval = meshPollInterval
 		}
 		if s.clock.Sleep(s.stopping, jittered(interval)) != nil {
 			return
 		}
-		if s.polls() {
-			s.pollList(s.stopping)
+		if s.polls() || !s.hasJoined() {
+			s.pollList(s.stopping, pollTimeout)
 		}
 	}
 }
 
+// hasJoined reports whether another host or the platform's list has answered.
+func (s *Service) hasJoined() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.joined
+}
+
 // polls reports whether this host reads the platform's list.
 func (s *Service) polls() bool {
 	if len(s.view().hosts) <= meshHosts {
@@ -63,8 +77,8 @@
 	return hosts
 }
 
-func (s *Service) pollList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+func (s *Service) pollList(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	hosts, err := s.lister.Hosts(ctx)
 	if err != nil {
