tcp: attempts to connect overlap

Cause: found when reading the diff. An attempt was given up after 200 ms and begun again, so that a host further away than that was never reached: the design allows hosts of other regions.

Attempts now begin every 200 ms and go on until the timeout; the first result counts, and connections of slower ones are closed. Tests: a host that answers after 300 ms, a lost request to connect, a refusal.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -162,7 +162,7 @@
 	for {
 		changed := s.members.Changes()
 		if h, ok := s.place(a.request); !ok || h.Name != host.Name {
-			return gypsumyard.Errorf(gypsumyard.ClassNotRun, "host %s failed before it was connected", host.Name)
+			return gypsumyard.Errorf(gypsumyard.ClassNotRun, "host %s was not connected and no longer runs the database", host.Name)
 		}
 		select {
 		case err := <-connected:
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -109,6 +109,8 @@
 	h.caller = linecaller.New(s.Callers, linecaller.WithClock(h.clock), linecaller.WithLogger(h.entry("caller")),
 		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
 	h.readiness = newReadiness(s.Readiness, h.ready, h.entry("readiness"))
+	// They start in this order. The registry and the lists call the store, which
+	// may be slow, while the others start.
 	services := []kernel.Service{h.registry, h.lists, peers, h.members, h.owner, dispatcher, h.caller, h.readiness}
 	if h.metricsPort != 0 {
 		addr := netip.AddrPortFrom(s.Host.Addr.Addr(), h.metricsPort)
--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/netip"
 	"syscall"
@@ -10,9 +11,9 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt to connect. The kernel repeats a lost
-	// request to connect after a second only.
-	attemptTimeout = 200 * time.Millisecond
+	// attemptInterval is the time between two attempts to connect. The kernel
+	// repeats a lost request to connect after a second only.
+	attemptInterval = 200 * time.Millisecond
 	// The keep-alive probes find a dead peer on an idle connection within
 	// about 11 s.
 	keepAliveIdle     = 5 * time.Second
@@ -25,31 +26,54 @@
 	tcpUserTimeout = 0x12
 )
 
-// Dial opens a connection. It makes further attempts while the host does not
-// answer, until the timeout, and returns a refusal at once.
+// Dial opens a connection. While the host does not answer it begins further
+// attempts, until the timeout. The first result counts, so that a refusal is
+// returned at once.
 func Dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	d := dialer()
-	return repeat(ctx, func() (net.Conn, error) { return d.DialContext(ctx, "tcp", to.String()) })
+	return overlap(ctx, timeout, func(ctx context.Context) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", to.String())
+	})
+}
+
+// result is the outcome of one attempt.
+type result struct {
+	conn net.Conn
+	err  error
 }
 
-// repeat makes attempts until one succeeds or fails before its time is over, or
-// ctx ends. An attempt may fail at once with the error of a timeout, when the
-// kernel knows that the host is out of reach.
-func repeat(ctx context.Context, attempt func() (net.Conn, error)) (net.Conn, error) {
+// overlap begins an attempt every attemptInterval and returns the first result.
+func overlap(ctx context.Context, timeout time.Duration, attempt func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	results := make(chan result)
+	try := func() {
+		c, err := attempt(ctx)
+		select {
+		case results <- result{c, err}:
+		case <-ctx.Done():
+			if c != nil {
+				_ = c.Close() // Another attempt was faster.
+			}
+		}
+	}
+	t := time.NewTicker(attemptInterval)
+	defer t.Stop()
+	go try()
 	for {
-		began := time.Now()
-		c, err := attempt()
-		if err == nil || ctx.Err() != nil || time.Since(began) < attemptTimeout {
-			return c, err
+		select {
+		case r := <-results:
+			return r.conn, r.err
+		case <-ctx.Done():
+			return nil, fmt.Errorf("no answer: %w", context.Cause(ctx))
+		case <-t.C:
+			go try()
 		}
 	}
 }
 
 func dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: attemptTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
--- a/internal/tcp/dialer_test.go
+++ b/internal/tcp/dialer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -65,16 +66,16 @@
 	is := is.New(t)
 	_, at := fullListener(t)
 	began := time.Now()
-	_, err := Dial(t.Context(), at, 3*attemptTimeout/2)
+	_, err := Dial(t.Context(), at, 3*attemptInterval/2)
 	is.True(err != nil)
-	is.True(time.Since(began) < 2*attemptTimeout)
+	is.True(time.Since(began) < 2*attemptInterval)
 
-	ctx, cancel := context.WithTimeout(t.Context(), attemptTimeout/2)
+	ctx, cancel := context.WithTimeout(t.Context(), attemptInterval/2)
 	defer cancel()
 	began = time.Now()
 	_, err = Dial(ctx, at, timeout)
 	is.True(err != nil)
-	is.True(time.Since(began) < attemptTimeout)
+	is.True(time.Since(began) < attemptInterval)
 }
 
 // Guards against repeating requests that were refused.
@@ -87,20 +88,50 @@
 	began := time.Now()
 	_, err = Dial(t.Context(), at, timeout)
 	is.True(err != nil)
-	is.True(time.Since(began) < attemptTimeout)
+	is.True(time.Since(began) < attemptInterval)
 }
 
 // Guards against attempts without a pause to a host that the kernel reports as
 // out of reach at once.
 func TestEarlyTimeoutIsNotRepeated(t *testing.T) {
 	is := is.New(t)
-	ctx, cancel := context.WithTimeout(t.Context(), timeout)
-	defer cancel()
 	attempts := 0
-	_, err := repeat(ctx, func() (net.Conn, error) {
+	_, err := overlap(t.Context(), timeout, func(context.Context) (net.Conn, error) {
 		attempts++
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ETIMEDOUT}
 	})
 	is.True(err != nil)
 	is.Equal(attempts, 1)
 }
+
+// Guards against an attempt that is given up before a distant host can answer,
+// and against a connection that nobody closes.
+func TestDistantHostIsReached(t *testing.T) {
+	is := is.New(t)
+	const roundTrip = 3 * attemptInterval / 2
+	var opened, closed atomic.Int32
+	c, err := overlap(t.Context(), timeout, func(ctx context.Context) (net.Conn, error) {
+		select {
+		case <-time.After(roundTrip):
+			opened.Add(1)
+			return &counted{closed: &closed}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	})
+	is.NoErr(err)
+	is.True(c != nil)
+	time.Sleep(roundTrip)
+	is.Equal(opened.Load()-closed.Load(), int32(1))
+}
+
+// counted is a connection that counts how often it is closed.
+type counted struct {
+	net.Conn
+	closed *atomic.Int32
+}
+
+func (c *counted) Close() error {
+	c.closed.Add(1)
+	return nil
+}
