lineowner: test that no line of trailing replicas is written where reads go to the primary

Looked at when reading the diff: with a longest staleness of zero a replica that lags at all might be logged with each status. It is not: no sample is young enough for such a read, so the comparison does not take place. The test keeps it so; it passed at once, the code is unchanged.

--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -29,6 +29,8 @@
 	store *memstore.Store
 	hosts []*hostFixture
 	next  int
+	// staleness is the longest that a route accepts.
+	staleness time.Duration
 }
 
 // A hostFixture is one host.
@@ -169,7 +171,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(g.Close)
-	return &fixture{t: t, group: g, store: memstore.New()}
+	return &fixture{t: t, group: g, store: memstore.New(), staleness: readStaleness}
 }
 
 // addHost starts a host that owns the group.
@@ -177,7 +179,7 @@
 	f.t.Helper()
 	d := &gypsumyard.DesiredState{
 		Groups: map[string]gypsumyard.Group{groupName: {Name: groupName, Connections: 30, SyncReplicas: 1}},
-		Routes: map[string]gypsumyard.Route{"readings": {Group: groupName, MaxStaleness: readStaleness}},
+		Routes: map[string]gypsumyard.Route{"readings": {Group: groupName, MaxStaleness: f.staleness}},
 	}
 	h := &hostFixture{
 		lists:   &fakeLists{Stub: kerneltest.New("lists"), desired: d, listed: f.group.Listed, changed: make(chan struct{})},
--- a/internal/lineowner/trailing_test.go
+++ b/internal/lineowner/trailing_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
 	"github.com/matryer/is"
 )
 
@@ -43,3 +44,20 @@
 	deaf.SetDeaf(false)
 	is.True(writeUntil("replica can serve reads again"))
 }
+
+// Guards against a line with each status of a replica in a group whose reads all
+// go to the primary.
+func TestReplicaThatServesNoReadsIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3, linegroup.WithLag(100*time.Millisecond))
+	f.staleness = 0
+	h := f.addHost("host-1", nil)
+	for n := range 50 {
+		_, err := f.write(h, fmt.Sprintf("WRITE a %d", n))
+		is.NoErr(err)
+		time.Sleep(10 * time.Millisecond)
+	}
+	for _, i := range f.group.Instances() {
+		is.True(!h.logged("replica trails too far for reads", i.ID()))
+	}
+}
