--- a/internal/linehost/scenario_test.go
+++ b/internal/linehost/scenario_test.go
@@ -301,3 +301,42 @@
 	t.Logf("served after %v", took)
 	is.True(took < silent+patiently)
 }
+
+// Pattern: the primary is released under load: it announces that it leaves, and
+// goes on working.
+//
+// Guards against work that begins at an instance which leaves, after the time
+// in which it must be free, and against writes that are lost with it.
+func TestReleasedPrimaryGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	const (
+		// freeWithin is how soon an instance that leaves must get no more work.
+		freeWithin = 7 * time.Second
+		after      = time.Second
+	)
+	s := newSite(t, 3, routes(), linegroup.WithWork(2*time.Millisecond), linegroup.WithLag(5*time.Millisecond))
+	all := newResult()
+	end := time.Now().Add(freeWithin + after)
+	var wg sync.WaitGroup
+	for n := range 8 {
+		c := &caller{site: s, name: fmt.Sprintf("c%d", n), route: []string{routeOwn, routeUrgent}[n%2], result: all, hosts: s.hosts, pause: 5 * time.Millisecond}
+		wg.Go(func() {
+			c.run(end, func(x *lineclient.Session) bool { return c.write(x) && c.readOwn(x) })
+		})
+	}
+	leaving := s.group.Primary()
+	leaving.SetLeaving()
+	l := leaving.Listed()
+	s.must(objects.ListInstance(t.Context(), s.store, l, l.Addr, objects.StateLeaving))
+	time.Sleep(time.Until(end.Add(-after)))
+	before := len(s.group.Runs())
+	wg.Wait()
+	runs := s.group.Runs()
+	t.Logf("%v, %d statements after %v", all, len(runs)-before, freeWithin)
+	is.True(len(runs)-before > 100)
+	for _, r := range runs[before:] {
+		is.True(r.Instance != leaving.ID())
+	}
+	is.True(s.group.Primary() != leaving)
+	s.check()
+}
