--- /dev/null
+++ b/internal/owner/export_test.go
@@ -0,0 +1,25 @@
+package owner
+
+import "github.com/gypsumyard/gypsumyard"
+
+// OverstateReplicas makes the owner believe, until it has polled them again,
+// that the replicas hold the record at p.
+func (s *Service) OverstateReplicas(database string, p gypsumyard.Position) {
+	g := s.group(database)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var primary gypsumyard.InstanceStatus
+	for _, m := range g.members {
+		if st := m.view.Status; st.Role == gypsumyard.RolePrimary {
+			primary = st
+		}
+	}
+	for _, m := range g.members {
+		st := m.view.Status
+		if st.Role == gypsumyard.RolePrimary {
+			continue
+		}
+		st.Applied, st.History = p, primary.History
+		g.takeStatus(m, g.clock.Now(), st)
+	}
+}
