--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -99,7 +99,10 @@
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	d := &gypsumyard.DesiredState{Routes: map[string]gypsumyard.Route{
-		"orders": {Database: "orders", Group: "g", Consistency: gypsumyard.ConsistencyPrimary, StatementTimeout: time.Second},
+		"orders": {
+			Database: "orders", Group: "g", Consistency: gypsumyard.ConsistencyPrimary, StatementTimeout: time.Second,
+			Priority: 1, Objective: 200 * time.Millisecond,
+		},
 		"logs": {
 			Database: "logs", Group: "g", Consistency: gypsumyard.ConsistencySession, MaxStaleness: time.Second, StatementTimeout: time.Second,
 		},
@@ -218,6 +221,21 @@
 	c.expect("ERROR UNKNOWN", "READY I")
 }
 
+// Guards against an owner that does not learn what the route asks of it.
+func TestRouteReachesOwner(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	c := f.dial("START orders u1")
+	c.expect("READY")
+	c.send("QUERY a1 READ item")
+	c.expect("COMPLETE 7.1f", "READY I")
+	b, err := line.UnmarshalBatch(f.executor.last().Messages)
+	is.NoErr(err)
+	is.Equal(b.Consistency, gypsumyard.ConsistencyPrimary)
+	is.Equal(b.RoutePriority, 1)
+	is.Equal(b.Objective, 200*time.Millisecond)
+}
+
 // Guards against a transaction that holds a connection before it has done
 // anything, and against one that outlives its session.
 func TestTransaction(t *testing.T) {
