owner, upstream: a cancellation hits no other session

Cause: the owner looked up the connection that runs the session's statement under its lock and marked it as cancelled outside of it. If the statement ended between the two, the connection went back to the pool unmarked, another session took it, and the instance cancelled that session's statement.

The connection is now marked under the lock, while it certainly runs the statement, so that it is closed and not used again. Ruled out: the new dial, which sends the request over one connection only.

--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -1,6 +1,10 @@
 package owner
 
-import "github.com/gypsumyard/gypsumyard"
+import (
+	"context"
+
+	"github.com/gypsumyard/gypsumyard"
+)
 
 // OverstateReplicas makes the owner believe, until it has polled them again,
 // that the replicas hold the record at p.
@@ -23,3 +27,9 @@
 		g.takeStatus(m, g.clock.Now(), st)
 	}
 }
+
+// BeginCancel finds what the session runs, and returns the rest of its
+// cancellation.
+func (s *Service) BeginCancel(database string, session gypsumyard.SessionID) func(context.Context) error {
+	return s.group(database).toCancel(session).Cancel
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
 )
 
 // Name is the name of the service in the kernel.
@@ -204,18 +205,29 @@
 	if g == nil {
 		return nil
 	}
-	g.mu.Lock()
-	if j := g.jobs[r.Session]; j != nil {
-		j.cancelled = true
-	}
-	c := g.running[r.Session].conn
-	g.mu.Unlock()
+	c := g.toCancel(r.Session)
 	if c == nil {
 		return nil
 	}
 	return c.Cancel(ctx)
 }
 
+// toCancel returns the connection that runs what the session has asked for, or
+// nil. The connection is marked while it certainly does so: the statement may
+// end before the instance is asked, and no other one may run on it then.
+func (g *group) toCancel(session gypsumyard.SessionID) *upstream.Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if j := g.jobs[session]; j != nil {
+		j.cancelled = true
+	}
+	c := g.running[session].conn
+	if c != nil {
+		c.MarkCancelled()
+	}
+	return c
+}
+
 func (s *Service) isStarted() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -77,12 +77,16 @@
 // Cancel asks the instance to cancel the statement that the connection runs. A
 // connection that has gone silent does not answer that either.
 func (c *Conn) Cancel(ctx context.Context) error {
-	c.cancelled.Store(true)
+	c.MarkCancelled()
 	c.Expire(cancelBound)
 	return cancelStatement(ctx, c.address, c.processID, c.secretKey)
 }
 
-// Cancelled reports whether Cancel was called.
+// MarkCancelled keeps the connection from being used again, since a request to
+// cancel is about to be sent.
+func (c *Conn) MarkCancelled() { c.cancelled.Store(true) }
+
+// Cancelled reports whether Cancel or MarkCancelled was called.
 func (c *Conn) Cancelled() bool { return c.cancelled.Load() }
 
 // quiet reports whether the peer has neither closed the connection nor sent
