--- a/internal/owner/failure_test.go
+++ b/internal/owner/failure_test.go
@@ -99,6 +99,13 @@
 	return l
 }
 
+// ended returns how many writes have ended.
+func (l *ledger) ended() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.outcome)
+}
+
 // check ends the writers and compares the outcomes with the primary's rows.
 // It returns how many writes were acknowledged.
 func (l *ledger) check(t *testing.T, g *group.Group) (acked int) {
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -58,6 +58,7 @@
 	eventually(t, "reads on the instance", func() bool {
 		return f.exec("s", gypsumyard.StatementRead, "select 1").result.Instance == all.Instances[2].Name
 	})
+	eventually(t, "writes go on", func() bool { return l.ended() > 20 })
 	is.True(l.check(t, f.group) > 20)
 	for _, class := range l.outcome {
 		is.Equal(class, gypsumyard.ErrorClass(""))
