emulate: a store that comes back from an older copy

Cause: no stand-in could play what the users' drill does. Change: memstore copies and restores itself, and compares revisions only, like the platform; the HTTP emulator sends Store-Era; entries of instances count their writes.

--- a/internal/emulate/memstore/store.go
+++ b/internal/emulate/memstore/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"maps"
 	"strings"
 	"sync"
 
@@ -12,10 +13,11 @@
 // A Store implements [gypsumyard.Store].
 type Store struct {
 	mu             sync.Mutex
-	version        gypsumyard.Version
+	era            gypsumyard.Era
+	revision       uint64
 	objects        map[string]gypsumyard.Object
 	history        []gypsumyard.Object
-	compactedTo    gypsumyard.Version
+	compactedTo    uint64
 	changed        chan struct{}
 	down           bool
 	watchesStalled bool
@@ -25,7 +27,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{version: 1, objects: map[string]gypsumyard.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{revision: 1, objects: map[string]gypsumyard.Object{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetDown makes all calls fail with ErrUnavailable, or ends that.
@@ -40,7 +42,53 @@
 
 // Compact discards the history of changes. Watches from an earlier version then
 // fail with ErrHistoryGone.
-func (s *Store) Compact() { s.update(func() { s.compactedTo, s.history = s.version, nil }) }
+func (s *Store) Compact() { s.update(func() { s.compactedTo, s.history = s.revision, nil }) }
+
+// SetEra sets the era that the store reports. The initial one is zero.
+func (s *Store) SetEra(e gypsumyard.Era) { s.update(func() { s.era = e }) }
+
+// Era returns the era of the store.
+func (s *Store) Era() gypsumyard.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// A Copy holds the objects of a store at one revision.
+type Copy struct {
+	revision uint64
+	objects  map[string]gypsumyard.Object
+}
+
+// Copy returns a copy of the store, from which Restore can bring it back.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, maps.Clone(s.objects)}
+}
+
+// Restore takes the store back to the copy and begins the next era. Writes since
+// the copy are lost and their revisions are assigned again.
+func (s *Store) Restore(c Copy) {
+	s.update(func() {
+		s.era++
+		s.revision, s.objects = c.revision, maps.Clone(c.objects)
+		s.compactedTo, s.history = c.revision, nil
+	})
+}
+
+// version returns a revision of the current era as a version. The caller must hold
+// s.mu.
+func (s *Store) version(revision uint64) gypsumyard.Version {
+	return gypsumyard.NewVersion(s.era, revision)
+}
+
+// inEra returns the object with its version in the current era. The caller must
+// hold s.mu.
+func (s *Store) inEra(o gypsumyard.Object) gypsumyard.Object {
+	o.Version = s.version(o.Version.Revision())
+	return o
+}
 
 // Calls returns the number of calls of a method: get, list, put, delete or watch.
 // A watch counts when it returns changes or fails because the store is down.
@@ -77,9 +125,9 @@
 	}
 	o, ok := s.objects[name]
 	if !ok {
-		return o, gypsumyard.ErrNotFound
+		return gypsumyard.Object{Name: name, Version: s.version(0)}, gypsumyard.ErrNotFound
 	}
-	return o, nil
+	return s.inEra(o), nil
 }
 
 // List returns the objects whose names have the prefix, and the store's version.
@@ -91,10 +139,10 @@
 	}
 	for name, o := range s.objects {
 		if strings.HasPrefix(name, prefix) {
-			list = append(list, o)
+			list = append(list, s.inEra(o))
 		}
 	}
-	return list, s.version, nil
+	return list, s.version(s.revision), nil
 }
 
 // ListStale returns the same objects as List: the emulated list is never stale.
@@ -103,14 +151,15 @@
 	return list, err
 }
 
-// Put sets the object's value if its version is the expected one. A missing
-// object has version 0.
+// Put sets the object's value if its revision is that of the expected version: like
+// the platform's store, it does not know in which era the caller read it. A missing
+// object has revision 0.
 func (s *Store) Put(_ context.Context, name string, expected gypsumyard.Version, value []byte) (v gypsumyard.Version, err error) {
 	s.update(func() {
 		if err = s.call("put"); err != nil {
 			return
 		}
-		if s.objects[name].Version != expected {
+		if s.objects[name].Version.Revision() != expected.Revision() {
 			err = gypsumyard.ErrConflict
 			return
 		}
@@ -128,7 +177,7 @@
 			return
 		}
 		o, ok := s.objects[name]
-		if !ok || expected != 0 && o.Version != expected {
+		if !ok || expected.Revision() != 0 && o.Version.Revision() != expected.Revision() {
 			err = gypsumyard.ErrConflict
 			return
 		}
@@ -147,8 +196,8 @@
 }
 
 func (s *Store) record(o gypsumyard.Object) gypsumyard.Version {
-	s.version++
-	o.Version = s.version
+	s.revision++
+	o.Version = s.version(s.revision)
 	s.history = append(s.history, o)
 	if o.Deleted {
 		delete(s.objects, o.Name)
@@ -159,7 +208,7 @@
 }
 
 // Watch waits for changes after the version to objects whose names have the
-// prefix.
+// prefix. It fails with ErrHistoryGone if the version is of another era.
 func (s *Store) Watch(ctx context.Context, prefix string, after gypsumyard.Version) (list []gypsumyard.Object, v gypsumyard.Version, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,16 +216,18 @@
 		switch {
 		case s.down:
 			return nil, after, s.call("watch")
-		case after < s.compactedTo && !s.watchesStalled:
+		case after.Era() != s.era || after.Revision() > s.revision:
+			return nil, after, gypsumyard.ErrHistoryGone
+		case after.Revision() < s.compactedTo && !s.watchesStalled:
 			return nil, after, gypsumyard.ErrHistoryGone
 		}
 		for _, o := range s.history {
-			if o.Version > after && strings.HasPrefix(o.Name, prefix) {
-				list = append(list, o)
+			if o.Version.Revision() > after.Revision() && strings.HasPrefix(o.Name, prefix) {
+				list = append(list, s.inEra(o))
 			}
 		}
 		if len(list) > 0 && !s.watchesStalled {
-			return list, s.version, s.call("watch")
+			return list, s.version(s.revision), s.call("watch")
 		}
 		list = nil
 		changed := s.changed
--- a/internal/emulate/objects/entries.go
+++ b/internal/emulate/objects/entries.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -71,11 +72,14 @@
 	StateLeaving = "draining"
 )
 
+// written counts the entries written, for their sequence numbers.
+var written atomic.Int64
+
 // PutInstance writes the entry of an instance with the given address and state.
 func PutInstance(ctx context.Context, store *memstore.Store, i gypsumyard.ListedInstance, at netip.AddrPort, state string) error {
 	return Put(ctx, store, "servers/"+i.ID, InstanceEntry{
 		Service: i.Group, Address: at.String(), Zone: i.FailureDomain, Version: "v1", Slots: i.Slots, State: state,
-		DatabaseRole: i.Role, Sequence: 1, Born: i.Started.UnixMilli(),
+		DatabaseRole: i.Role, Sequence: int(written.Add(1)), Born: i.Started.UnixMilli(),
 	})
 }
 
--- a/internal/emulate/objects/server.go
+++ b/internal/emulate/objects/server.go
@@ -89,17 +89,28 @@
 
 func encode(o gypsumyard.Object) object {
 	_, name, _ := strings.Cut(o.Name, "/")
-	return object{Meta: meta{name, uint64(o.Version)}, Spec: o.Value}
+	return object{Meta: meta{name, o.Version.Revision()}, Spec: o.Value}
 }
 
-func writeResponse(w http.ResponseWriter, v any) {
+// eraHeader names the header in which the store reports its era.
+const eraHeader = "Store-Era"
+
+func writeEra(w http.ResponseWriter, e gypsumyard.Era) {
+	if e > 0 { // Era zero stands for a store that does not report its era.
+		w.Header().Set(eraHeader, strconv.FormatUint(uint64(e), 10))
+	}
+}
+
+func writeResponse(w http.ResponseWriter, e gypsumyard.Era, v any) {
+	writeEra(w, e)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // A write fails only if the client has disconnected.
 }
 
 // writeError responds with the status code for err. For ErrOutcomeUnknown, which
 // stands for a lost response, it closes the connection instead.
-func writeError(w http.ResponseWriter, err error) {
+func (s *Server) writeError(w http.ResponseWriter, err error) {
+	writeEra(w, s.store.Era())
 	switch {
 	case errors.Is(err, gypsumyard.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
@@ -122,14 +133,14 @@
 	}
 	objects, v, err := s.store.List(r.Context(), prefix)
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
 	items := []object{}
 	for _, o := range objects {
 		items = append(items, encode(o))
 	}
-	writeResponse(w, map[string]any{"items": items, "hasMore": false, "asOf": v})
+	writeResponse(w, v.Era(), map[string]any{"items": items, "hasMore": false, "asOf": v.Revision()})
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, prefix, watch string) {
@@ -137,9 +148,9 @@
 	ms, _ := strconv.Atoi(r.FormValue("waitMs"))
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 	defer cancel()
-	objects, v, err := s.store.Watch(ctx, prefix, gypsumyard.Version(after))
+	objects, v, err := s.store.Watch(ctx, prefix, gypsumyard.NewVersion(s.store.Era(), after))
 	if err != nil && ctx.Err() == nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
 	type event struct {
@@ -150,16 +161,16 @@
 	for _, o := range objects {
 		events = append(events, event{encode(o), o.Deleted})
 	}
-	writeResponse(w, map[string]any{"events": events, "asOf": v})
+	writeResponse(w, v.Era(), map[string]any{"events": events, "asOf": v.Revision()})
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	o, err := s.store.Get(r.Context(), r.PathValue("kind")+"/"+r.PathValue("name"))
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
-	writeResponse(w, encode(o))
+	writeResponse(w, o.Version.Era(), encode(o))
 }
 
 func (s *Server) create(w http.ResponseWriter, r *http.Request) {
@@ -180,17 +191,19 @@
 	o.Meta.Name = name(o)
 	v, err := s.store.Put(r.Context(), r.PathValue("kind")+"/"+o.Meta.Name, gypsumyard.Version(o.Meta.Revision), o.Spec)
 	if err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 		return
 	}
-	o.Meta.Revision = uint64(v)
-	writeResponse(w, o)
+	o.Meta.Revision = v.Revision()
+	writeResponse(w, v.Era(), o)
 }
 
 func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
 	if err := s.store.Delete(r.Context(), r.PathValue("kind")+"/"+r.PathValue("name"), 0); err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
+		return
 	}
+	writeEra(w, s.store.Era())
 }
 
 func (s *Server) servePromotion(w http.ResponseWriter, r *http.Request) {
@@ -201,6 +214,6 @@
 	}
 	n, _ := strconv.ParseUint(r.Header.Get("Gypsumyard-Fencing-Token"), 10, 64)
 	if err := s.promote(PromotionOrder{in.Service, in.ID, r.Header.Get("Gypsumyard-Duty-Holder"), n}); err != nil {
-		writeError(w, err)
+		s.writeError(w, err)
 	}
 }
