--- a/desired.go
+++ b/desired.go
@@ -78,6 +78,9 @@
 	// Role is the instance's role, according to the instance, when it wrote the
 	// entry.
 	Role Role
+	// Sequence counts the writes of the instance's process to its entry, so that
+	// of two entries of one process the later one can be told.
+	Sequence int64
 	// Started is when the instance's process started, by the instance's own
 	// clock. An entry with the same ID and another start time belongs to another
 	// instance.
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -26,6 +26,9 @@
 	Body []byte
 	// MaxResponseBytes bounds the size of the response body.
 	MaxResponseBytes int64
+	// ResponseHeader, if not nil, is set to the header of the response, whatever
+	// its status.
+	ResponseHeader *http.Header
 }
 
 // Do makes the call once and decodes the response into out unless out is nil. A
@@ -49,6 +52,9 @@
 		return callError(c.Method, sent.Load(), err)
 	}
 	defer resp.Body.Close()
+	if c.ResponseHeader != nil {
+		*c.ResponseHeader = resp.Header
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxResponseBytes))
 	if err != nil {
 		return callError(c.Method, true, err)
