peer: versions between hosts hold the era

Cause: hosts of different eras exchange objects. Change: the era goes in fields of its own, which hosts of neither send nor read; an era that a version cannot hold is ignored.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -248,9 +248,18 @@
 }
 
 func encodeObject(o gypsumyard.Object) *peerpb.Object {
-	return &peerpb.Object{Name: o.Name, Version: uint64(o.Version), Value: o.Value, Deleted: o.Deleted}
+	return &peerpb.Object{Name: o.Name, Revision: o.Version.Revision(), Era: uint32(o.Version.Era()), Value: o.Value, Deleted: o.Deleted}
 }
 
 func decodeObject(p *peerpb.Object) gypsumyard.Object {
-	return gypsumyard.Object{Name: p.GetName(), Version: gypsumyard.Version(p.GetVersion()), Value: p.GetValue(), Deleted: p.GetDeleted()}
+	return gypsumyard.Object{Name: p.GetName(), Version: decodeVersion(p.GetEra(), p.GetRevision()), Value: p.GetValue(), Deleted: p.GetDeleted()}
+}
+
+// decodeVersion returns the version of the revision in the era, or version zero if
+// there can be no such era.
+func decodeVersion(era uint32, revision uint64) gypsumyard.Version {
+	if gypsumyard.Era(era) > gypsumyard.MaxEra {
+		return 0
+	}
+	return gypsumyard.NewVersion(gypsumyard.Era(era), revision)
 }
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -84,7 +84,9 @@
 	case *peerpb.Call_Object:
 		err = g.applyObject(b.Object)
 	case *peerpb.Call_Query:
-		objects, last.Complete, err = g.newerObjects(b.Query)
+		var complete gypsumyard.Version
+		objects, complete, err = g.newerObjects(b.Query)
+		last.CompleteEra, last.CompleteRevision = uint32(complete.Era()), complete.Revision()
 	case *peerpb.Call_Probe:
 		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
@@ -109,13 +111,13 @@
 	return nil
 }
 
-func (g *gossipServer) newerObjects(q *peerpb.ListQuery) ([]gypsumyard.Object, uint64, error) {
+func (g *gossipServer) newerObjects(q *peerpb.ListQuery) ([]gypsumyard.Object, gypsumyard.Version, error) {
 	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](g.service.kernel, "lists")
 	if err != nil {
 		return nil, 0, err
 	}
-	objects, complete := lists.Newer(gypsumyard.Version(q.GetAfter()))
-	return objects, uint64(complete), nil
+	objects, complete := lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision()))
+	return objects, complete, nil
 }
 
 func (g *gossipServer) probe(p *peerpb.ProbeInstance) (*peerpb.InstanceStatus, error) {
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -27,7 +27,7 @@
 		{Id: 1, Body: &peerpb.Frame_Chunk{Chunk: &peerpb.Chunk{Data: []byte("d")}}},
 		finalFrame(1, gypsumyard.Result{TxStatus: 'I'}, gypsumyard.Errorf(gypsumyard.ClassLoad, "full"), []byte("d")),
 		{Body: &peerpb.Frame_Members{Members: &peerpb.Members{From: "x", Updates: []*peerpb.MemberUpdate{{Name: "n", Address: []byte{1, 2, 3}}}}}},
-		{Id: 1, Body: &peerpb.Frame_Call{Call: &peerpb.Call{Body: &peerpb.Call_Query{Query: &peerpb.ListQuery{After: 3}}}}},
+		{Id: 1, Body: &peerpb.Frame_Call{Call: &peerpb.Call{Body: &peerpb.Call_Query{Query: &peerpb.ListQuery{AfterRevision: 3}}}}},
 		replyFrame(1, &peerpb.Reply{Last: true, Status: &peerpb.InstanceStatus{History: []*peerpb.TermStart{{Term: 1}}}}),
 	}
 	for _, s := range seeds {
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -37,7 +37,7 @@
 // version up to which its copy is complete.
 func (s *Service) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (objects []gypsumyard.Object, complete gypsumyard.Version, err error) {
 	defer annotate(&err, "fetch objects from", from)
-	q := &peerpb.ListQuery{After: uint64(after)}
+	q := &peerpb.ListQuery{AfterRevision: after.Revision(), AfterEra: uint32(after.Era())}
 	replies, err := s.call(ctx, from, &peerpb.Call{Body: &peerpb.Call_Query{Query: q}})
 	if err != nil {
 		return nil, 0, err
@@ -46,7 +46,7 @@
 		if r.Object != nil {
 			objects = append(objects, decodeObject(r.Object))
 		}
-		complete = max(complete, gypsumyard.Version(r.Complete))
+		complete = max(complete, decodeVersion(r.CompleteEra, r.CompleteRevision))
 	}
 	return objects, complete, nil
 }
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -32,7 +32,7 @@
 
 func (r *fakeLists) Newer(after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version) {
 	r.after = after
-	return r.newer, gypsumyard.Version(len(r.newer))
+	return r.newer, gypsumyard.NewVersion(2, uint64(len(r.newer)))
 }
 
 // Guards against calls that lose fields or objects, or that report no error when
@@ -41,7 +41,7 @@
 	is := is.New(t)
 	var big []gypsumyard.Object
 	for i := range 40 {
-		big = append(big, gypsumyard.Object{Name: string(rune('a' + i)), Version: gypsumyard.Version(i + 1), Value: make([]byte, 1<<20), Deleted: i%2 == 0})
+		big = append(big, gypsumyard.Object{Name: string(rune('a' + i)), Version: gypsumyard.NewVersion(2, uint64(i+1)), Value: make([]byte, 1<<20), Deleted: i%2 == 0})
 	}
 	lists := &fakeLists{newer: big, done: make(chan struct{})}
 	o := newFakeOwner(nil)
@@ -50,11 +50,11 @@
 	var peers gypsumyard.PeerClient = a
 	is.NoErr(peers.PushObjects(t.Context(), b, big[:3]))
 	is.Equal(lists.applied, big[:3])
-	got, complete, err := peers.FetchObjects(t.Context(), b, 4)
+	got, complete, err := peers.FetchObjects(t.Context(), b, gypsumyard.NewVersion(1, 4))
 	is.NoErr(err)
 	is.Equal(got, big)
-	is.Equal(complete, gypsumyard.Version(40))
-	is.Equal(lists.after, gypsumyard.Version(4))
+	is.Equal(complete, gypsumyard.NewVersion(2, 40))
+	is.Equal(lists.after, gypsumyard.NewVersion(1, 4))
 	st, err := peers.ProbeInstance(t.Context(), b, "db", "i")
 	is.NoErr(err)
 	is.Equal(st, gypsumyard.InstanceStatus{Role: gypsumyard.RoleReplica, FenceToken: "db/i", StreamAge: time.Second})
