catalog, lineowner: a restored store neither takes state back nor proves anything

Cause: after a restore everything written again looked old and was ignored, older state could come into force, generations of promotions could repeat, and a claim that the restore had lost counted as proof that nobody promotes. Change: across eras the catalog compares what was written: the number of the desired state, start and sequence of an instance. What is older is withheld; what is missing counts for 3 s. Each host lists once per era and registers again. Promotions: the generation holds the era, an order is not sent if the claim read before it is of another era, a new era holds elections back for 3 s and the store as a witness for 7.5 s.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -22,12 +22,34 @@
 )
 
 // A cachedObject is a copy of an object, with the instance that it decodes to if it
-// is an entry of one. A copy with Deleted set is a tombstone.
+// is an entry of one. A copy with Deleted set is a tombstone; its value and instance
+// are the last ones before the removal.
 type cachedObject struct {
 	gypsumyard.Object
 	instance *gypsumyard.ListedInstance
 	// removed is when this host learned of the removal.
 	removed time.Time
+	// lost indicates that the object is missing since a restore of the store, which
+	// does not mean that it was removed.
+	lost bool
+	// gone indicates that the grace period after the removal is over.
+	gone bool
+	// withheld is what the store has shown since a restore, if it is older than the
+	// copy.
+	withheld *withheldObject
+}
+
+// listed reports whether the copy counts as an entry of an instance.
+func (o *cachedObject) listed(now time.Time) bool {
+	switch {
+	case o.instance == nil || o.gone:
+		return false
+	case !o.Deleted:
+		return true
+	case o.instance.Leaving && !o.lost:
+		return false
+	}
+	return now.Sub(o.removed) <= removalGrace
 }
 
 // A snapshot is an immutable, decoded view of the copies.
@@ -79,12 +101,15 @@
 func (c *objectCache) Newer(after gypsumyard.Version) (list []gypsumyard.Object, complete gypsumyard.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	complete = c.minCompleteVersionLocked()
 	for _, o := range c.objects {
-		if o.Version > after {
+		// A host that started after a restore knows its versions, but not what
+		// this host has from before.
+		if o.Version > after || o.Version.Era() < complete.Era() {
 			list = append(list, o.Object)
 		}
 	}
-	return list, c.minCompleteVersionLocked()
+	return list, complete
 }
 
 // minCompleteVersionLocked returns the version up to which the copies of all
@@ -109,14 +134,21 @@
 }
 
 // adoptCompleteVersion records that the copies are complete up to the version up to
-// which those of a peer are.
+// which those of a peer are. In a new era they are complete only after a list of the
+// store: a peer cannot tell which copies from before the restore are gone.
 func (c *objectCache) adoptCompleteVersion(v gypsumyard.Version) {
+	c.mu.Lock()
+	own := c.minCompleteVersionLocked()
+	c.mu.Unlock()
+	if own != 0 && own.Era() != v.Era() {
+		return
+	}
 	c.setCompleteVersion(c.names.desiredPrefix(), v)
 	c.setCompleteVersion(c.names.Instances, v)
 }
 
 // applyList merges a complete list of the store at the given version: copies that
-// are missing from it have been removed.
+// are missing from it have been removed. A list of an earlier era is ignored.
 func (c *objectCache) applyList(prefix string, list []gypsumyard.Object, at gypsumyard.Version) {
 	listed := map[string]bool{}
 	for _, o := range list {
@@ -124,11 +156,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if at.Era() < c.completeVersions[prefix].Era() {
+		return
+	}
 	for _, o := range list {
 		c.applyObject(o)
 	}
 	for name, o := range c.objects {
-		if strings.HasPrefix(name, prefix) && !listed[name] && !o.Deleted && o.Version <= at {
+		present := !o.Deleted || o.withheld != nil
+		if strings.HasPrefix(name, prefix) && !listed[name] && present && o.Version <= at {
 			c.applyObject(gypsumyard.Object{Name: name, Version: at, Deleted: true})
 		}
 	}
@@ -137,37 +173,64 @@
 	c.checkReady()
 }
 
-// applyObject replaces the copy of one object if o is newer, and reports
-// whether it was. The caller must hold c.mu.
+// applyObject replaces the copy of one object if o supersedes it, and reports
+// whether it did. The caller must hold c.mu.
 func (c *objectCache) applyObject(o gypsumyard.Object) bool {
 	old := c.objects[o.Name]
-	if old != nil && (o.Version < old.Version || o.Version == old.Version && o.Deleted == old.Deleted) {
+	sameEra := old != nil && o.Version.Era() == old.Version.Era()
+	if sameEra && (o.Version < old.Version || o.Version == old.Version && o.Deleted == old.Deleted) {
+		return false
+	}
+	if o.Deleted && o.Name == c.names.Desired {
+		c.log.WithField("version", o.Version).Warn("desired state was deleted, the last one stays in force")
 		return false
 	}
 	n := &cachedObject{Object: o}
+	c.decode(n)
+	if old != nil && !sameEra && !c.supersedes(n, old) {
+		return false
+	}
 	if o.Deleted {
-		n.removed = c.clock.Now()
-		if old != nil {
-			n.instance = old.instance
-		}
+		c.bury(n, old)
 	}
 	c.objects[o.Name] = n
 	switch {
 	case o.Name == c.names.Desired:
 		c.applyDesired(o)
-	case strings.HasPrefix(o.Name, c.names.Instances) && !o.Deleted:
-		c.applyInstance(n)
 	case strings.HasPrefix(o.Name, c.names.Instances):
-		c.log.WithFields(logrus.Fields{"object": o.Name, "version": o.Version}).Info("entry of instance removed")
+		c.logInstance(n)
 	}
 	return true
 }
 
-func (c *objectCache) applyDesired(o gypsumyard.Object) {
-	if o.Deleted {
-		c.log.WithField("version", o.Version).Warn("desired state was deleted, the last one stays in force")
+// decode sets the instance of the copy if it is the entry of one.
+func (c *objectCache) decode(n *cachedObject) {
+	if !strings.HasPrefix(n.Name, c.names.Instances) || n.Deleted && len(n.Value) == 0 {
 		return
 	}
+	i, err := c.decoder.Instance(n.Object)
+	if err != nil {
+		c.log.WithField("version", n.Version).WithError(err).Warn("cannot decode entry of instance")
+		return
+	}
+	n.instance = &i
+}
+
+// bury makes n the tombstone of old, which may be nil.
+func (c *objectCache) bury(n, old *cachedObject) {
+	n.removed = c.clock.Now()
+	if old == nil {
+		n.gone = true
+		return
+	}
+	n.Value, n.instance = old.Value, old.instance
+	n.lost = n.Version.Era() > old.Version.Era()
+	if old.Deleted {
+		n.removed, n.lost, n.gone = old.removed, old.lost, old.gone
+	}
+}
+
+func (c *objectCache) applyDesired(o gypsumyard.Object) {
 	d, err := c.decoder.DesiredState(o)
 	if err != nil {
 		c.log.WithField("version", o.Version).WithError(err).Warn("cannot decode desired state, ignoring it")
@@ -179,16 +242,16 @@
 	}).Info("desired state in force")
 }
 
-func (c *objectCache) applyInstance(n *cachedObject) {
-	i, err := c.decoder.Instance(n.Object)
-	if err != nil {
-		c.log.WithField("version", n.Version).WithError(err).Warn("cannot decode entry of instance")
-		return
+func (c *objectCache) logInstance(n *cachedObject) {
+	i := n.instance
+	switch {
+	case n.Deleted:
+		c.log.WithFields(logrus.Fields{"object": n.Name, "version": n.Version, "lost": n.lost}).Info("entry of instance removed")
+	case i != nil:
+		c.log.WithFields(logrus.Fields{
+			"instance": i.ID, "database": i.Group, "version": n.Version, "leaving": i.Leaving, "role": i.Role, "started": i.Started.UnixMilli(),
+		}).Info("entry of instance")
 	}
-	n.instance = &i
-	c.log.WithFields(logrus.Fields{
-		"instance": i.ID, "database": i.Group, "version": n.Version, "leaving": i.Leaving, "role": i.Role, "started": i.Started.UnixMilli(),
-	}).Info("entry of instance")
 }
 
 // rebuild rebuilds the snapshot and wakes the waiters on Changes. The caller
@@ -200,7 +263,7 @@
 		if o.Deleted && now.Sub(o.removed) > tombstoneRetention {
 			delete(c.objects, name)
 		}
-		if o.instance == nil || o.Deleted && (o.instance.Leaving || now.Sub(o.removed) > removalGrace) {
+		if !o.listed(now) {
 			continue
 		}
 		s.instances[o.instance.Group] = append(s.instances[o.instance.Group], *o.instance)
@@ -231,19 +294,22 @@
 	return d
 }
 
-// expireRemoved drops a removed instance whose grace period has ended. It drops one
-// per call.
+// expireRemoved drops the instances whose grace period has ended.
 func (c *objectCache) expireRemoved() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
+	changed := false
 	for _, o := range c.objects {
-		if age := now.Sub(o.removed); o.Deleted && o.instance != nil && age > removalGrace {
+		if age := now.Sub(o.removed); o.Deleted && !o.gone && o.instance != nil && age > removalGrace {
 			c.log.WithFields(logrus.Fields{"instance": o.instance.ID, "age": age}).Info("instance is gone")
-			o.instance = nil
-			c.rebuild()
-			return
+			o.gone = true
+			changed = true
 		}
+		changed = c.releaseWithheld(o, now) || changed
+	}
+	if changed {
+		c.rebuild()
 	}
 }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+	"github.com/gypsumyard/gypsumyard/internal/era"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/matryer/is"
@@ -243,7 +244,7 @@
 	log.SetOutput(io.Discard)
 	put(t, store, names.Hosts+"host-1", `{"name":"host-1","region":"elsewhere"}`)
 	self := gypsumyard.Host{Name: "host-1", Region: "region"}
-	r := NewRegistry(store, store, names.Hosts, self, log)
+	r := NewRegistry(store, store, names.Hosts, self, era.NewTracker(), log)
 	store.DropResponses(1)
 	is.NoErr(r.Start(t.Context(), nil))
 	eventually(t, 2*time.Second, "the registration", func() bool {
--- a/internal/catalog/registry.go
+++ b/internal/catalog/registry.go
@@ -35,6 +35,7 @@
 	lister StaleLister
 	prefix string
 	self   gypsumyard.Host
+	eras   gypsumyard.Eras
 	clock  gypsumyard.Clock
 	log    logrus.FieldLogger
 
@@ -47,9 +48,10 @@
 var _ gypsumyard.HostLister = (*Registry)(nil)
 
 // NewRegistry returns the registry of the host self. The names of the hosts'
-// entries in the store begin with prefix.
-func NewRegistry(store gypsumyard.Store, lister StaleLister, prefix string, self gypsumyard.Host, log logrus.FieldLogger) *Registry {
-	r := &Registry{store: store, lister: lister, prefix: prefix, self: self, clock: clock.System(), log: log, done: make(chan struct{})}
+// entries in the store begin with prefix. The host is registered again in each era
+// of the store.
+func NewRegistry(store gypsumyard.Store, lister StaleLister, prefix string, self gypsumyard.Host, eras gypsumyard.Eras, log logrus.FieldLogger) *Registry {
+	r := &Registry{store: store, lister: lister, prefix: prefix, self: self, eras: eras, clock: clock.System(), log: log, done: make(chan struct{})}
 	r.stopping, r.stop = context.WithCancel(context.Background())
 	return r
 }
@@ -63,18 +65,13 @@
 // Done returns a channel that is closed after Stop.
 func (r *Registry) Done() <-chan struct{} { return r.done }
 
-// Start registers the host in the background, with retries until the store has
-// accepted the entry.
+// Start registers the host in the background, and again after each restore of the
+// store, which may have lost the entry.
 func (r *Registry) Start(context.Context, *kernel.Kernel) error {
 	r.work.Go(func() {
-		for r.stopping.Err() == nil {
-			err := r.register(r.stopping)
-			if err == nil {
-				r.log.WithField("address", r.self.Addr).Info("host registered")
-				return
-			}
-			r.log.WithError(err).Warn("registration of this host failed, retrying")
-			if r.clock.Sleep(r.stopping, registerRetryInterval/2+rand.N(registerRetryInterval)) != nil {
+		for {
+			registered, ok := r.registerWithRetries()
+			if !ok || !r.awaitEraAfter(registered.Era()) {
 				return
 			}
 		}
@@ -82,6 +79,40 @@
 	return nil
 }
 
+// registerWithRetries registers the host, with retries until the store has accepted
+// the entry. It reports false if the registry stops.
+func (r *Registry) registerWithRetries() (v gypsumyard.Version, ok bool) {
+	for r.stopping.Err() == nil {
+		v, err := r.register(r.stopping)
+		if err == nil {
+			r.eras.Observe(v.Era())
+			r.log.WithFields(logrus.Fields{"address": r.self.Addr, "version": v}).Info("host registered")
+			return v, true
+		}
+		r.log.WithError(err).Warn("registration of this host failed, retrying")
+		if r.clock.Sleep(r.stopping, registerRetryInterval/2+rand.N(registerRetryInterval)) != nil {
+			return 0, false
+		}
+	}
+	return 0, false
+}
+
+// awaitEraAfter waits until the store is in a later era than e. It reports false if
+// the registry stops.
+func (r *Registry) awaitEraAfter(e gypsumyard.Era) bool {
+	for {
+		changed := r.eras.EraChanges()
+		if latest, _ := r.eras.Era(); latest > e {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-r.stopping.Done():
+			return false
+		}
+	}
+}
+
 // Stop ends the attempts to register the host.
 func (r *Registry) Stop(context.Context) error {
 	r.stop()
@@ -90,27 +121,26 @@
 	return nil
 }
 
-// register writes the host's entry. It overwrites the entry of an earlier process
-// with the same host name.
-func (r *Registry) register(ctx context.Context) error {
+// register writes the host's entry and returns its version. It overwrites the entry
+// of an earlier process with the same host name.
+func (r *Registry) register(ctx context.Context) (gypsumyard.Version, error) {
 	value, err := json.Marshal(r.self)
 	if err != nil {
-		return fmt.Errorf("encode host: %w", err)
+		return 0, fmt.Errorf("encode host: %w", err)
 	}
 	name := r.prefix + r.self.Name
-	_, err = r.store.Put(ctx, name, 0, value)
+	v, err := r.store.Put(ctx, name, 0, value)
 	if !errors.Is(err, gypsumyard.ErrConflict) {
-		return err
+		return v, err
 	}
 	old, err := r.store.Get(ctx, name)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if string(old.Value) == string(value) {
-		return nil
+		return old.Version, nil
 	}
-	_, err = r.store.Put(ctx, name, old.Version, value)
-	return err
+	return r.store.Put(ctx, name, old.Version, value)
 }
 
 // Deregister removes the host's entry. Other hosts learn from this host's
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/era"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/sirupsen/logrus"
 )
@@ -78,6 +79,7 @@
 type Service struct {
 	*objectCache
 	store  gypsumyard.Store
+	eras   gypsumyard.Eras
 	kernel *kernel.Kernel
 
 	stopping context.Context
@@ -110,6 +112,9 @@
 // WithLogger sets the logger.
 func WithLogger(l logrus.FieldLogger) Option { return func(s *Service) { s.log = l } }
 
+// WithEras sets the tracker of the store's era, which the store's client updates.
+func WithEras(e gypsumyard.Eras) Option { return func(s *Service) { s.eras = e } }
+
 // New returns the catalog of a host in the region.
 func New(store gypsumyard.Store, decoder gypsumyard.Decoder, names ObjectNames, region string, options ...Option) *Service {
 	s := &Service{
@@ -126,6 +131,7 @@
 			ready:            make(chan struct{}),
 		},
 		store:       store,
+		eras:        era.NewTracker(),
 		done:        make(chan struct{}),
 		unreachable: map[string]bool{},
 	}
@@ -197,7 +203,7 @@
 // dropped its history since.
 func (s *Service) watchOnce(prefix string) error {
 	after := s.completeVersion(prefix)
-	if after == 0 {
+	if after == 0 || after.Era() < s.latestEra() {
 		return s.list(prefix)
 	}
 	wait := desiredWatchTimeout
@@ -226,13 +232,19 @@
 }
 
 // delegatesWatch reports whether this host leaves the watch of the store to the
-// watchers. A watch can miss changes and the loss of its history without an error,
+// watchers. After a restore of the store it first lists the store itself. A watch can miss changes and the loss of its history without an error,
 // so if all hosts watched, all would have to renew their watches often.
 func (s *Service) delegatesWatch(prefix string) bool {
 	s.contactMu.Lock()
 	recent := !s.lastWatcherAnswer.IsZero() && s.clock.Since(s.lastWatcherAnswer) < watcherAnswerValidity
 	s.contactMu.Unlock()
-	return recent && s.completeVersion(prefix) > 0 && !s.isWatcher()
+	complete := s.completeVersion(prefix)
+	return recent && complete > 0 && complete.Era() >= s.latestEra() && !s.isWatcher()
+}
+
+func (s *Service) latestEra() gypsumyard.Era {
+	e, _ := s.eras.Era()
+	return e
 }
 
 // isWatcher reports whether this host is one of the watchers.
@@ -271,6 +283,10 @@
 			if l.err != nil {
 				return l.err
 			}
+			s.eras.Observe(l.version.Era())
+			if l.version.Era() < s.latestEra() {
+				return fmt.Errorf("list %s: %w: version %v is of an earlier era", prefix, gypsumyard.ErrUnavailable, l.version)
+			}
 			s.noteAnswer(prefix)
 			s.applyList(prefix, l.objects, l.version)
 			return nil
@@ -391,6 +407,9 @@
 	if n := s.Apply(objects); n > 0 {
 		s.log.WithFields(logrus.Fields{"member": to.Name, "objects": n, "complete": complete}).Info("newer objects from a peer")
 	}
+	if complete.Era() > s.latestEra() {
+		s.eras.Observe(complete.Era())
+	}
 	if complete > after {
 		s.adoptCompleteVersion(complete)
 	}
@@ -398,7 +417,7 @@
 	s.contactMu.Lock()
 	defer s.contactMu.Unlock()
 	s.lastAnswer = now
-	if complete > 0 {
+	if complete > 0 && complete.Era() >= s.latestEra() {
 		s.lastWatcherAnswer = now
 	}
 	return nil
--- a/internal/linehost/system_test.go
+++ b/internal/linehost/system_test.go
@@ -41,6 +41,8 @@
 
 	mu      sync.Mutex
 	history history.History
+	// orders are the promotion orders that the platform has received.
+	orders []objects.PromotionOrder
 }
 
 // A node is one host.
@@ -57,29 +59,55 @@
 	s.group, err = linegroup.New(groupName, 3, options...)
 	s.must(err)
 	t.Cleanup(s.group.Close)
-	s.server, err = objects.Start(s.store, func(o objects.PromotionOrder) error { return s.group.Promote(o.ID) })
+	s.server, err = objects.Start(s.store, s.promote)
 	s.must(err)
 	t.Cleanup(s.server.Close)
+	s.setDesiredState(1, routes)
+	s.putInstances()
+	s.addHosts(hosts)
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	for _, h := range s.hosts {
+		s.awaitRoute(h, routes[0].Host)
+	}
+	return s
+}
+
+func (s *system) promote(o objects.PromotionOrder) error {
+	s.mu.Lock()
+	s.orders = append(s.orders, o)
+	s.mu.Unlock()
+	return s.group.Promote(o.ID)
+}
+
+// promotions returns the promotion orders so far.
+func (s *system) promotions() []objects.PromotionOrder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders)
+}
+
+// setDesiredState writes the operator's configuration.
+func (s *system) setDesiredState(version int, routes []objects.Route) {
+	s.t.Helper()
 	for n := range routes {
 		routes[n].Name, routes[n].Service, routes[n].TimeoutMs = "r-"+routes[n].Host, groupName, 1000
 	}
-	s.must(objects.SetDesiredState(t.Context(), s.store, objects.DesiredState{
-		Version: 1, Routes: routes, Services: []objects.Service{{Name: groupName, ConnectionLimit: 30, SyncReplicas: 1}},
+	s.must(objects.SetDesiredState(s.t.Context(), s.store, objects.DesiredState{
+		Version: version, Routes: routes, Services: []objects.Service{{Name: groupName, ConnectionLimit: 30, SyncReplicas: 1}},
 		Limits: objects.Limits{TransactionIdleMs: 3000},
 	}))
+}
+
+// putInstances writes the entries of all instances.
+func (s *system) putInstances() {
+	s.t.Helper()
 	for n, i := range s.group.Instances() {
 		l := i.Listed()
 		l.FailureDomain = fmt.Sprintf("zone-%d", n)
-		s.must(objects.PutInstance(t.Context(), s.store, l, l.Addr, objects.StateReady))
-	}
-	s.addHosts(hosts)
-	for _, h := range s.hosts {
-		s.start(h)
+		s.must(objects.PutInstance(s.t.Context(), s.store, l, l.Addr, objects.StateReady))
 	}
-	for _, h := range s.hosts {
-		s.awaitRoute(h, routes[0].Host)
-	}
-	return s
 }
 
 func (s *system) must(err error) {
--- a/internal/lineowner/claim.go
+++ b/internal/lineowner/claim.go
@@ -29,8 +29,9 @@
 	pending     bool
 	requestedAt time.Time
 	known       bool
-	// generation is that of the latest claim. It was first read at firstSeen
-	// and was still the latest in the read that was sent at lastSeen.
+	// generation is that of the latest claim. If there is none, it holds only the
+	// era. It was first read at firstSeen and was still the latest in the read that
+	// was sent at lastSeen.
 	generation gypsumyard.Generation
 	firstSeen  time.Time
 	lastSeen   time.Time
@@ -39,23 +40,44 @@
 }
 
 // claimEvidence returns the time up to which the store proves that p is the
-// primary, or the zero time. Elections with the latest or an older claim must
-// have ended before the instances last proved it. The caller must hold g.mu.
+// primary, or the zero time. Elections with the latest or an older claim, or with
+// one that a restore of the store has lost, must have ended before the instances
+// last proved it. The caller must hold g.mu.
 func (g *group) claimEvidence(p *instance) time.Time {
 	c := &g.claim
 	if !c.known || g.lastProof.primary != p || g.lastProof.term != p.status.term {
 		return time.Time{}
 	}
 	electionsEnd := c.firstSeen
-	if !c.done && c.generation != 0 {
+	if !c.done && gypsumyard.Version(c.generation).Revision() != 0 {
 		electionsEnd = electionsEnd.Add(maxElectionDuration)
 	}
+	if end, known := g.service.lostClaimsEnd(gypsumyard.Version(c.generation).Era(), maxElectionDuration); !known {
+		return time.Time{}
+	} else if end.After(electionsEnd) {
+		electionsEnd = end
+	}
 	if g.lastProof.at.Before(electionsEnd) {
 		return time.Time{}
 	}
 	return c.lastSeen
 }
 
+// lostClaimsEnd returns when an election is over whose claim was lost when the store
+// entered the era, if an election takes at most duration. Known is false if the
+// store is no longer in that era. In era zero the store loses no claims.
+func (s *Service) lostClaimsEnd(e gypsumyard.Era, duration time.Duration) (end time.Time, known bool) {
+	latest, since := s.eras.Era()
+	switch {
+	case latest != e:
+		return end, false
+	case e == 0:
+		return end, true
+	}
+	// This host may have learned of the era long after the restore.
+	return since.Add(duration), true
+}
+
 // refreshClaim reads the latest claim from the store in the background, once
 // initially and then while the evidence from instances is old.
 func (g *group) refreshClaim() {
--- a/internal/lineowner/claimstore.go
+++ b/internal/lineowner/claimstore.go
@@ -14,9 +14,11 @@
 // the version that the store assigns to the group's object when the claim is
 // written: versions increase, are unique in the whole store, and are never
 // assigned twice, even if the answer to a write is lost or the write is applied
-// late.
+// late. A restore of the store takes revisions back but begins a new era, so
+// versions increase across it too.
 type claimStore struct {
 	store  gypsumyard.Store
+	eras   gypsumyard.Eras
 	prefix string
 	holder string
 	// started is when this process started, in nanoseconds of Unix time.
@@ -39,30 +41,42 @@
 // isOwn reports whether the claim was made by this process.
 func (c *claimStore) isOwn(l claim) bool { return l.Holder == c.holder && l.Started == c.started }
 
-// latest returns the latest claim for the group and its version, or version zero
-// if there is none.
+// latest returns the latest claim for the group and its version. If there is none,
+// the version has no revision.
 func (c *claimStore) latest(ctx context.Context, group string) (v gypsumyard.Version, l claim, err error) {
 	o, err := c.store.Get(ctx, c.prefix+group)
 	switch {
 	case errors.Is(err, gypsumyard.ErrNotFound):
-		return 0, l, nil
+		c.eras.Observe(o.Version.Era())
+		return o.Version, l, nil
 	case err != nil:
 		return 0, l, fmt.Errorf("read the claim of %s: %w", group, err)
 	}
+	c.eras.Observe(o.Version.Era())
 	if err := json.Unmarshal(o.Value, &l); err != nil {
 		return 0, l, fmt.Errorf("read the claim of %s: %w", group, err)
 	}
 	return o.Version, l, nil
 }
 
+// errStoreRestored indicates that the store was restored from an older copy between
+// two steps of an election: claims of other hosts may be lost.
+var errStoreRestored = errors.New("store was restored during the election")
+
 // acquire replaces the claim of version previous with a new one and returns its
-// generation.
+// generation. It fails with errStoreRestored if the new claim is of another era
+// than the previous one: the store compares revisions only, so it may have replaced a
+// claim that this host has not seen.
 func (c *claimStore) acquire(ctx context.Context, group string, previous gypsumyard.Version) (gypsumyard.Generation, error) {
 	c.mu.Lock()
 	c.lastNumber++
 	n := claim{Holder: c.holder, Started: c.started, Number: c.lastNumber}
 	c.mu.Unlock()
-	return c.write(ctx, group, previous, n)
+	gen, err := c.write(ctx, group, previous, n)
+	if err == nil && gypsumyard.Version(gen).Era() != previous.Era() {
+		return 0, fmt.Errorf("claim the promotion of %s: %w", group, errStoreRestored)
+	}
+	return gen, err
 }
 
 // markDone marks the claim as having no promotion order pending.
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -99,7 +99,7 @@
 		if owned && g.maybeTransfer(g.clock.Now()) {
 			continue
 		}
-		if why.reason == "" || g.clock.Now().Before(g.election.notBefore) {
+		if why.reason == "" || g.clock.Now().Before(g.election.notBefore) || g.mustAwaitLostClaims() {
 			continue
 		}
 		g.elect(why)
@@ -239,7 +239,10 @@
 	c.record(gypsumyard.Generation(v), latest.Done, g.clock.Now())
 	seen := g.clock.Since(c.firstSeen)
 	g.mu.Unlock()
-	if v != 0 && !latest.Done && !g.service.claims.isOwn(latest) && seen < foreignElectionTimeout {
+	if end, known := g.service.lostClaimsEnd(v.Era(), foreignElectionTimeout); !known || g.clock.Now().Before(end) {
+		return 0, fmt.Errorf("claim %v: %w", v, errStoreRestored)
+	}
+	if v.Revision() != 0 && !latest.Done && !g.service.claims.isOwn(latest) && seen < foreignElectionTimeout {
 		return 0, fmt.Errorf("%w: claim %d of %s, seen for %v", errForeignElection, v, latest.Holder, seen)
 	}
 	gen, err := g.service.claims.acquire(ctx, g.name, v)
@@ -252,6 +255,14 @@
 	return gen, nil
 }
 
+// mustAwaitLostClaims reports whether another host may still be promoting with a
+// claim that a restore of the store has lost.
+func (g *group) mustAwaitLostClaims() bool {
+	latest, _ := g.service.eras.Era()
+	end, known := g.service.lostClaimsEnd(latest, foreignElectionTimeout)
+	return !known || g.clock.Now().Before(end)
+}
+
 // markClaimDone tells other hosts that they need not wait for a promotion order
 // of the claim.
 func (g *group) markClaimDone(gen gypsumyard.Generation) {
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/era"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -34,6 +35,7 @@
 	log           logrus.FieldLogger
 	metrics       *metrics
 	claims        *claimStore
+	eras          gypsumyard.Eras
 	promotions    gypsumyard.PromotionClient
 	lists         Lists
 	members       gypsumyard.Membership
@@ -67,6 +69,9 @@
 // WithMetrics sets the scope of the metrics.
 func WithMetrics(m tally.Scope) Option { return func(s *Service) { s.metrics = newMetrics(m) } }
 
+// WithEras sets the tracker of the store's era, which the store's client updates.
+func WithEras(e gypsumyard.Eras) Option { return func(s *Service) { s.eras = e } }
+
 // New returns the service. It stores promotion claims below claimPrefix.
 func New(store gypsumyard.Store, claimPrefix string, promotions gypsumyard.PromotionClient, options ...Option) *Service {
 	s := &Service{
@@ -74,6 +79,7 @@
 		log:        logrus.StandardLogger(),
 		metrics:    newMetrics(tally.NoopScope),
 		claims:     &claimStore{store: store, prefix: claimPrefix},
+		eras:       era.NewTracker(),
 		promotions: promotions,
 		done:       make(chan struct{}),
 		groups:     map[string]*group{},
@@ -115,6 +121,7 @@
 		return fmt.Errorf("owner: %w", err)
 	}
 	s.self, s.failureDomain = s.members.Self().Name, s.members.Self().FailureDomain
+	s.claims.eras = s.eras
 	s.claims.holder, s.claims.started = s.self, s.clock.Now().UnixNano()
 	s.started = true
 	s.wg.Go(s.reconcileLoop)
