dispatch: a request that its owner cannot serve soon is rejected at once

Change: Error.NoRetry, set by the owner when no instance is known to lead, carried between hosts; the dispatcher passes such an error on at once.

--- a/errors.go
+++ b/errors.go
@@ -60,6 +60,9 @@
 	// RetryAfter is how long the caller should wait before it retries. Zero
 	// gives no advice.
 	RetryAfter time.Duration
+	// NoRetry indicates that the request cannot be served soon by the hosts that
+	// this one reaches, so they do not retry it. The caller may reach others.
+	NoRetry bool
 	// Err is the cause, nil if there is none.
 	Err error
 }
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -175,7 +175,8 @@
 // retryable reports whether the request may be sent again after err.
 func (p *pendingRequest) retryable(ctx context.Context, err error) bool {
 	r := p.request
-	if p.delivered() || ctx.Err() != nil {
+	var e *gypsumyard.Error
+	if p.delivered() || ctx.Err() != nil || errors.As(err, &e) && e.NoRetry {
 		return false
 	}
 	switch gypsumyard.ClassOf(err) {
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -232,7 +232,7 @@
 	})
 	if err == nil && noPrimary {
 		e := gypsumyard.Errorf(gypsumyard.ClassNotRun, "no instance has been known to lead for %v", noPrimaryTimeout)
-		e.RetryAfter = noPrimaryRetryAfter
+		e.RetryAfter, e.NoRetry = noPrimaryRetryAfter, true
 		return e
 	}
 	return err
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -160,6 +160,7 @@
 		State:        e.State,
 		Message:      e.Message,
 		RetryAfterNs: int64(e.RetryAfter),
+		NoRetry:      e.NoRetry,
 	}
 	if e.Err != nil {
 		p.Cause = e.Err.Error()
@@ -179,6 +180,7 @@
 		State:      p.State,
 		Message:    p.Message,
 		RetryAfter: time.Duration(p.RetryAfterNs),
+		NoRetry:    p.NoRetry,
 	}
 	if !knownClasses[e.Class] {
 		e.Class = gypsumyard.ClassUnknown
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -49,7 +49,7 @@
 // partial answer that is delivered together with the error.
 func TestExecuteCarriesErrors(t *testing.T) {
 	is := is.New(t)
-	want := &gypsumyard.Error{Class: gypsumyard.ClassLoad, State: "53300", Message: "full", RetryAfter: time.Second, Err: gypsumyard.ErrFenced}
+	want := &gypsumyard.Error{Class: gypsumyard.ClassLoad, State: "53300", Message: "full", RetryAfter: time.Second, NoRetry: true, Err: gypsumyard.ErrFenced}
 	o := newFakeOwner(func(_ context.Context, _ *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
 		_, _ = sink.Write([]byte("part"))
 		return gypsumyard.Result{TxStatus: 'E', Transaction: "tx"}, want
