--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -61,15 +61,14 @@
 	hosts map[string]*Service
 }
 
-func (p *peers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version, error) {
+func (p *peers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
 	p.mu.Lock()
 	s := p.hosts[from.Name]
 	p.mu.Unlock()
 	if s == nil {
-		return nil, 0, gypsumyard.ErrUnavailable
+		return gypsumyard.ObjectUpdate{}, gypsumyard.ErrUnavailable
 	}
-	list, v := s.Newer(after)
-	return list, v, nil
+	return s.Newer(after), nil
 }
 
 // start starts the service of a host and stops it at the end of the test.
@@ -77,7 +76,7 @@
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New(store, decoder{}, names, "region", WithLogger(log))
+	s := New(store, decoder{}, names, "region", WithLogger(log), WithEras(era.NewTracker(era.WithLogger(log))))
 	m := &members{Stub: kerneltest.New("members"), self: self}
 	for _, h := range hosts {
 		m.hosts = append(m.hosts, gypsumyard.Host{Name: h, State: gypsumyard.HostLive})
--- /dev/null
+++ b/internal/catalog/pull.go
@@ -0,0 +1,131 @@
+package catalog
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// pullInterval is the mean time between two pulls from a watcher while the store
+	// answers and the lists are known, and pullIntervalStoreUnreachable otherwise.
+	pullInterval                 = 600 * time.Millisecond
+	pullIntervalStoreUnreachable = 250 * time.Millisecond
+	// pullTimeout bounds one pull from another host.
+	pullTimeout = 500 * time.Millisecond
+)
+
+// pullLoop pulls newer objects from other hosts periodically until the service
+// stops.
+func (s *Service) pullLoop() {
+	for {
+		pause := pullInterval
+		if s.contact.storeUnreachable() || !s.isReady() {
+			pause = pullIntervalStoreUnreachable
+		}
+		if s.clock.Sleep(s.stopping, pause/2+rand.N(pause)) != nil {
+			return
+		}
+		if err := s.pullFromPeer(); err != nil {
+			s.log.WithError(err).Debug("pull of newer objects from a peer failed")
+		}
+	}
+}
+
+func (s *Service) isReady() bool {
+	select {
+	case <-s.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *Service) pullFromPeer() error {
+	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
+	if err != nil {
+		return err
+	}
+	peers, err := kernel.Lookup[gypsumyard.PeerClient](s.kernel, "peer")
+	if err != nil {
+		return err
+	}
+	others := s.pullSources(members)
+	if len(others) == 0 {
+		return nil
+	}
+	from := others[rand.IntN(len(others))]
+	ctx, cancel := context.WithTimeout(s.stopping, pullTimeout)
+	defer cancel()
+	s.mu.Lock()
+	after := s.minCompleteVersionLocked()
+	s.mu.Unlock()
+	sent := s.clock.Now()
+	u, err := peers.FetchObjects(ctx, from, after)
+	if err != nil {
+		return fmt.Errorf("from %s: %w", from.Name, err)
+	}
+	s.applyUpdate(u, after, from.Name)
+	s.contact.notePeer(from.Name, sent, s.peerValidity(u))
+	return nil
+}
+
+// pullSources returns the hosts to pull from: the watchers, or all hosts if this one
+// is a watcher and does not reach the store, since others may.
+func (s *Service) pullSources(members gypsumyard.Membership) (others []gypsumyard.Host) {
+	sources := s.watchers(members)
+	if s.contact.storeUnreachable() && s.isWatcher() {
+		sources = members.Hosts()
+	}
+	self := members.Self().Name
+	for _, h := range sources {
+		if h.Name != self && h.State == gypsumyard.HostLive {
+			others = append(others, h)
+		}
+	}
+	return others
+}
+
+// applyUpdate merges what a peer has. The copies were complete up to after.
+func (s *Service) applyUpdate(u gypsumyard.ObjectUpdate, after gypsumyard.Version, from string) {
+	if n := s.Apply(u.Objects); n > 0 {
+		s.log.WithFields(logrus.Fields{"member": from, "objects": n, "complete": u.Complete}).Info("newer objects from a peer")
+	}
+	if u.Complete.Era() >= s.latestEra() && u.Complete.Era() > 0 {
+		s.eras.Learn(u.Complete.Era(), u.EraAge)
+	}
+	if u.Complete > after {
+		s.adoptCompleteVersion(u.Complete)
+	}
+}
+
+// peerValidity returns how long the update may be relied on. A peer that lacks the
+// store, or has not seen its latest restore, proves nothing.
+func (s *Service) peerValidity(u gypsumyard.ObjectUpdate) time.Duration {
+	if u.Complete == 0 || u.Complete.Era() < s.latestEra() {
+		return 0
+	}
+	if u.ValidFor == 0 {
+		return defaultPeerValidity
+	}
+	return min(u.ValidFor, desiredValidity)
+}
+
+// Newer returns what the copies add to copies that are complete up to after. While
+// they may not be relied on, the update claims no completeness.
+func (s *Service) Newer(after gypsumyard.Version) (u gypsumyard.ObjectUpdate) {
+	u.Objects, u.Complete = s.objectCache.Newer(after)
+	u.ValidFor = s.contact.validFor()
+	if u.ValidFor == 0 {
+		u.Complete = 0
+	}
+	if e, since := s.eras.Era(); e == u.Complete.Era() {
+		u.EraAge = s.clock.Since(since)
+	}
+	return u
+}
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -212,15 +212,16 @@
 	}
 	is.Equal(desiredNumber(young), int64(4))
 	is.Equal(len(young.Instances("g")), 1)
-	known, complete := old.Newer(at(2, 41))
-	is.Equal(complete, at(2, 41))
-	young.Apply(known)
+	old.contact.noteAnswer(names.desiredPrefix())
+	old.contact.noteAnswer(names.Instances)
+	u := old.Newer(at(2, 41))
+	is.Equal(u.Complete, at(2, 41))
+	young.Apply(u.Objects)
 	c.Advance(removalGrace + time.Millisecond)
 	young.expireRemoved()
 	is.Equal(desiredNumber(young), int64(5))
 	is.Equal(len(young.Instances("g")), 0)
-	known, _ = young.Newer(at(2, 41))
-	old.Apply(known) // What the other has learned changes nothing here.
+	old.Apply(young.Newer(at(2, 41)).Objects) // What the other has learned changes nothing here.
 	is.Equal(desiredNumber(old), int64(5))
 	is.Equal(len(old.Instances("g")), 0)
 }
@@ -245,7 +246,10 @@
 	own.Restore(older)
 	put(t, own, names.Instances+"i-2", `{"Group":"g","Slots":2,"Sequence":1}`)
 	eventually(t, applyWithin, "what the store has since", func() bool { return len(b.Instances("g")) == 2 })
-	is.Equal(own.Calls("list"), before+2) // One for the state and one for the instances.
+	// One for the state and one for the instances.
+	eventually(t, applyWithin, "both lists", func() bool { return own.Calls("list") == before+2 })
+	time.Sleep(pullInterval)
+	is.Equal(own.Calls("list"), before+2)
 }
 
 // Guards against a host that is not registered after a restore has lost its entry.
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -17,46 +13,9 @@
 	"github.com/sirupsen/logrus"
 )
 
-const (
-	// retryMin and retryMax bound the pause after a failed call to the store.
-	retryMin = 50 * time.Millisecond
-	retryMax = 400 * time.Millisecond
-	// watcherCount is the number of hosts that watch the store. It is fixed so that
-	// the number of calls to the store does not grow with the fleet; the other hosts
-	// pull from the watchers. Watchers renew their watches often enough that a
-	// change that a watch has missed is in force in time.
-	watcherCount = 3
-	// watcherKey is the rendezvous key that selects the watchers.
-	watcherKey = "desired-state"
-	// desiredWatchTimeout bounds one watch call for the desired state, and
-	// instancesWatchTimeout one for the instances, whose changes may take longer to
-	// be in force.
-	desiredWatchTimeout   = 1200 * time.Millisecond
-	instancesWatchTimeout = 2400 * time.Millisecond
-	// watcherAnswerValidity is how long a host relies on the last answer of a
-	// watcher. After that it watches the store itself.
-	watcherAnswerValidity = 1500 * time.Millisecond
-	// delegationCheckInterval is how often a host that leaves the watch to others
-	// checks whether it must watch the store itself.
-	delegationCheckInterval = 200 * time.Millisecond
-	// listRetryInterval is the time without an answer after which a list call is
-	// repeated, since a store that recovers does not answer calls from before. Up
-	// to maxConcurrentLists calls are in flight.
-	listRetryInterval  = 400 * time.Millisecond
-	maxConcurrentLists = 5
-	// pullInterval is the mean time between two pulls from a watcher while the store
-	// answers and the lists are known, and pullIntervalStoreUnreachable otherwise.
-	pullInterval                 = 600 * time.Millisecond
-	pullIntervalStoreUnreachable = 250 * time.Millisecond
-	// pullTimeout bounds one pull from another host.
-	pullTimeout = 500 * time.Millisecond
-	// expireInterval is the time between two checks for removed entries whose grace
-	// period has ended.
-	expireInterval = 250 * time.Millisecond
-	// maxContactAge is the age of the last answer from the store or a peer up to
-	// which the copies count as current.
-	maxContactAge = 8 * time.Second
-)
+// expireInterval is the time between two checks for removed entries whose grace
+// period has ended.
+const expireInterval = 250 * time.Millisecond
 
 // ObjectNames are the names and prefixes of the objects in the platform's store.
 type ObjectNames struct {
@@ -87,14 +46,7 @@
 	work     sync.WaitGroup
 	done     chan struct{}
 
-	contactMu sync.Mutex
-	// unreachable indicates, by watched prefix, that the last call to the store
-	// failed.
-	unreachable map[string]bool
-	// lastAnswer is when the store or a peer last answered.
-	lastAnswer time.Time
-	// lastWatcherAnswer is when a watcher that the store serves last answered.
-	lastWatcherAnswer time.Time
+	contact *contact
 }
 
 var (
@@ -130,14 +82,14 @@
 			changes:          make(chan struct{}),
 			ready:            make(chan struct{}),
 		},
-		store:       store,
-		eras:        era.NewTracker(),
-		done:        make(chan struct{}),
-		unreachable: map[string]bool{},
+		store: store,
+		eras:  era.NewTracker(),
+		done:  make(chan struct{}),
 	}
 	for _, o := range options {
 		o(s)
 	}
+	s.contact = newContact(s.clock, s.log, names)
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
@@ -171,275 +123,16 @@
 	return nil
 }
 
-// watchLoop keeps the copies of a prefix up to date with the store until the
-// service stops, except while this host leaves the watch to others.
-func (s *Service) watchLoop(prefix string) {
-	pause := retryMin
-	for s.stopping.Err() == nil {
-		if s.delegatesWatch(prefix) {
-			if s.clock.Sleep(s.stopping, delegationCheckInterval) != nil {
-				return
-			}
-			continue
-		}
-		err := s.watchOnce(prefix)
-		if err == nil {
-			pause = retryMin
-			continue
-		}
-		if s.stopping.Err() != nil {
-			return
-		}
-		s.noteUnreachable(prefix, err)
-		if s.clock.Sleep(s.stopping, pause/2+rand.N(pause)) != nil {
-			return
-		}
-		pause = min(2*pause, retryMax)
-	}
-}
-
-// watchOnce makes the next call to the store: a watch from the version up to which
-// the copies are complete, or a list if there is no such version or the store has
-// dropped its history since.
-func (s *Service) watchOnce(prefix string) error {
-	after := s.completeVersion(prefix)
-	if after == 0 || after.Era() < s.latestEra() {
-		return s.list(prefix)
-	}
-	wait := desiredWatchTimeout
-	if prefix == s.names.Instances {
-		wait = instancesWatchTimeout
-	}
-	ctx, cancel := context.WithTimeout(s.stopping, wait)
-	defer cancel()
-	events, v, err := s.store.Watch(ctx, prefix, after)
-	if errors.Is(err, gypsumyard.ErrHistoryGone) {
-		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
-		return s.list(prefix)
-	}
-	if err != nil {
-		return err
-	}
-	s.noteAnswer(prefix)
-	s.Apply(events)
-	s.setCompleteVersion(prefix, v)
-	return nil
-}
-
-// A ranker returns the hosts that rank highest for a key.
-type ranker interface {
-	TopRanked(key string, n int) []gypsumyard.Host
-}
-
-// delegatesWatch reports whether this host leaves the watch of the store to the
-// watchers. After a restore of the store it first lists the store itself. A watch can miss changes and the loss of its history without an error,
-// so if all hosts watched, all would have to renew their watches often.
-func (s *Service) delegatesWatch(prefix string) bool {
-	s.contactMu.Lock()
-	recent := !s.lastWatcherAnswer.IsZero() && s.clock.Since(s.lastWatcherAnswer) < watcherAnswerValidity
-	s.contactMu.Unlock()
-	complete := s.completeVersion(prefix)
-	return recent && complete > 0 && complete.Era() >= s.latestEra() && !s.isWatcher()
-}
-
-func (s *Service) latestEra() gypsumyard.Era {
-	e, _ := s.eras.Era()
-	return e
-}
-
-// isWatcher reports whether this host is one of the watchers.
-func (s *Service) isWatcher() bool {
-	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
-	if err != nil {
-		return true
-	}
-	self := members.Self().Name
-	return slices.ContainsFunc(s.watchers(members), func(h gypsumyard.Host) bool { return h.Name == self })
-}
-
-func (s *Service) watchers(members gypsumyard.Membership) []gypsumyard.Host {
-	if l, ok := members.(ranker); ok {
-		return l.TopRanked(watcherKey, watcherCount)
-	}
-	return members.Hosts()
-}
-
-// list replaces the copies with the objects that the store lists. It uses the
-// first answer if several calls are in flight.
-func (s *Service) list(prefix string) error {
-	ctx, cancel := context.WithCancel(s.stopping)
-	defer cancel()
-	answers := make(chan listResult, maxConcurrentLists)
-	call := func() {
-		objects, v, err := s.store.List(ctx, prefix)
-		answers <- listResult{objects, v, err}
-	}
-	t := s.clock.NewTimer(listRetryInterval)
-	defer t.Stop()
-	go call()
-	for calls := 1; ; {
-		select {
-		case l := <-answers:
-			if l.err != nil {
-				return l.err
-			}
-			s.eras.Observe(l.version.Era())
-			if l.version.Era() < s.latestEra() {
-				return fmt.Errorf("list %s: %w: version %v is of an earlier era", prefix, gypsumyard.ErrUnavailable, l.version)
-			}
-			s.noteAnswer(prefix)
-			s.applyList(prefix, l.objects, l.version)
-			return nil
-		case <-t.C():
-			if calls < maxConcurrentLists {
-				calls++
-				go call()
-				t.Reset(listRetryInterval)
-			}
-		}
-	}
-}
-
-// A listResult is the answer to one list call.
-type listResult struct {
-	objects []gypsumyard.Object
-	version gypsumyard.Version
-	err     error
-}
-
-func (s *Service) noteUnreachable(prefix string, err error) {
-	s.contactMu.Lock()
-	before := s.unreachable[prefix]
-	s.unreachable[prefix] = true
-	s.contactMu.Unlock()
-	if !before {
-		s.log.WithField("prefix", prefix).WithError(err).Warn("store lost")
-	}
-}
-
-func (s *Service) noteAnswer(prefix string) {
-	s.contactMu.Lock()
-	before := s.unreachable[prefix]
-	s.unreachable[prefix] = false
-	s.lastAnswer = s.clock.Now()
-	s.contactMu.Unlock()
-	if before {
-		s.log.WithField("prefix", prefix).Info("store regained")
-	}
-}
-
-// StoreUnreachable reports whether the last call to the store failed for any of the
-// prefixes.
-func (s *Service) StoreUnreachable() bool {
-	s.contactMu.Lock()
-	defer s.contactMu.Unlock()
-	for _, l := range s.unreachable {
-		if l {
-			return true
-		}
-	}
-	return false
-}
-
-// Current reports whether the store or another host has answered recently, so that
-// the copies can be relied on.
-func (s *Service) Current() bool {
-	s.contactMu.Lock()
-	defer s.contactMu.Unlock()
-	return !s.lastAnswer.IsZero() && s.clock.Since(s.lastAnswer) < maxContactAge
-}
-
-// pullLoop pulls newer objects from other hosts periodically until the service
-// stops.
-func (s *Service) pullLoop() {
-	for {
-		pause := pullInterval
-		if s.StoreUnreachable() || !s.isReady() {
-			pause = pullIntervalStoreUnreachable
-		}
-		if s.clock.Sleep(s.stopping, pause/2+rand.N(pause)) != nil {
-			return
-		}
-		if err := s.pullFromPeer(); err != nil {
-			s.log.WithError(err).Debug("pull of newer objects from a peer failed")
-		}
-	}
-}
-
-func (s *Service) isReady() bool {
-	select {
-	case <-s.ready:
-		return true
-	default:
-		return false
-	}
-}
-
-func (s *Service) pullFromPeer() error {
-	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
-	if err != nil {
-		return err
-	}
-	peers, err := kernel.Lookup[gypsumyard.PeerClient](s.kernel, "peer")
-	if err != nil {
-		return err
-	}
-	self := members.Self().Name
-	var others []gypsumyard.Host
-	for _, h := range s.watchers(members) {
-		if h.Name != self && h.State == gypsumyard.HostLive {
-			others = append(others, h)
-		}
-	}
-	if len(others) == 0 {
-		return nil
-	}
-	to := others[rand.IntN(len(others))]
-	ctx, cancel := context.WithTimeout(s.stopping, pullTimeout)
-	defer cancel()
-	s.mu.Lock()
-	after := s.minCompleteVersionLocked()
-	s.mu.Unlock()
-	objects, complete, err := peers.FetchObjects(ctx, to, after)
-	if err != nil {
-		return fmt.Errorf("from %s: %w", to.Name, err)
-	}
-	if n := s.Apply(objects); n > 0 {
-		s.log.WithFields(logrus.Fields{"member": to.Name, "objects": n, "complete": complete}).Info("newer objects from a peer")
-	}
-	if complete.Era() > s.latestEra() {
-		s.eras.Observe(complete.Era())
-	}
-	if complete > after {
-		s.adoptCompleteVersion(complete)
-	}
-	now := s.clock.Now()
-	s.contactMu.Lock()
-	defer s.contactMu.Unlock()
-	s.lastAnswer = now
-	if complete > 0 && complete.Era() >= s.latestEra() {
-		s.lastWatcherAnswer = now
-	}
-	return nil
-}
-
-// Newer returns the copies that are newer than after, and the version up to which
-// they are complete. While the store is unreachable that version is zero, so that
-// the answer does not count as one of a watcher.
-func (s *Service) Newer(after gypsumyard.Version) (list []gypsumyard.Object, complete gypsumyard.Version) {
-	list, complete = s.objectCache.Newer(after)
-	if s.StoreUnreachable() {
-		complete = 0
-	}
-	return list, complete
-}
-
 func (s *Service) expireLoop() {
 	for s.clock.Sleep(s.stopping, expireInterval) == nil {
 		s.expireRemoved()
 	}
 }
 
+// Current reports whether the store or another host has answered recently, so that
+// the copies can be relied on.
+func (s *Service) Current() bool { return s.contact.current() }
+
 // Ready returns a channel that is closed once the desired state and the list of
 // instances are known.
 func (s *Service) Ready() <-chan struct{} { return s.ready }
--- /dev/null
+++ b/internal/catalog/watch.go
@@ -0,0 +1,216 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// watcherCount is the number of hosts that watch the store. It is fixed so that
+	// the number of calls to the store does not grow with the fleet; the other hosts
+	// pull from the watchers. Watchers renew their watches often enough that a
+	// change that a watch has missed is in force in time.
+	watcherCount = 3
+	// watcherKey is the rendezvous key that selects the watchers.
+	watcherKey = "desired-state"
+	// desiredWatchTimeout bounds one watch call for the desired state, and
+	// instancesWatchTimeout one for the instances, whose changes may take longer to
+	// be in force.
+	desiredWatchTimeout   = 1200 * time.Millisecond
+	instancesWatchTimeout = 2400 * time.Millisecond
+	// delegationCheckInterval is how often a host that leaves the watch to others
+	// checks whether it must watch the store itself.
+	delegationCheckInterval = 200 * time.Millisecond
+	// retryMin is the mean of the first pause after a failed call to the store. It
+	// doubles up to retryMax.
+	retryMin = 50 * time.Millisecond
+	retryMax = 400 * time.Millisecond
+	// standInPause is the mean pause between two calls of a host that stands in for
+	// the watchers. All of these lose the watchers at the same time, and a burst of
+	// changes would wake all of them each time. After a failed call it doubles up to
+	// standInRetryMax.
+	standInPause    = 500 * time.Millisecond
+	standInRetryMax = time.Second
+	// listRetryInterval is the time without an answer after which a list call is
+	// repeated, since a store that recovers does not answer calls from before. Up
+	// to maxConcurrentLists calls are in flight.
+	listRetryInterval  = 400 * time.Millisecond
+	maxConcurrentLists = 5
+)
+
+// watchLoop keeps the copies of a prefix up to date with the store until the
+// service stops, except while this host leaves the watch to others.
+func (s *Service) watchLoop(prefix string) {
+	var r readPacer
+	listNext := false
+	for s.stopping.Err() == nil {
+		if s.delegatesWatch(prefix) {
+			if s.clock.Sleep(s.stopping, delegationCheckInterval) != nil {
+				return
+			}
+			continue
+		}
+		err := s.readStore(prefix, listNext)
+		if s.stopping.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.contact.noteUnreachable(prefix, err)
+		}
+		standsIn := s.standsIn(prefix)
+		// A store that does not answer watches may still list.
+		listNext = errors.Is(err, context.DeadlineExceeded) && !standsIn
+		pause := r.next(err != nil, standsIn)
+		if pause > 0 && s.clock.Sleep(s.stopping, pause/2+rand.N(pause)) != nil {
+			return
+		}
+	}
+}
+
+// A readPacer spaces the calls of a host to the store.
+type readPacer struct{ pause time.Duration }
+
+// next returns the mean pause after a call, which is zero if the next call may be
+// made at once.
+func (r *readPacer) next(failed, standsIn bool) time.Duration {
+	first, most := retryMin, retryMax
+	if standsIn {
+		first, most = standInPause, standInRetryMax
+	}
+	switch {
+	case failed:
+		r.pause = min(max(2*r.pause, first), most)
+	case standsIn:
+		r.pause = standInPause
+	default:
+		r.pause = 0
+	}
+	return r.pause
+}
+
+// readStore makes the next call to the store: a watch from the version up to which
+// the copies are complete, or a list if one is requested, there is no such version,
+// or the store has dropped its history since.
+func (s *Service) readStore(prefix string, list bool) error {
+	after := s.completeVersion(prefix)
+	if list || after == 0 || after.Era() < s.latestEra() {
+		return s.list(prefix)
+	}
+	wait := desiredWatchTimeout
+	if prefix == s.names.Instances {
+		wait = instancesWatchTimeout
+	}
+	ctx, cancel := context.WithTimeout(s.stopping, wait)
+	defer cancel()
+	events, v, err := s.store.Watch(ctx, prefix, after)
+	if errors.Is(err, gypsumyard.ErrHistoryGone) {
+		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
+		return s.list(prefix)
+	}
+	if err != nil {
+		return err
+	}
+	s.contact.noteAnswer(prefix)
+	s.Apply(events)
+	s.setCompleteVersion(prefix, v)
+	return nil
+}
+
+// delegatesWatch reports whether this host leaves the watch of the store to the
+// watchers. A watch can miss changes and the loss of its history without an error,
+// so if all hosts watched, all would have to renew their watches often. After a
+// restore of the store each host first lists the store itself. While the desired
+// state cannot be read, a host that is not a watcher does not try the instances.
+func (s *Service) delegatesWatch(prefix string) bool {
+	if !s.standsIn(prefix) {
+		return false
+	}
+	if complete := s.completeVersion(prefix); complete.Era() < s.latestEra() {
+		return false
+	}
+	return s.contact.reliesOnPeer() || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
+}
+
+// standsIn reports whether this host has copies and is not a watcher, so that it
+// reads the store only in place of watchers that it does not hear.
+func (s *Service) standsIn(prefix string) bool {
+	return s.completeVersion(prefix) > 0 && !s.isWatcher()
+}
+
+func (s *Service) latestEra() gypsumyard.Era {
+	e, _ := s.eras.Era()
+	return e
+}
+
+// A ranker returns the hosts that rank highest for a key.
+type ranker interface {
+	TopRanked(key string, n int) []gypsumyard.Host
+}
+
+// isWatcher reports whether this host is one of the watchers.
+func (s *Service) isWatcher() bool {
+	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
+	if err != nil {
+		return true
+	}
+	self := members.Self().Name
+	return slices.ContainsFunc(s.watchers(members), func(h gypsumyard.Host) bool { return h.Name == self })
+}
+
+func (s *Service) watchers(members gypsumyard.Membership) []gypsumyard.Host {
+	if l, ok := members.(ranker); ok {
+		return l.TopRanked(watcherKey, watcherCount)
+	}
+	return members.Hosts()
+}
+
+// list replaces the copies with the objects that the store lists. It uses the
+// first answer if several calls are in flight.
+func (s *Service) list(prefix string) error {
+	ctx, cancel := context.WithCancel(s.stopping)
+	defer cancel()
+	answers := make(chan listResult, maxConcurrentLists)
+	call := func() {
+		objects, v, err := s.store.List(ctx, prefix)
+		answers <- listResult{objects, v, err}
+	}
+	t := s.clock.NewTimer(listRetryInterval)
+	defer t.Stop()
+	go call()
+	for calls := 1; ; {
+		select {
+		case l := <-answers:
+			if l.err != nil {
+				return l.err
+			}
+			s.eras.Observe(l.version.Era())
+			if l.version.Era() < s.latestEra() {
+				return fmt.Errorf("list %s: %w: version %v is of an earlier era", prefix, gypsumyard.ErrUnavailable, l.version)
+			}
+			s.contact.noteAnswer(prefix)
+			s.applyList(prefix, l.objects, l.version)
+			return nil
+		case <-t.C():
+			if calls < maxConcurrentLists {
+				calls++
+				go call()
+				t.Reset(listRetryInterval)
+			}
+		}
+	}
+}
+
+// A listResult is the answer to one list call.
+type listResult struct {
+	objects []gypsumyard.Object
+	version gypsumyard.Version
+	err     error
+}
--- a/internal/emulate/memstore/store.go
+++ b/internal/emulate/memstore/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"maps"
 	"strings"
 	"sync"
@@ -235,7 +236,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			err = gypsumyard.ErrUnavailable
+			err = fmt.Errorf("%w: %w", gypsumyard.ErrUnavailable, ctx.Err())
 		}
 		s.mu.Lock()
 		if err != nil {
--- a/internal/era/tracker.go
+++ b/internal/era/tracker.go
@@ -68,6 +68,22 @@
 func (t *Tracker) Observe(e gypsumyard.Era) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.record(e)
+}
+
+// Learn records an era that a peer has known for the given time. The peer may have
+// seen its beginning long before this host.
+func (t *Tracker) Learn(e gypsumyard.Era, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(e)
+	if since := t.clock.Now().Add(-age); e == t.latest && since.Before(t.since) {
+		t.since = since
+	}
+}
+
+// record records an era. The caller must hold t.mu.
+func (t *Tracker) record(e gypsumyard.Era) {
 	switch {
 	case t.known && e == t.latest:
 		return
--- a/internal/era/tracker_test.go
+++ b/internal/era/tracker_test.go
@@ -75,3 +75,24 @@
 	k.Observe(1)
 	is.Equal(len(hook.AllEntries()), before+2)
 }
+
+// Guards against a host that has just started and waits for elections of before an
+// era that its peers have known for long.
+func TestAgeOfEraIsLearned(t *testing.T) {
+	is := is.New(t)
+	k, c, _ := newTracker(t)
+	k.Observe(2)
+	k.Learn(2, time.Minute)
+	_, since := k.Era()
+	is.Equal(since, c.Now().Add(-time.Minute))
+	k.Learn(2, time.Second) // Another peer has known it for a shorter time.
+	_, since = k.Era()
+	is.Equal(since, c.Now().Add(-time.Minute))
+	k.Learn(1, time.Hour)
+	_, since = k.Era()
+	is.Equal(since, c.Now().Add(-time.Minute))
+	k.Learn(3, time.Second)
+	e, since := k.Era()
+	is.Equal(e, gypsumyard.Era(3))
+	is.Equal(since, c.Now().Add(-time.Second))
+}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -195,7 +195,7 @@
 }
 
 func (s *Service) status(w http.ResponseWriter, _ *http.Request) {
-	_, complete := s.lists.Newer(^gypsumyard.Version(0))
+	complete := s.lists.Newer(^gypsumyard.Version(0)).Complete
 	status := Status{
 		Host:       s.members.Self(),
 		Ready:      s.ready(),
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -84,9 +84,11 @@
 	case *peerpb.Call_Object:
 		err = g.applyObject(b.Object)
 	case *peerpb.Call_Query:
-		var complete gypsumyard.Version
-		objects, complete, err = g.newerObjects(b.Query)
-		last.CompleteEra, last.CompleteRevision = uint32(complete.Era()), complete.Revision()
+		var u gypsumyard.ObjectUpdate
+		u, err = g.newerObjects(b.Query)
+		objects = u.Objects
+		last.CompleteEra, last.CompleteRevision = uint32(u.Complete.Era()), u.Complete.Revision()
+		last.ValidForNs, last.EraAgeNs = int64(u.ValidFor), int64(u.EraAge)
 	case *peerpb.Call_Probe:
 		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
@@ -111,13 +113,12 @@
 	return nil
 }
 
-func (g *gossipServer) newerObjects(q *peerpb.ListQuery) ([]gypsumyard.Object, gypsumyard.Version, error) {
+func (g *gossipServer) newerObjects(q *peerpb.ListQuery) (u gypsumyard.ObjectUpdate, err error) {
 	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](g.service.kernel, "lists")
 	if err != nil {
-		return nil, 0, err
+		return u, err
 	}
-	objects, complete := lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision()))
-	return objects, complete, nil
+	return lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision())), nil
 }
 
 func (g *gossipServer) probe(p *peerpb.ProbeInstance) (*peerpb.InstanceStatus, error) {
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
@@ -33,22 +34,24 @@
 	return nil
 }
 
-// FetchObjects returns the host's objects with a version above after, and the
-// version up to which its copy is complete.
-func (s *Service) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (objects []gypsumyard.Object, complete gypsumyard.Version, err error) {
+// FetchObjects returns what the host's copies add to copies that are complete up to
+// after.
+func (s *Service) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (u gypsumyard.ObjectUpdate, err error) {
 	defer annotate(&err, "fetch objects from", from)
 	q := &peerpb.ListQuery{AfterRevision: after.Revision(), AfterEra: uint32(after.Era())}
 	replies, err := s.call(ctx, from, &peerpb.Call{Body: &peerpb.Call_Query{Query: q}})
 	if err != nil {
-		return nil, 0, err
+		return u, err
 	}
 	for _, r := range replies {
 		if r.Object != nil {
-			objects = append(objects, decodeObject(r.Object))
+			u.Objects = append(u.Objects, decodeObject(r.Object))
 		}
-		complete = max(complete, decodeVersion(r.CompleteEra, r.CompleteRevision))
 	}
-	return objects, complete, nil
+	last := replies[len(replies)-1]
+	u.Complete = decodeVersion(last.CompleteEra, last.CompleteRevision)
+	u.ValidFor, u.EraAge = max(time.Duration(last.ValidForNs), 0), max(time.Duration(last.EraAgeNs), 0)
+	return u, nil
 }
 
 // ProbeInstance asks a host to read the status of an instance.
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -30,9 +30,11 @@
 	return len(objects)
 }
 
-func (r *fakeLists) Newer(after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version) {
+func (r *fakeLists) Newer(after gypsumyard.Version) gypsumyard.ObjectUpdate {
 	r.after = after
-	return r.newer, gypsumyard.NewVersion(2, uint64(len(r.newer)))
+	return gypsumyard.ObjectUpdate{
+		Objects: r.newer, Complete: gypsumyard.NewVersion(2, uint64(len(r.newer))), ValidFor: time.Second, EraAge: time.Hour,
+	}
 }
 
 // Guards against calls that lose fields or objects, or that report no error when
@@ -50,17 +52,16 @@
 	var peers gypsumyard.PeerClient = a
 	is.NoErr(peers.PushObjects(t.Context(), b, big[:3]))
 	is.Equal(lists.applied, big[:3])
-	got, complete, err := peers.FetchObjects(t.Context(), b, gypsumyard.NewVersion(1, 4))
+	got, err := peers.FetchObjects(t.Context(), b, gypsumyard.NewVersion(1, 4))
 	is.NoErr(err)
-	is.Equal(got, big)
-	is.Equal(complete, gypsumyard.NewVersion(2, 40))
+	is.Equal(got, gypsumyard.ObjectUpdate{Objects: big, Complete: gypsumyard.NewVersion(2, 40), ValidFor: time.Second, EraAge: time.Hour})
 	is.Equal(lists.after, gypsumyard.NewVersion(1, 4))
 	st, err := peers.ProbeInstance(t.Context(), b, "db", "i")
 	is.NoErr(err)
 	is.Equal(st, gypsumyard.InstanceStatus{Role: gypsumyard.RoleReplica, FenceToken: "db/i", StreamAge: time.Second})
 	is.NoErr(peers.ReleaseDatabase(t.Context(), b, "db"))
 	is.Equal(o.released, []string{"db from a"})
-	_, _, err = peers.FetchObjects(t.Context(), self, 0) // host a has no lists
+	_, err = peers.FetchObjects(t.Context(), self, 0) // host a has no lists
 	is.True(err != nil)
 }
 
--- a/internal/planlist/inforce.go
+++ b/internal/planlist/inforce.go
@@ -44,11 +44,11 @@
 func queryInForce(ctx context.Context, peers gypsumyard.PeerClient, h gypsumyard.Host, object string, version gypsumyard.Version) HostApplyStatus {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	objects, _, err := peers.FetchObjects(ctx, h, version-1)
+	u, err := peers.FetchObjects(ctx, h, version-1)
 	if err != nil {
 		return HostApplyStatus{Host: h.Name, Error: err.Error()}
 	}
-	held := slices.ContainsFunc(objects, func(o gypsumyard.Object) bool { return o.Name == object })
+	held := slices.ContainsFunc(u.Objects, func(o gypsumyard.Object) bool { return o.Name == object })
 	return HostApplyStatus{Host: h.Name, InForce: held}
 }
 
--- a/internal/planlist/service.go
+++ b/internal/planlist/service.go
@@ -150,8 +150,9 @@
 
 // Newer returns the objects with a version above after, and the version up to
 // which the copy is complete.
-func (s *Service) Newer(after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version) {
-	return s.copy.newer(after)
+func (s *Service) Newer(after gypsumyard.Version) gypsumyard.ObjectUpdate {
+	objects, complete := s.copy.newer(after)
+	return gypsumyard.ObjectUpdate{Objects: objects, Complete: complete}
 }
 
 // Apply stores the objects that are newer than the copies, queues them to be
@@ -237,13 +238,13 @@
 func (s *Service) fetch(ctx context.Context, peers gypsumyard.PeerClient, h gypsumyard.Host) (gypsumyard.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
-	objects, complete, err := peers.FetchObjects(ctx, h, s.copy.completeVersion())
+	u, err := peers.FetchObjects(ctx, h, s.copy.completeVersion())
 	if err != nil {
 		return 0, fmt.Errorf("fetch list objects from %s: %w", h.Name, err)
 	}
-	s.Apply(objects)
-	s.copy.setCompleteVersion(complete)
-	return complete, nil
+	s.Apply(u.Objects)
+	s.copy.setCompleteVersion(u.Complete)
+	return u.Complete, nil
 }
 
 func (s *Service) otherHosts() []gypsumyard.Host {
--- a/internal/planlist/service_test.go
+++ b/internal/planlist/service_test.go
@@ -56,9 +56,8 @@
 	return nil
 }
 
-func (p fakePeers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version, error) {
-	objects, complete := p.services[from.Name].Newer(after)
-	return objects, complete, nil
+func (p fakePeers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
+	return p.services[from.Name].Newer(after), nil
 }
 
 // startHosts starts n hosts that share one store and returns their services.
--- a/internal/scenario/lists_test.go
+++ b/internal/scenario/lists_test.go
@@ -245,7 +245,7 @@
 	if h == nil {
 		return fmt.Errorf("no host %q in this process", args[0])
 	}
-	fx.savedObjects, _ = h.Lists().Newer(0)
+	fx.savedObjects = h.Lists().Newer(0).Objects
 	return nil
 }
 
--- a/peers.go
+++ b/peers.go
@@ -11,9 +11,9 @@
 	// PushObjects sends objects of the lists to a host, which applies those that
 	// are newer than its own.
 	PushObjects(ctx context.Context, to Host, objects []Object) error
-	// FetchObjects returns the host's objects that are newer than after, and the
-	// store version up to which the host's copies are complete.
-	FetchObjects(ctx context.Context, from Host, after Version) ([]Object, Version, error)
+	// FetchObjects returns what the host's copies add to copies that are complete
+	// up to after.
+	FetchObjects(ctx context.Context, from Host, after Version) (ObjectUpdate, error)
 	// ProbeInstance asks a host to read the status of an instance over a new
 	// connection.
 	ProbeInstance(ctx context.Context, via Host, database, instance string) (InstanceStatus, error)
@@ -41,10 +41,22 @@
 	// Apply stores the objects that are newer than the copies and returns their
 	// number.
 	Apply(objects []Object) int
-	// Newer returns the copies that are newer than after, and the store version
-	// up to which the copies are complete: they include every change at or below
-	// that version.
-	Newer(after Version) ([]Object, Version)
+	// Newer returns what the copies add to copies that are complete up to after.
+	Newer(after Version) ObjectUpdate
+}
+
+// An ObjectUpdate holds what the copies of one host add to those of another.
+type ObjectUpdate struct {
+	// Objects are the copies that the other host may lack.
+	Objects []Object
+	// Complete is the store version up to which the copies are complete: they
+	// include every change at or below it. Zero means that this is not known.
+	Complete Version
+	// ValidFor is how long the other host may rely on Complete without asking the
+	// store itself. Zero leaves the time to the other host.
+	ValidFor time.Duration
+	// EraAge is for how long the era of Complete has been known.
+	EraAge time.Duration
 }
 
 // An Owner executes requests for the databases that this host owns, and serves
--- a/store.go
+++ b/store.go
@@ -49,9 +49,11 @@
 
 // Eras tracks the era of the platform's store as this host knows it.
 type Eras interface {
-	// Observe records the era of a response of the store, or the one that a peer
-	// has seen. An era below the latest one is ignored.
+	// Observe records the era of a response of the store. An era below the latest
+	// one is ignored.
 	Observe(Era)
+	// Learn records an era that a peer has known for the given time.
+	Learn(e Era, age time.Duration)
 	// Era returns the latest era, and since when this host knows of it. The store
 	// may have been restored earlier.
 	Era() (e Era, since time.Time)
