member: neighbors on the ring of heartbeats share a failure domain

Change: the ring is ordered by failure domain first. Near targets are in the own domain, the far ones, at up to half of the ring, in others.

--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -33,6 +33,8 @@
 	loss    float64
 	blocked func(from, to *node) bool
 	bytes   int
+	// bytesBetweenDomains counts those between failure domains.
+	bytesBetweenDomains int
 }
 
 // A node is one simulated host.
@@ -168,7 +170,11 @@
 }
 
 func (w *network) deliver(from, to *node, m *peerpb.Members, reply func(*peerpb.Members)) {
-	w.bytes += proto.Size(m) + frameOverhead
+	size := proto.Size(m) + frameOverhead
+	w.bytes += size
+	if from.host.FailureDomain != to.host.FailureDomain {
+		w.bytesBetweenDomains += size
+	}
 	if w.blocked(from, to) || w.random.Float64() < w.loss {
 		return
 	}
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -228,8 +228,10 @@
 			s.ring = append(s.ring, r)
 		}
 	}
+	// Neighbors on the ring share a failure domain, so that most heartbeats stay
+	// inside it. The far targets are in other domains.
 	slices.SortFunc(s.ring, func(a, b *record) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.host.Name, b.host.Name))
+		return cmp.Or(cmp.Compare(a.host.FailureDomain, b.host.FailureDomain), cmp.Compare(a.hash, b.hash), cmp.Compare(a.host.Name, b.host.Name))
 	})
 	s.chooseTargets()
 }
