soak: the store comes back from older copies

Cause: the users' drill takes what was written in the last seconds back; the soak never played it. The sequences of the existing seeds are unchanged.

--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -40,9 +40,12 @@
 	group  *linegroup.Group
 	hosts  []*process
 
+	// writing serializes the operator's writes and the instances' rewriting.
+	writing sync.Mutex
+	desired objects.DesiredState
+
 	mu        sync.Mutex
 	instances map[string]*proxy
-	version   int
 	// generations maps the generation of each promotion order to its holder.
 	generations    map[uint64]string
 	lastGeneration uint64
@@ -62,11 +65,15 @@
 	done chan struct{}
 }
 
-func newCluster(t *testing.T, hosts int, isolated bool) *cluster {
+// newCluster starts the hosts. With eras the store reports its era.
+func newCluster(t *testing.T, hosts int, isolated, eras bool) *cluster {
 	t.Helper()
 	// Isolated hosts are in different regions and do not know each other, so
 	// that each of them owns the group.
 	cl := &cluster{t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, generations: map[uint64]string{}}
+	if eras {
+		cl.store.SetEra(1)
+	}
 	var err error
 	cl.group, err = linegroup.New(groupName, 3, linegroup.WithLag(20*time.Millisecond), linegroup.WithServiceTime(time.Millisecond),
 		linegroup.WithPromotionDelay(200*time.Millisecond), linegroup.WithConnections(40))
@@ -184,9 +191,14 @@
 	cl.mu.Lock()
 	cl.instances[i.ID()] = p
 	cl.mu.Unlock()
+	cl.putEntry(i)
+}
+
+// putEntry writes the registry entry of an instance.
+func (cl *cluster) putEntry(i *linegroup.Instance) {
 	l := i.Listed()
 	l.FailureDomain = "zone-host-1"
-	if err := objects.PutInstance(cl.t.Context(), cl.store, l, p.addr(), objects.StateReady); err != nil {
+	if err := objects.PutInstance(cl.t.Context(), cl.store, l, cl.proxyOf(i).addr(), objects.StateReady); err != nil {
 		cl.t.Error(err)
 	}
 }
@@ -200,17 +212,16 @@
 
 // setDesiredState writes the next version of the desired state.
 func (cl *cluster) setDesiredState() {
-	cl.mu.Lock()
-	cl.version += 3
-	version := cl.version
-	cl.mu.Unlock()
+	cl.writing.Lock()
+	defer cl.writing.Unlock()
+	version := cl.desired.Version + 3
 	route := func(name, kind string, age time.Duration) objects.Route {
 		return objects.Route{
 			Name: "r-" + name, Host: name, Kind: kind, TimeoutMs: int64(1000 + version), TargetLatencyMs: 200, Priority: 1,
 			Service: groupName, MaxStalenessMs: age.Milliseconds(),
 		}
 	}
-	err := objects.SetDesiredState(cl.t.Context(), cl.store, objects.DesiredState{
+	cl.desired = objects.DesiredState{
 		Version: version,
 		Routes: []objects.Route{
 			route(routePrimary, objects.KindPrimary, 0), route(routeBounded, objects.KindBounded, boundedStaleness),
@@ -218,8 +229,8 @@
 		},
 		Services: []objects.Service{{Name: groupName, ConnectionLimit: 40, SyncReplicas: 1}},
 		Limits:   objects.Limits{TransactionIdleMs: 3000},
-	})
-	if err != nil {
+	}
+	if err := objects.SetDesiredState(cl.t.Context(), cl.store, cl.desired); err != nil {
 		cl.t.Error(err)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -78,12 +78,23 @@
 		list[*firstSeed+n] = ""
 	}
 	for s := range list {
-		t.Run(fmt.Sprint(s), func(t *testing.T) { soak(t, s) })
+		t.Run(fmt.Sprint(s), func(t *testing.T) { soak(t, s, 0) })
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
-	cl := newCluster(t, hosts, seed%isolatedEvery == 0)
+// Guards against the same, and against a desired state that goes back, while the
+// store comes back from older copies.
+func TestSoakRestoredStore(t *testing.T) {
+	for n := range uint64(*seedCount) {
+		seed := *firstSeed + n
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed, 1+int(seed%maxRestores)) })
+	}
+}
+
+// soak injects the faults of the seed, and restores the store the given number of
+// times meanwhile.
+func soak(t *testing.T, seed uint64, restores int) {
+	cl := newCluster(t, hosts, seed%isolatedEvery == 0, restores > 0)
 	h := newHistory()
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -92,6 +103,7 @@
 		wg.Go(func() { c.run(stop) })
 	}
 	waitServed(t, h, startTimeout)
+	wg.Go(func() { cl.restoreStore(rand.New(rand.NewPCG(seed, 1<<32)), restores) })
 	cl.injectFaults(rand.New(rand.NewPCG(seed, 0)))
 	waitServed(t, h, recoveryTimeout)
 	close(stop)
