--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -125,3 +125,24 @@
 		eventuallyAll(t, fleet, applyWithin, fmt.Sprintf("state %d", n), func(s *Service) bool { return desiredNumber(s) == int64(n) })
 	}
 }
+
+// Pattern: a fleet starts at the same time.
+//
+// Guards against more calls to the store than the two lists that each host needs.
+func TestStartCostsTwoListsEach(t *testing.T) {
+	is := is.New(t)
+	const (
+		hosts = 30
+		// watcherCalls allows the watcher two calls a second.
+		watcherCalls = 6
+	)
+	store := memstore.New()
+	put(t, store, names.Desired, "1")
+	put(t, store, names.Instances+"i-1", `{"Group":"g","Slots":2}`)
+	fleet := startFleet(t, store, hosts)
+	eventuallyAll(t, fleet, applyWithin, "the instance", func(s *Service) bool { return len(s.Instances("g")) == 1 })
+	time.Sleep(2 * time.Second)
+	n := calls(store)
+	t.Logf("%d calls", n)
+	is.True(n <= 2*hosts+watcherCalls)
+}
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -76,7 +76,11 @@
 }
 
 // A readPacer spaces the calls of a host to the store.
-type readPacer struct{ pause time.Duration }
+type readPacer struct {
+	pause time.Duration
+	// answered indicates that a call has succeeded.
+	answered bool
+}
 
 // next returns the mean pause after a call, which is zero if the next call may be
 // made at once.
@@ -88,11 +92,14 @@
 	switch {
 	case failed:
 		r.pause = min(max(2*r.pause, first), most)
-	case standsIn:
+		return r.pause
+	case standsIn, !r.answered:
+		// After its first list a host does not know yet who watches the store.
 		r.pause = standInPause
 	default:
 		r.pause = 0
 	}
+	r.answered = true
 	return r.pause
 }
 
