catalog: a host that starts waits to learn who watches; soak: lost instances stay lost

Change: a host waits up to 0.7 s after its first list until it relies on a watcher or knows that it is one; it pulls before an answer ceases to be valid; memstore answers a quiet watch after 0.9 s. The soak keeps lost instances out of the rewriting.

--- a/internal/catalog/contact.go
+++ b/internal/catalog/contact.go
@@ -108,11 +108,11 @@
 	return max(confirmed, c.peerUntil.Sub(now), 0)
 }
 
-// reliesOnPeer reports whether the last answer of a peer is still valid.
-func (c *contact) reliesOnPeer() bool {
+// peerValidFor returns how long the answers of peers may still be relied on.
+func (c *contact) peerValidFor() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.clock.Now().Before(c.peerUntil)
+	return max(c.peerUntil.Sub(c.clock.Now()), 0)
 }
 
 // isUnreachable reports whether the last call to the store for the prefix failed.
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -16,6 +16,10 @@
 	// answers and the lists are known, and pullIntervalStoreUnreachable otherwise.
 	pullInterval                 = 600 * time.Millisecond
 	pullIntervalStoreUnreachable = 250 * time.Millisecond
+	// pullMargin is how long before the answer of a peer ceases to be valid the next
+	// pull is made, and pullIntervalMin the least pause before it.
+	pullMargin      = 300 * time.Millisecond
+	pullIntervalMin = 100 * time.Millisecond
 	// pullTimeout bounds one pull from another host.
 	pullTimeout = 500 * time.Millisecond
 )
@@ -24,11 +28,7 @@
 // stops.
 func (s *Service) pullLoop() {
 	for {
-		pause := pullInterval
-		if s.contact.storeUnreachable() || !s.isReady() {
-			pause = pullIntervalStoreUnreachable
-		}
-		if s.clock.Sleep(s.stopping, pause/2+rand.N(pause)) != nil {
+		if s.clock.Sleep(s.stopping, s.pullPause()) != nil {
 			return
 		}
 		if err := s.pullFromPeer(); err != nil {
@@ -37,6 +37,20 @@
 	}
 }
 
+// pullPause returns the pause before the next pull. A host that relies on its peers
+// pulls before their last answer ceases to be valid.
+func (s *Service) pullPause() time.Duration {
+	mean := pullInterval
+	if s.contact.storeUnreachable() || !s.isReady() {
+		mean = pullIntervalStoreUnreachable
+	}
+	pause := mean/2 + rand.N(mean)
+	if left := s.contact.peerValidFor(); left > 0 {
+		pause = min(pause, max(left-pullMargin, pullIntervalMin))
+	}
+	return pause
+}
+
 func (s *Service) isReady() bool {
 	select {
 	case <-s.ready:
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -37,8 +37,12 @@
 	// the watchers. All of these lose the watchers at the same time, and a burst of
 	// changes would wake all of them each time. After a failed call it doubles up to
 	// standInRetryMax.
-	standInPause    = 500 * time.Millisecond
-	standInRetryMax = time.Second
+	standInPause = 500 * time.Millisecond
+	// firstPullTimeout is how long a host waits after the first answer of the store
+	// to learn who watches it, and watcherCheckInterval the time between two checks.
+	firstPullTimeout     = 700 * time.Millisecond
+	watcherCheckInterval = 50 * time.Millisecond
+	standInRetryMax      = time.Second
 	// listRetryInterval is the time without an answer after which a list call is
 	// repeated, since a store that recovers does not answer calls from before. Up
 	// to maxConcurrentLists calls are in flight.
@@ -50,7 +54,7 @@
 // service stops, except while this host leaves the watch to others.
 func (s *Service) watchLoop(prefix string) {
 	var r readPacer
-	listNext := false
+	listNext, answered := false, false
 	for s.stopping.Err() == nil {
 		if s.delegatesWatch(prefix) {
 			if s.clock.Sleep(s.stopping, delegationCheckInterval) != nil {
@@ -64,6 +68,9 @@
 		}
 		if err != nil {
 			s.contact.noteUnreachable(prefix, err)
+		} else if !answered {
+			answered = true
+			s.awaitWatchers(prefix)
 		}
 		standsIn := s.standsIn(prefix)
 		// A store that does not answer watches may still list.
@@ -75,13 +82,20 @@
 	}
 }
 
-// A readPacer spaces the calls of a host to the store.
-type readPacer struct {
-	pause time.Duration
-	// answered indicates that a call has succeeded.
-	answered bool
+// awaitWatchers waits until this host knows that it is one of the watchers or can
+// leave the watch to them, at most for firstPullTimeout.
+func (s *Service) awaitWatchers(prefix string) {
+	end := s.clock.Now().Add(firstPullTimeout)
+	for s.clock.Now().Before(end) && !s.delegatesWatch(prefix) && !s.isKnownWatcher() {
+		if s.clock.Sleep(s.stopping, watcherCheckInterval) != nil {
+			return
+		}
+	}
 }
 
+// A readPacer spaces the calls of a host to the store.
+type readPacer struct{ pause time.Duration }
+
 // next returns the mean pause after a call, which is zero if the next call may be
 // made at once.
 func (r *readPacer) next(failed, standsIn bool) time.Duration {
@@ -92,14 +106,11 @@
 	switch {
 	case failed:
 		r.pause = min(max(2*r.pause, first), most)
-		return r.pause
-	case standsIn, !r.answered:
-		// After its first list a host does not know yet who watches the store.
+	case standsIn:
 		r.pause = standInPause
 	default:
 		r.pause = 0
 	}
-	r.answered = true
 	return r.pause
 }
 
@@ -143,7 +154,7 @@
 	if complete := s.completeVersion(prefix); complete.Era() < s.latestEra() {
 		return false
 	}
-	return s.contact.reliesOnPeer() || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
+	return s.contact.peerValidFor() > 0 || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
 }
 
 // standsIn reports whether this host has copies and is not a watcher, so that it
@@ -162,7 +173,14 @@
 	TopRanked(key string, n int) []gypsumyard.Host
 }
 
-// isWatcher reports whether this host is one of the watchers.
+// isKnownWatcher reports whether this host is one of the watchers and knows other
+// hosts.
+func (s *Service) isKnownWatcher() bool {
+	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
+	return err == nil && len(members.Hosts()) > 1 && s.isWatcher()
+}
+
+// isWatcher reports whether this host is one of the watchers, as far as it knows.
 func (s *Service) isWatcher() bool {
 	members, err := kernel.Lookup[gypsumyard.Membership](s.kernel, "members")
 	if err != nil {
--- a/internal/emulate/memstore/store.go
+++ b/internal/emulate/memstore/store.go
@@ -7,6 +7,7 @@
 	"maps"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 )
@@ -208,9 +209,15 @@
 	return o.Version
 }
 
+// quietWatch is how long a watch waits for a change before it returns none.
+const quietWatch = 900 * time.Millisecond
+
 // Watch waits for changes after the version to objects whose names have the
-// prefix. It fails with ErrHistoryGone if the version is of another era.
+// prefix, at most for quietWatch. It fails with ErrHistoryGone if the version is of another era.
 func (s *Store) Watch(ctx context.Context, prefix string, after gypsumyard.Version) (list []gypsumyard.Object, v gypsumyard.Version, err error) {
+	quiet := time.NewTimer(quietWatch)
+	defer quiet.Stop()
+	ended := false
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
@@ -230,11 +237,16 @@
 		if len(list) > 0 && !s.watchesStalled {
 			return list, s.version(s.revision), s.call("watch")
 		}
+		if ended && !s.watchesStalled {
+			return nil, s.version(s.revision), s.call("watch")
+		}
 		list = nil
 		changed := s.changed
 		s.mu.Unlock()
 		select {
 		case <-changed:
+		case <-quiet.C:
+			ended = true
 		case <-ctx.Done():
 			err = fmt.Errorf("%w: %w", gypsumyard.ErrUnavailable, ctx.Err())
 		}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -46,6 +46,8 @@
 
 	mu        sync.Mutex
 	instances map[string]*proxy
+	// lost holds the IDs of the instances that have crashed for good.
+	lost map[string]bool
 	// generations maps the generation of each promotion order to its holder.
 	generations    map[uint64]string
 	lastGeneration uint64
@@ -70,7 +72,7 @@
 	t.Helper()
 	// Isolated hosts are in different regions and do not know each other, so
 	// that each of them owns the group.
-	cl := &cluster{t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, generations: map[uint64]string{}}
+	cl := &cluster{t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, lost: map[string]bool{}, generations: map[uint64]string{}}
 	if eras {
 		cl.store.SetEra(1)
 	}
@@ -253,6 +255,9 @@
 // replaceInstance crashes an instance permanently and starts another one.
 func (cl *cluster) replaceInstance(i *linegroup.Instance) {
 	i.Crash()
+	cl.mu.Lock()
+	cl.lost[i.ID()] = true
+	cl.mu.Unlock()
 	time.Sleep(time.Second)
 	n, err := cl.group.Add()
 	if err != nil {
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -41,10 +41,19 @@
 		cl.t.Error(err)
 	}
 	for _, i := range cl.group.Instances() {
-		cl.putEntry(i)
+		if !cl.isLost(i.ID()) {
+			cl.putEntry(i)
+		}
 	}
 }
 
+// isLost reports whether the instance has crashed for good.
+func (cl *cluster) isLost(id string) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.lost[id]
+}
+
 // removeExpired removes the entries of instances that are gone.
 func (cl *cluster) removeExpired() {
 	entries, _, err := cl.store.List(cl.t.Context(), "servers/")
@@ -52,7 +61,7 @@
 		return // The store is down: the entries stay.
 	}
 	for _, o := range entries {
-		if cl.group.Find(o.Name[len("servers/"):]) == nil {
+		if cl.isLost(o.Name[len("servers/"):]) {
 			_ = cl.store.Delete(cl.t.Context(), o.Name, o.Version) // It may have changed.
 		}
 	}
