--- a/internal/lineowner/claimstore.go
+++ b/internal/lineowner/claimstore.go
@@ -73,10 +73,13 @@
 	n := claim{Holder: c.holder, Started: c.started, Number: c.lastNumber}
 	c.mu.Unlock()
 	gen, err := c.write(ctx, group, previous, n)
-	if err == nil && gypsumyard.Version(gen).Era() != previous.Era() {
-		return 0, fmt.Errorf("claim the promotion of %s: %w", group, errStoreRestored)
+	if err != nil {
+		return 0, err
+	}
+	if err := checkClaimed(gypsumyard.Version(gen), previous); err != nil {
+		return 0, fmt.Errorf("claim the promotion of %s: %w", group, err)
 	}
-	return gen, err
+	return gen, nil
 }
 
 // markDone marks the claim as having no promotion order pending.
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -208,12 +208,9 @@
 	if err := g.clock.Sleep(g.ctx, fenceWait); err != nil {
 		return nil, err
 	}
-	if err := g.confirmFences(answers, term, needed, generation); err != nil {
+	if err := g.confirmElection(answers, term, needed, generation, claimedAt); err != nil {
 		return nil, err
 	}
-	if g.clock.Since(claimedAt) > maxClaimAge {
-		return nil, errClaimTooOld
-	}
 	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.id, Holder: g.service.self, Generation: generation}
 	promoteCtx, cancelPromote := context.WithTimeout(g.ctx, promoteTimeout)
 	defer cancelPromote()
@@ -235,15 +232,12 @@
 		return 0, err
 	}
 	g.mu.Lock()
-	c := &g.claim
-	c.record(gypsumyard.Generation(v), latest.Done, g.clock.Now())
-	seen := g.clock.Since(c.firstSeen)
+	now := g.clock.Now()
+	g.claim.record(v, latest.Done, now)
+	err = g.claim.mayClaim(g.service.claims.isOwn(latest), g.service.storeEra(), limits, now)
 	g.mu.Unlock()
-	if end, known := g.service.lostClaimsEnd(v.Era(), foreignElectionTimeout); !known || g.clock.Now().Before(end) {
-		return 0, fmt.Errorf("claim %v: %w", v, errStoreRestored)
-	}
-	if v.Revision() != 0 && !latest.Done && !g.service.claims.isOwn(latest) && seen < foreignElectionTimeout {
-		return 0, fmt.Errorf("%w: claim %d of %s, seen for %v", errForeignElection, v, latest.Holder, seen)
+	if err != nil {
+		return 0, fmt.Errorf("latest claim is of %q: %w", latest.Holder, err)
 	}
 	gen, err := g.service.claims.acquire(ctx, g.name, v)
 	if err != nil {
@@ -251,16 +245,14 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.record(gen, false, g.clock.Now())
+	g.claim.record(gypsumyard.Version(gen), false, g.clock.Now())
 	return gen, nil
 }
 
 // mustAwaitLostClaims reports whether another host may still be promoting with a
 // claim that a restore of the store has lost.
 func (g *group) mustAwaitLostClaims() bool {
-	latest, _ := g.service.eras.Era()
-	end, known := g.service.lostClaimsEnd(latest, foreignElectionTimeout)
-	return !known || g.clock.Now().Before(end)
+	return g.clock.Now().Before(g.service.storeEra().lostClaimsEnd(limits.foreign))
 }
 
 // markClaimDone tells other hosts that they need not wait for a promotion order
@@ -273,18 +265,24 @@
 	}
 }
 
-// confirmFences checks that no other host has claimed a promotion since, and that
-// enough instances are still fenced: a promotion by another host lifts fences.
-func (g *group) confirmFences(answers []fencedInstance, term gypsumyard.Term, needed int, generation gypsumyard.Generation) error {
+// confirmElection checks just before the order that it may be sent: that the claim is
+// still the latest, and that enough instances are still fenced.
+func (g *group) confirmElection(answers []fencedInstance, term gypsumyard.Term, needed int, generation gypsumyard.Generation, claimedAt time.Time) error {
 	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
 	defer cancel()
 	latest, _, err := g.service.claims.latest(ctx, g.name)
 	if err != nil {
 		return err
 	}
-	if gypsumyard.Generation(latest) != generation {
-		return fmt.Errorf("%w: claim %d follows %d", errForeignElection, latest, generation)
+	if err := g.confirmFences(answers, term, needed); err != nil {
+		return err
 	}
+	return mayOrder(gypsumyard.Version(generation), latest, g.clock.Since(claimedAt), limits)
+}
+
+// confirmFences checks that enough instances are still fenced: a promotion by another
+// host lifts fences.
+func (g *group) confirmFences(answers []fencedInstance, term gypsumyard.Term, needed int) error {
 	var confirmed atomic.Int64
 	var wg sync.WaitGroup
 	for _, f := range answers {
--- a/internal/lineowner/restore_test.go
+++ b/internal/lineowner/restore_test.go
@@ -82,7 +82,7 @@
 	g := &group{service: s, clock: c, lastProof: leadershipProof{primary: p}}
 	proveAndRead := func(e gypsumyard.Era, done bool) {
 		g.lastProof.at = c.Now()
-		g.claim.record(gypsumyard.Generation(gypsumyard.NewVersion(e, 7)), done, c.Now())
+		g.claim.record(gypsumyard.NewVersion(e, 7), done, c.Now())
 		g.claim.lastSeen = c.Now()
 	}
 	eras.Observe(1)
@@ -109,7 +109,7 @@
 	p := &instance{id: "i-1"}
 	eras.Observe(2)
 	g.lastProof = leadershipProof{primary: p, at: c.Now()}
-	g.claim.record(gypsumyard.Generation(gypsumyard.NewVersion(2, 0)), false, c.Now())
+	g.claim.record(gypsumyard.NewVersion(2, 0), false, c.Now())
 	g.claim.lastSeen = c.Now()
 	is.True(g.claimEvidence(p).IsZero())
 }
