lineowner: an owner without the store claims promotions through another host

Change: calls for claims that the store does not serve go through up to two other hosts (Gossip call ClaimCall); a read leaves them half of its time, a write goes on only if it has certainly done nothing; for 2 s after a failure other hosts are asked first.

--- a/internal/lineowner/claimstore.go
+++ b/internal/lineowner/claimstore.go
@@ -17,9 +17,8 @@
 // late. A restore of the store takes revisions back but begins a new era, so
 // versions increase across it too.
 type claimStore struct {
-	store  gypsumyard.Store
+	store  *relayedStore
 	eras   gypsumyard.Eras
-	prefix string
 	holder string
 	// started is when this process started, in nanoseconds of Unix time.
 	started int64
@@ -44,7 +43,7 @@
 // latest returns the latest claim for the group and its version. If there is none,
 // the version has no revision.
 func (c *claimStore) latest(ctx context.Context, group string) (v gypsumyard.Version, l claim, err error) {
-	o, err := c.store.Get(ctx, c.prefix+group)
+	o, err := c.store.call(ctx, gypsumyard.ClaimCall{Database: group})
 	switch {
 	case errors.Is(err, gypsumyard.ErrNotFound):
 		c.eras.Observe(o.Version.Era())
@@ -103,9 +102,9 @@
 	if err != nil {
 		return 0, err
 	}
-	v, err := c.store.Put(ctx, c.prefix+group, previous, value)
+	o, err := c.store.call(ctx, gypsumyard.ClaimCall{Database: group, Value: value, Expected: previous})
 	if !errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
-		return gypsumyard.Generation(v), err
+		return gypsumyard.Generation(o.Version), err
 	}
 	// The write may have taken effect although its answer was lost.
 	current, l, e := c.latest(ctx, group)
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -148,6 +148,8 @@
 	kerneltest.Stub
 	gypsumyard.PeerClient
 	probe func(host, instance string) (gypsumyard.InstanceStatus, error)
+	// relay makes the calls for claims through another host. Nil reaches none.
+	relay func(ctx context.Context, host string, c gypsumyard.ClaimCall) (gypsumyard.Object, error)
 }
 
 func (p *fakePeers) ProbeInstance(_ context.Context, via gypsumyard.Host, _, instance string) (gypsumyard.InstanceStatus, error) {
@@ -157,6 +159,13 @@
 	return p.probe(via.Name, instance)
 }
 
+func (p *fakePeers) RelayClaim(ctx context.Context, via gypsumyard.Host, c gypsumyard.ClaimCall) (gypsumyard.Object, error) {
+	if p.relay == nil {
+		return gypsumyard.Object{}, gypsumyard.ErrUnavailable
+	}
+	return p.relay(ctx, via.Name, c)
+}
+
 func (p *fakePeers) AssignDatabase(context.Context, gypsumyard.Host, gypsumyard.Assignment) error {
 	return nil
 }
--- a/internal/lineowner/restore_test.go
+++ b/internal/lineowner/restore_test.go
@@ -15,7 +15,8 @@
 
 // newClaims returns the claims of a process of the holder.
 func newClaims(store gypsumyard.Store, holder string) *claimStore {
-	return &claimStore{store: store, eras: era.NewTracker(), prefix: "claims/", holder: holder, started: 1}
+	r := &relayedStore{store: store, prefix: "claims/", clock: clock.Boot(), hosts: func() []gypsumyard.Host { return nil }}
+	return &claimStore{store: r, eras: era.NewTracker(), holder: holder, started: 1}
 }
 
 // Guards against a generation that falls or is used twice because a restore of the
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -78,7 +78,7 @@
 		clock:      clock.Boot(),
 		log:        logrus.StandardLogger(),
 		metrics:    newMetrics(tally.NoopScope),
-		claims:     &claimStore{store: store, prefix: claimPrefix},
+		claims:     &claimStore{store: &relayedStore{store: store, prefix: claimPrefix}},
 		eras:       era.NewTracker(),
 		promotions: promotions,
 		done:       make(chan struct{}),
@@ -122,6 +122,8 @@
 	}
 	s.self, s.failureDomain = s.members.Self().Name, s.members.Self().FailureDomain
 	s.claims.eras = s.eras
+	r := s.claims.store
+	r.clock, r.log, r.peers, r.hosts = s.clock, s.log, s.peers, s.otherHosts
 	s.claims.holder, s.claims.started = s.self, s.clock.Now().UnixNano()
 	s.started = true
 	s.wg.Go(s.reconcileLoop)
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -95,6 +95,8 @@
 		err = g.acceptRelease(b.Released)
 	case *peerpb.Call_Assigned:
 		err = g.assign(b.Assigned)
+	case *peerpb.Call_Claim:
+		last.Object, last.Outcome, err = g.relayClaim(b.Claim)
 	case *peerpb.Call_Cancel:
 		err = g.cancelSession(b.Cancel)
 	default:
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"testing"
 	"time"
 
@@ -65,6 +67,42 @@
 	is.True(err != nil)
 }
 
+// claimOwner is an owner that answers calls for claims with a script.
+type claimOwner struct {
+	*fakeOwner
+	calls   []gypsumyard.ClaimCall
+	outcome error
+}
+
+func (o *claimOwner) CallClaim(_ context.Context, c gypsumyard.ClaimCall) (gypsumyard.Object, error) {
+	o.calls = append(o.calls, c)
+	return gypsumyard.Object{Name: "claims/g", Version: gypsumyard.NewVersion(3, 9), Value: []byte("y")}, o.outcome
+}
+
+// Guards against errors of the store that lose their meaning on the way, and against a
+// write that is reported as not done although its answer was lost.
+func TestRelayClaim(t *testing.T) {
+	is := is.New(t)
+	o := &claimOwner{fakeOwner: newFakeOwner(nil)}
+	_, b := startHost(t, "b", o)
+	a, self := startHost(t, "a")
+	write := gypsumyard.ClaimCall{Database: "g", Value: []byte("x"), Expected: gypsumyard.NewVersion(3, 7)}
+	for _, want := range []error{nil, gypsumyard.ErrNotFound, gypsumyard.ErrConflict, gypsumyard.ErrUnavailable, gypsumyard.ErrOutcomeUnknown} {
+		o.outcome = want
+		got, err := a.RelayClaim(t.Context(), b, write)
+		is.True(errors.Is(err, want))
+		is.Equal(got.Version, gypsumyard.NewVersion(3, 9))
+		is.Equal(o.calls[len(o.calls)-1], write)
+	}
+	o.outcome = io.ErrUnexpectedEOF
+	_, err := a.RelayClaim(t.Context(), b, write)
+	is.True(errors.Is(err, gypsumyard.ErrOutcomeUnknown))
+	_, err = a.RelayClaim(t.Context(), self, write) // Host a has no owner.
+	is.True(errors.Is(err, gypsumyard.ErrOutcomeUnknown))
+	_, err = a.RelayClaim(t.Context(), self, gypsumyard.ClaimCall{Database: "g"})
+	is.True(errors.Is(err, gypsumyard.ErrUnavailable))
+}
+
 // Guards against a Gossip stream whose connection is lost without being closed and
 // which loses heartbeats for so long that a host is declared dead.
 func TestSilentGossipIsReplaced(t *testing.T) {
--- a/peers.go
+++ b/peers.go
@@ -20,10 +20,23 @@
 	// ReleaseDatabase notifies a host that this host has completed its work as
 	// owner of the database.
 	ReleaseDatabase(ctx context.Context, to Host, database string) error
+	// RelayClaim makes a call to the store for a claim on the promotion of a database
+	// through a host that may reach the store when this one does not. Its errors are
+	// those of [Store].
+	RelayClaim(ctx context.Context, via Host, c ClaimCall) (Object, error)
 	// AssignDatabase notifies a host of a temporary owner of a database.
 	AssignDatabase(ctx context.Context, to Host, a Assignment) error
 }
 
+// A ClaimCall reads or writes the claim on the promotion of a database.
+type ClaimCall struct {
+	Database string
+	// Value is the value to write, or nil to read the claim.
+	Value []byte
+	// Expected is the version that the claim must have to be written.
+	Expected Version
+}
+
 // An Assignment temporarily makes a host the owner of a database and overrides
 // the owner that the order of the hosts determines. A host that cannot reach
 // enough instances assigns the database to a host that can.
