linecaller, peer: a panic ends one session or request, not the process

Change: sessions of the line protocol, requests of other hosts and their Gossip calls recover; the answer, if any, says that the outcome is unknown; logs with the stack and counters caller_panics and peer_panics.

--- a/internal/linecaller/metrics.go
+++ b/internal/linecaller/metrics.go
@@ -10,6 +10,7 @@
 	sessions        tally.Counter
 	refusedSessions tally.Counter
 	answered        tally.Counter
+	panics          tally.Counter
 	latency         tally.Timer
 	failures        map[line.Code]tally.Counter
 }
@@ -20,6 +21,7 @@
 		sessions:        s.Counter("caller_sessions"),
 		refusedSessions: s.Counter("caller_sessions_refused"),
 		answered:        s.Counter("caller_statements_answered"),
+		panics:          s.Counter("caller_panics"),
 		latency:         s.Timer("caller_statement_latency"),
 		failures:        map[line.Code]tally.Counter{},
 	}
--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -87,6 +88,7 @@
 // serve runs the session until it ends.
 func (ss *session) serve() {
 	defer ss.conn.Close()
+	defer ss.recoverPanic()
 	ss.server.metrics.sessions.Inc(1)
 	if !ss.start() {
 		return
@@ -104,6 +106,17 @@
 	}
 }
 
+// recoverPanic ends the session only, instead of the process, after a panic. The
+// caller sees a connection that ends without an answer, which promises nothing.
+func (ss *session) recoverPanic() {
+	r := recover()
+	if r == nil {
+		return
+	}
+	ss.server.metrics.panics.Inc(1)
+	ss.server.log.WithFields(logrus.Fields{"session": ss.id, "panic": r, "stack": string(debug.Stack())}).Error("session failed")
+}
+
 // reportEnd logs why a session ended, unless the caller or a drain ended it. A
 // caller that broke the protocol gets an error message.
 func (ss *session) reportEnd(err error) {
--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -400,3 +400,29 @@
 	defer cancel()
 	is.NoErr(f.server.Drain(ctx))
 }
+
+// Guards against one statement that ends the process, with all sessions on it.
+func TestPanicEndsOnlyItsSession(t *testing.T) {
+	f := newFixture(t)
+	f.executor.mu.Lock()
+	f.executor.reply = func(r *gypsumyard.Request, b line.Payload) (string, gypsumyard.Result, error) {
+		if b.Text == "READ bad" {
+			panic("unexpected")
+		}
+		return ok(r, b)
+	}
+	f.executor.mu.Unlock()
+	other := f.dial("START orders u1")
+	other.expect("READY I")
+	for range 3 {
+		c := f.dial("START orders u2")
+		c.expect("READY I")
+		c.send("QUERY q1 READ bad")
+		_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if l, err := c.in.ReadString('\n'); err != io.EOF {
+			t.Errorf("answer %q, %v", l, err)
+		}
+		other.send("QUERY q2 READ good")
+		other.expect("COMPLETE", "READY I")
+	}
+}
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -79,14 +79,21 @@
 // reply.
 func (g *gossipServer) runCall(c *peerpb.Call) (objects []gypsumyard.Object, last *peerpb.Reply) {
 	last = &peerpb.Reply{}
-	var err error
+	err := g.dispatchCall(c, &objects, last)
+	last.Error = encodeError(err)
+	return objects, last
+}
+
+// dispatchCall runs the call and adds its results to the objects and the last reply.
+func (g *gossipServer) dispatchCall(c *peerpb.Call, objects *[]gypsumyard.Object, last *peerpb.Reply) (err error) {
+	defer g.service.recoverPanic(&err)
 	switch b := c.GetBody().(type) {
 	case *peerpb.Call_Object:
 		err = g.applyObject(b.Object)
 	case *peerpb.Call_Query:
 		var u gypsumyard.ObjectUpdate
 		u, err = g.newerObjects(b.Query)
-		objects = u.Objects
+		*objects = u.Objects
 		last.CompleteEra, last.CompleteRevision = uint32(u.Complete.Era()), u.Complete.Revision()
 		last.ValidForNs, last.EraAgeNs = int64(u.ValidFor), int64(u.EraAge)
 	case *peerpb.Call_Probe:
@@ -102,8 +109,7 @@
 	default:
 		err = gypsumyard.Errorf(gypsumyard.ClassNotSupported, "call %T", b)
 	}
-	last.Error = encodeError(err)
-	return objects, last
+	return err
 }
 
 func (g *gossipServer) applyObject(o *peerpb.Object) error {
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -191,7 +191,8 @@
 	sink.sendFinal(res, err)
 }
 
-func (in *inboundLink) runOperation(ctx context.Context, op peerpb.Operation, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+func (in *inboundLink) runOperation(ctx context.Context, op peerpb.Operation, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (res gypsumyard.Result, err error) {
+	defer in.service.recoverPanic(&err)
 	owner, err := in.service.owner()
 	if err != nil {
 		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassNotRun, "host %s serves no databases: %w", in.service.self.Name, err)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,7 +62,7 @@
 	metrics tally.Scope
 	kernel  *kernel.Kernel
 
-	sent, executed tally.Counter
+	sent, executed, panics tally.Counter
 
 	listener             net.Listener
 	dialer               func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
@@ -129,6 +129,7 @@
 	}
 	s.sent = s.metrics.Counter("peer_requests_sent")
 	s.executed = s.metrics.Counter("peer_requests_executed")
+	s.panics = s.metrics.Counter("peer_panics")
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
