--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -37,12 +37,12 @@
 	// the watchers. All of these lose the watchers at the same time, and a burst of
 	// changes would wake all of them each time. After a failed call it doubles up to
 	// standInRetryMax.
-	standInPause = 500 * time.Millisecond
+	standInPause    = 500 * time.Millisecond
+	standInRetryMax = time.Second
 	// firstPullTimeout is how long a host waits after the first answer of the store
 	// to learn who watches it, and watcherCheckInterval the time between two checks.
 	firstPullTimeout     = 700 * time.Millisecond
 	watcherCheckInterval = 50 * time.Millisecond
-	standInRetryMax      = time.Second
 	// listRetryInterval is the time without an answer after which a list call is
 	// repeated, since a store that recovers does not answer calls from before. Up
 	// to maxConcurrentLists calls are in flight.
@@ -93,7 +93,8 @@
 	}
 }
 
-// A readPacer spaces the calls of a host to the store.
+// A readPacer spaces the calls of a host to the store. pause is the mean pause after
+// the last call.
 type readPacer struct{ pause time.Duration }
 
 // next returns the mean pause after a call, which is zero if the next call may be
--- a/internal/lineowner/claimrelay.go
+++ b/internal/lineowner/claimrelay.go
@@ -19,9 +19,9 @@
 	maxRelays = 2
 )
 
-// A relayedStore calls the store for the claims on promotions. When the store does not
-// serve this host, it calls through other hosts: the store may turn away some hosts
-// only, and a database must not wait for its owner's turn.
+// A relayedStore makes the calls to the store for the claims on promotions. If the
+// store does not serve this host, it makes them through other hosts: the store may
+// turn away some hosts only, and a database must not wait until it serves the owner.
 type relayedStore struct {
 	store  gypsumyard.Store
 	prefix string
