sqltext: escapes of strings are decoded before a DO block is examined

Change: backslash escapes (octal, hexadecimal, Unicode, control characters) and those of U&'...' are decoded; a string with UESCAPE in a DO block is refused.

--- a/internal/sqltext/classify.go
+++ b/internal/sqltext/classify.go
@@ -190,9 +190,13 @@
 }
 
 // doBlockChangesSession reports whether the body of a DO statement may change
-// session state. It examines each string of the statement.
+// session state. It examines each string of the statement. The text of a string with
+// an escape character of its own is not known.
 func doBlockChangesSession(tokens []token) bool {
 	for _, t := range tokens {
+		if t.is("uescape") {
+			return true
+		}
 		if t.kind == tokenString && bodyChangesSession(t.text, 0) {
 			return true
 		}
@@ -214,6 +218,9 @@
 		tokens = append(tokens, t)
 	}
 	for i, t := range tokens {
+		if t.is("uescape") {
+			return true
+		}
 		starts := i == 0 || tokens[i-1].isPunct(";") || tokens[i-1].is("begin", "then", "else", "loop")
 		if starts && t.is("set", "reset", "listen", "notify", "prepare", "load", "discard") {
 			return true
--- a/internal/sqltext/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -222,10 +222,7 @@
 	}
 }
 
-// scanEscapedPart reads one part of a string constant with backslash escapes. An
-// escape yields the character after the backslash: octal, hexadecimal and Unicode
-// escapes are not decoded, on the assumption that no classified value depends on
-// them.
+// scanEscapedPart reads one part of a string constant with backslash escapes.
 func (l *lexer) scanEscapedPart(b *strings.Builder) {
 	l.pos++
 	for l.pos < len(l.src) {
@@ -233,8 +230,7 @@
 		l.pos++
 		switch {
 		case c == '\\' && l.pos < len(l.src):
-			b.WriteByte(l.src[l.pos])
-			l.pos++
+			l.scanEscape(b)
 		case c == '\'' && l.byteAt(l.pos) != '\'':
 			return
 		case c == '\'':
@@ -270,14 +266,16 @@
 	return false
 }
 
-// scanUnicode reads U&'...' or U&"...". Escapes are not decoded, so the classifier
-// treats an identifier with escapes as unknown.
+// scanUnicode reads U&'...' or U&"...". Escapes of an identifier are not decoded, so
+// the classifier treats it as unknown. Those of a string are, with the default escape
+// character.
 func (l *lexer) scanUnicode() (tokenKind, string) {
 	l.pos += 2
 	if l.src[l.pos] == '"' {
 		return tokenQuoted, "U&" + l.scanQuotedName()
 	}
-	return l.scanString(false)
+	kind, text := l.scanString(false)
+	return kind, decodeUnicodeEscapes(text)
 }
 
 // dollarTag returns the delimiter of a dollar-quoted string that starts here.
