lineowner: a call for a claim goes to the store and to other hosts once each

Cause: reading the diff: while the store serves nobody, a call went through two hosts, to the store, and through two hosts again. The limits of elections have a clearer name.

--- a/internal/lineowner/claim.go
+++ b/internal/lineowner/claim.go
@@ -35,7 +35,7 @@
 	if g.lastProof.primary != p || g.lastProof.term != p.status.term {
 		return time.Time{}
 	}
-	return g.claim.provesUntil(g.lastProof.at, g.service.storeEra(), limits)
+	return g.claim.provesUntil(g.lastProof.at, g.service.storeEra(), defaultElectionLimits)
 }
 
 // storeEra returns the latest era of the store that this host knows.
--- a/internal/lineowner/claimrelay.go
+++ b/internal/lineowner/claimrelay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,24 +52,29 @@
 	return gypsumyard.Object{Name: name, Version: v}, err
 }
 
-// call makes a call for a claim, through other hosts if need be. A write goes on
-// through another host only if the one before has certainly done nothing.
-func (r *relayedStore) call(ctx context.Context, c gypsumyard.ClaimCall) (gypsumyard.Object, error) {
+// call makes a call for a claim, through other hosts if need be. The call goes on only
+// if the one before has certainly done nothing.
+func (r *relayedStore) call(ctx context.Context, c gypsumyard.ClaimCall) (o gypsumyard.Object, err error) {
+	ways := []func(context.Context, gypsumyard.ClaimCall) (gypsumyard.Object, error){r.callOwn, r.relay}
 	if r.relaysFirst() {
-		if o, err, ok := r.relay(ctx, c); ok {
+		slices.Reverse(ways)
+	}
+	for _, w := range ways {
+		o, err = w(ctx, c)
+		if !errors.Is(err, gypsumyard.ErrUnavailable) {
 			return o, err
 		}
 	}
-	storeCtx, cancel := r.storeContext(ctx, c)
+	return o, err
+}
+
+// callOwn makes the call to the store, and remembers whether the store serves this
+// host.
+func (r *relayedStore) callOwn(ctx context.Context, c gypsumyard.ClaimCall) (gypsumyard.Object, error) {
+	ctx, cancel := r.storeContext(ctx, c)
 	defer cancel()
-	o, err := r.callStore(storeCtx, c)
+	o, err := r.callStore(ctx, c)
 	r.noteResult(err)
-	if !errors.Is(err, gypsumyard.ErrUnavailable) {
-		return o, err
-	}
-	if relayed, relayErr, ok := r.relay(ctx, c); ok {
-		return relayed, relayErr
-	}
 	return o, err
 }
 
@@ -100,9 +106,9 @@
 	}
 }
 
-// relay makes the call through random other hosts. It reports false if none of them
-// has reached the store.
-func (r *relayedStore) relay(ctx context.Context, c gypsumyard.ClaimCall) (o gypsumyard.Object, err error, ok bool) {
+// relay makes the call through random other hosts. It fails with ErrUnavailable if none
+// of them has reached the store.
+func (r *relayedStore) relay(ctx context.Context, c gypsumyard.ClaimCall) (o gypsumyard.Object, err error) {
 	hosts := r.hosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	for _, h := range hosts[:min(len(hosts), maxRelays)] {
@@ -110,9 +116,9 @@
 		log := r.log.WithFields(logrus.Fields{"database": c.Database, "member": h.Name, "write": c.Value != nil, "version": o.Version})
 		if !errors.Is(err, gypsumyard.ErrUnavailable) {
 			log.WithError(err).Info("store called through another host")
-			return o, err, true
+			return o, err
 		}
 		log.WithError(err).Debug("store not reached through another host")
 	}
-	return o, fmt.Errorf("through %d hosts: %w", min(len(hosts), maxRelays), gypsumyard.ErrUnavailable), false
+	return o, fmt.Errorf("through %d hosts: %w", min(len(hosts), maxRelays), gypsumyard.ErrUnavailable)
 }
--- a/internal/lineowner/claimrelay_test.go
+++ b/internal/lineowner/claimrelay_test.go
@@ -104,6 +104,9 @@
 	_, err = r.call(t.Context(), gypsumyard.ClaimCall{Database: "g"})
 	is.True(errors.Is(err, gypsumyard.ErrUnavailable))
 	is.Equal(*asked, maxRelays)
+	_, err = r.call(t.Context(), gypsumyard.ClaimCall{Database: "g"}) // Others are asked first now.
+	is.True(errors.Is(err, gypsumyard.ErrUnavailable))
+	is.Equal(*asked, 2*maxRelays)
 }
 
 // Pattern: a primary crashes while the store turns the owner of its database away.
--- a/internal/lineowner/claimrule.go
+++ b/internal/lineowner/claimrule.go
@@ -20,8 +20,8 @@
 	effect time.Duration
 }
 
-// limits are the times that all hosts keep.
-var limits = electionLimits{order: maxClaimAge, foreign: foreignElectionTimeout, effect: maxElectionDuration}
+// defaultElectionLimits are the times that all hosts keep.
+var defaultElectionLimits = electionLimits{order: maxClaimAge, foreign: foreignElectionTimeout, effect: maxElectionDuration}
 
 // A storeEra is the latest era of the store, and since when this host knows of it.
 // The store may have been restored long before.
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -234,7 +234,7 @@
 	g.mu.Lock()
 	now := g.clock.Now()
 	g.claim.record(v, latest.Done, now)
-	err = g.claim.mayClaim(g.service.claims.isOwn(latest), g.service.storeEra(), limits, now)
+	err = g.claim.mayClaim(g.service.claims.isOwn(latest), g.service.storeEra(), defaultElectionLimits, now)
 	g.mu.Unlock()
 	if err != nil {
 		return 0, fmt.Errorf("latest claim is of %q: %w", latest.Holder, err)
@@ -252,7 +252,7 @@
 // mustAwaitLostClaims reports whether another host may still be promoting with a
 // claim that a restore of the store has lost.
 func (g *group) mustAwaitLostClaims() bool {
-	return g.clock.Now().Before(g.service.storeEra().lostClaimsEnd(limits.foreign))
+	return g.clock.Now().Before(g.service.storeEra().lostClaimsEnd(defaultElectionLimits.foreign))
 }
 
 // markClaimDone tells other hosts that they need not wait for a promotion order
@@ -277,7 +277,7 @@
 	if err := g.confirmFences(answers, term, needed); err != nil {
 		return err
 	}
-	return mayOrder(gypsumyard.Version(generation), latest, g.clock.Since(claimedAt), limits)
+	return mayOrder(gypsumyard.Version(generation), latest, g.clock.Since(claimedAt), defaultElectionLimits)
 }
 
 // confirmFences checks that enough instances are still fenced: a promotion by another
