--- a/internal/lineowner/claimrelay_test.go
+++ b/internal/lineowner/claimrelay_test.go
@@ -78,7 +78,7 @@
 	store.SetDown(true)
 	other.DropResponses(1)
 	third := memstore.New()
-	r, asked = newRelayedStore(store, other, third)
+	r, _ = newRelayedStore(store, other, third)
 	for range 2 {
 		_, err = r.call(t.Context(), gypsumyard.ClaimCall{Database: "g", Value: []byte("x")})
 		if errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
