lineowner, catalog: log the instances that an election counts

The entry of an instance has its address now, since an instance that returns after a crash has a new ID at the same address.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -249,7 +249,7 @@
 		c.log.WithFields(logrus.Fields{"object": n.Name, "version": n.Version, "lost": n.lost}).Info("entry of instance removed")
 	case i != nil:
 		c.log.WithFields(logrus.Fields{
-			"instance": i.ID, "database": i.Group, "version": n.Version, "leaving": i.Leaving, "role": i.Role, "started": i.Started.UnixMilli(),
+			"instance": i.ID, "address": i.Addr.String(), "database": i.Group, "version": n.Version, "leaving": i.Leaving, "role": i.Role, "started": i.Started.UnixMilli(),
 		}).Info("entry of instance")
 	}
 }
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -191,6 +191,7 @@
 	}()
 	term, instances := g.nextTerm()
 	needed := fencesNeeded(len(instances))
+	g.logInstances(term, generation, instances)
 	answers := g.fence(instances, term, needed)
 	if len(answers) < needed {
 		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(instances), needed)
@@ -200,7 +201,7 @@
 		return nil, err
 	}
 	g.log.WithFields(logrus.Fields{
-		"term": term, "generation": generation, "fenced": len(answers), "needed": needed,
+		"term": term, "generation": generation, "fenced": describeFenced(answers), "needed": needed,
 		"instance": best.instance.id, "received": best.status.received.String(),
 	}).Info("instance chosen to lead")
 	g.setElecting(true)
@@ -223,6 +224,27 @@
 	return best.instance, g.awaitPromoted(best.instance, term)
 }
 
+// logInstances logs the instances that an election counts, with what was last known
+// of each.
+func (g *group) logInstances(term gypsumyard.Term, generation gypsumyard.Generation, instances []*instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var known []string
+	for _, i := range instances {
+		known = append(known, fmt.Sprintf("%s %s term %d received %s held %d age %v leaving %t started %d", i.id, i.status.role, i.status.term,
+			i.status.received, i.status.fencedTerm, g.clock.Since(i.sampledAt).Round(time.Millisecond), i.listed.Leaving, i.listed.Started.UnixMilli()))
+	}
+	g.log.WithFields(logrus.Fields{"term": term, "generation": generation, "instances": known}).Info("instances of election")
+}
+
+// describeFenced returns the IDs of the fenced instances and what they have received.
+func describeFenced(fenced []fencedInstance) (list []string) {
+	for _, f := range fenced {
+		list = append(list, f.instance.id+" "+f.status.received.String())
+	}
+	return list
+}
+
 // acquireClaim obtains a generation. It fails while another host may be
 // promoting: that host's promotion order may be in flight, and a new claim would
 // only force it to start over.
