--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -84,7 +84,12 @@
 
 func (l *fakeLists) Desired() *gypsumyard.DesiredState { return l.desired }
 
-func (l *fakeLists) Instances(string) []gypsumyard.ListedInstance { return l.listed() }
+func (l *fakeLists) Instances(string) []gypsumyard.ListedInstance {
+	l.mu.Lock()
+	listed := l.listed
+	l.mu.Unlock()
+	return listed()
+}
 
 func (l *fakeLists) Changes() <-chan struct{} {
 	l.mu.Lock()
@@ -185,13 +190,34 @@
 
 // addHost starts a host that believes it owns the group.
 func (f *fixture) addHost(name string, peers *fakePeers, others ...string) *hostFixture {
+	f.t.Helper()
+	return f.startHost(name, f.group.Listed, peers, others)
+}
+
+// addHostWithList is addHost for a host whose list holds only the given instances.
+func (f *fixture) addHostWithList(name string, instances ...*linegroup.Instance) *hostFixture {
+	f.t.Helper()
+	return f.startHost(name, listOf(instances), nil, nil)
+}
+
+// listOf returns a source of the list entries of the instances.
+func listOf(instances []*linegroup.Instance) func() []gypsumyard.ListedInstance {
+	return func() (l []gypsumyard.ListedInstance) {
+		for _, i := range instances {
+			l = append(l, i.Listed())
+		}
+		return l
+	}
+}
+
+func (f *fixture) startHost(name string, listed func() []gypsumyard.ListedInstance, peers *fakePeers, others []string) *hostFixture {
 	f.t.Helper()
 	d := &gypsumyard.DesiredState{
 		Groups: map[string]gypsumyard.Group{groupName: {Name: groupName, Connections: 30, SyncReplicas: 1}},
 		Routes: map[string]gypsumyard.Route{"readings": {Group: groupName, MaxStaleness: f.staleness}},
 	}
 	h := &hostFixture{
-		lists:    &fakeLists{Stub: kerneltest.New("lists"), desired: d, listed: f.group.Listed, changed: make(chan struct{})},
+		lists:    &fakeLists{Stub: kerneltest.New("lists"), desired: d, listed: listed, changed: make(chan struct{})},
 		members:  &fakeMembers{Stub: kerneltest.New("members"), self: gypsumyard.Host{Name: name}, owner: name, changed: make(chan struct{})},
 		promoter: &fakePromoter{group: f.group},
 	}
