--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -89,14 +89,28 @@
 
 // Crash stops the instance and closes its connections.
 func (i *Instance) Crash() {
+	i.update(func() { i.down = true })
+	_ = i.listener.Close()
+	i.closeSessions()
+}
+
+// Restart does what a restart of the instance's process at the same address does: it
+// closes the connections and ends a fence. The log is kept.
+func (i *Instance) Restart() {
+	i.update(func() {
+		i.fencedTerm = 0
+		i.started = time.Now()
+	})
+	i.closeSessions()
+}
+
+func (i *Instance) closeSessions() {
 	var open []*session
 	i.update(func() {
-		i.down = true
 		for s := range i.sessions {
 			open = append(open, s)
 		}
 	})
-	_ = i.listener.Close()
 	for _, s := range open {
 		_ = s.net.Close()
 	}
