lineowner: a leaving primary gets no work after its drain timeout

Cause: an election promotes the longest log, which may be that of a leaving instance. As the primary it was then used without a limit; the setting bounds.drainTimeoutMs was read and not used.

Fix: the catalog keeps since when an instance is known to leave; 1.5 s before the drain timeout is over the primary gets no more work, and requests are rejected at once, to be retried later. The test failed before: the read waited (outcome-unknown != not-run).

--- a/desired.go
+++ b/desired.go
@@ -75,6 +75,9 @@
 	Slots         int
 	// Leaving indicates that the instance is about to be shut down.
 	Leaving bool
+	// LeavingSince is when this host learned that it is leaving. It is zero while the
+	// instance stays.
+	LeavingSince time.Time
 	// Role is the instance's role, according to the instance, when it wrote the
 	// entry.
 	Role Role
--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -190,6 +190,7 @@
 	if old != nil && !sameEra && !c.supersedes(n, old) {
 		return false
 	}
+	c.noteLeaving(n, old)
 	if o.Deleted {
 		c.bury(n, old)
 	}
@@ -216,6 +217,18 @@
 	n.instance = &i
 }
 
+// noteLeaving sets since when the instance of n is known to leave. old is the copy that
+// n replaces, or nil.
+func (c *objectCache) noteLeaving(n, old *cachedObject) {
+	if n.instance == nil || !n.instance.Leaving {
+		return
+	}
+	n.instance.LeavingSince = c.clock.Now()
+	if old != nil && old.instance != nil && old.instance.Leaving && old.instance.Started.Equal(n.instance.Started) {
+		n.instance.LeavingSince = old.instance.LeavingSince
+	}
+}
+
 // bury makes n the tombstone of old, which may be nil.
 func (c *objectCache) bury(n, old *cachedObject) {
 	n.removed = c.clock.Now()
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -296,3 +296,18 @@
 		})
 	}
 }
+
+// Guards against a leaving instance that seems to have begun to leave whenever its entry
+// is written, so that the time in which it must be drained never ends.
+func TestLeavingSinceIsKept(t *testing.T) {
+	is := is.New(t)
+	s, c := newCache(t)
+	s.Apply([]gypsumyard.Object{entry(1, 1, 1, false)})
+	is.True(s.Instances("g")[0].LeavingSince.IsZero())
+	c.Advance(time.Second)
+	began := c.Now()
+	s.Apply([]gypsumyard.Object{entry(1, 2, 2, true)})
+	c.Advance(time.Second)
+	s.Apply([]gypsumyard.Object{entry(1, 3, 3, true)})
+	is.Equal(s.Instances("g")[0].LeavingSince, began)
+}
--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -24,6 +24,8 @@
 	started time.Time
 	down    bool
 	leaving bool
+	// leavingSince is when leaving was set.
+	leavingSince time.Time
 	// isolated instances receive no records and, as primaries, send none.
 	isolated bool
 	// unresponsive instances accept connections and send no responses.
@@ -43,7 +45,7 @@
 	i.group.mu.Lock()
 	defer i.group.mu.Unlock()
 	return gypsumyard.ListedInstance{
-		ID: i.id, Group: i.group.name, Addr: i.addrLocked(), Slots: i.group.slots, Leaving: i.leaving, Role: i.role, Started: i.started,
+		ID: i.id, Group: i.group.name, Addr: i.addrLocked(), Slots: i.group.slots, Leaving: i.leaving, LeavingSince: i.leavingSince, Role: i.role, Started: i.started,
 	}
 }
 
@@ -77,7 +79,12 @@
 func (i *Instance) SetBusy(on bool) { i.update(func() { i.busy = on }) }
 
 // SetLeaving marks the instance as about to be shut down in its list entry.
-func (i *Instance) SetLeaving() { i.update(func() { i.leaving = true }) }
+func (i *Instance) SetLeaving() {
+	i.update(func() {
+		i.leaving = true
+		i.leavingSince = time.Now()
+	})
+}
 
 // DropResponses makes the instance run the next n statements but close the
 // connection instead of responding.
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -113,7 +113,7 @@
 	h.members = member.New(s.Host, member.WithClock(h.clock), member.WithLogger(h.logger("members")), member.WithMetrics(h.scope),
 		member.WithSeeds(s.Seeds...))
 	h.owner = lineowner.New(client, claimPrefix, client, lineowner.WithClock(h.clock), lineowner.WithLogger(h.logger("owner")),
-		lineowner.WithMetrics(h.scope), lineowner.WithEras(eras))
+		lineowner.WithMetrics(h.scope), lineowner.WithEras(eras), lineowner.WithDrainTimeout(s.DrainTimeout))
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.logger("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = linecaller.New(s.CallerAddr, linecaller.WithClock(h.clock), linecaller.WithLogger(h.logger("caller")),
 		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -31,6 +31,8 @@
 	lastID int
 	// staleness is the longest staleness that a route accepts.
 	staleness time.Duration
+	// drainTimeout is how soon a leaving instance must get no more work, or zero.
+	drainTimeout time.Duration
 }
 
 // A hostFixture is one host with its fake dependencies.
@@ -233,7 +235,7 @@
 		log.SetOutput(f.t.Output())
 	}
 	h.logHook = hook
-	h.Service = New(f.store, "claims/", h.promoter, WithClock(clock.Boot()), WithLogger(log))
+	h.Service = New(f.store, "claims/", h.promoter, WithClock(clock.Boot()), WithLogger(log), WithDrainTimeout(f.drainTimeout))
 	var err error
 	h.kernel, err = kernel.New(h.lists, h.members, peers, h.Service)
 	if err != nil {
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -30,6 +30,10 @@
 	noPrimaryTimeout = 2 * time.Second
 	// noPrimaryRetryAfter is the delay after which their callers may retry.
 	noPrimaryRetryAfter = 500 * time.Millisecond
+	// drainMargin is how long before the drain timeout a leaving primary gets its
+	// last work: other hosts may have learned earlier that it is leaving, and
+	// statements wait at the instance.
+	drainMargin = 1500 * time.Millisecond
 	// sampleRetention is how long samples of the primary's position are kept. It
 	// exceeds the staleness that routes accept.
 	sampleRetention = 12 * time.Second
@@ -201,20 +205,40 @@
 // at most evidenceTTL before arrived.
 func (g *group) awaitPrimary(ctx context.Context, arrived time.Time) (*instance, error) {
 	var found *instance
+	drained := false
 	err := g.awaitEvidence(ctx, func() bool {
 		p, at := g.provenPrimary()
 		if p == nil || at.Before(arrived.Add(-evidenceTTL)) || g.drainingPrimary {
 			return false
 		}
-		found = p
-		return true
+		found, drained = p, g.mustDrain(p)
+		return !drained || !g.electing
 	})
 	if err != nil {
 		return nil, fmt.Errorf("wait for an instance that is known to lead: %w", err)
 	}
+	if drained {
+		return nil, errPrimaryDrained()
+	}
 	return found, nil
 }
 
+// mustDrain reports whether a leaving instance must get no more work. The caller must
+// hold g.mu.
+func (g *group) mustDrain(i *instance) bool {
+	limit := g.service.drainTimeout
+	since := i.listed.LeavingSince
+	return i.listed.Leaving && limit > 0 && !since.IsZero() && g.clock.Since(since) > limit-drainMargin
+}
+
+// errPrimaryDrained returns the error for requests that need a primary while the only
+// one is leaving and no other instance can take over yet.
+func errPrimaryDrained() error {
+	e := gypsumyard.Errorf(gypsumyard.ClassNotRun, "the primary is leaving and no other instance can lead yet")
+	e.RetryAfter, e.NoRetry = noPrimaryRetryAfter, true
+	return e
+}
+
 // confirmCommit returns nil if there is evidence, no older than evidenceTTL, that the
 // instance was the primary as it acknowledged a commit. A replica whose fence has ended
 // may let a replaced primary acknowledge commits. If the evidence is older, it waits for
--- /dev/null
+++ b/internal/lineowner/leaving_test.go
@@ -0,0 +1,48 @@
+package lineowner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
+	"github.com/matryer/is"
+)
+
+// leavingFixture returns a group whose primary and one replica leave. The replica that
+// stays receives nothing.
+func leavingFixture(t *testing.T, drainTimeout time.Duration) (f *fixture, h *hostFixture, staying *linegroup.Instance) {
+	t.Helper()
+	is := is.New(t)
+	f = newFixture(t, 3)
+	f.drainTimeout = drainTimeout
+	h = f.addHost("host-1", nil)
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	all := f.group.Instances()
+	all[1].SetIsolated(true)
+	_, err = f.write(h, "WRITE a 2")
+	is.NoErr(err)
+	all[0].SetLeaving()
+	all[2].SetLeaving()
+	h.lists.change()
+	return f, h, all[1]
+}
+
+// Guards against work for a leaving primary after the time in which it must be drained,
+// and against requests that wait for their deadline then.
+func TestLeavingPrimaryIsDrainedInTime(t *testing.T) {
+	is := is.New(t)
+	f, h, _ := leavingFixture(t, drainMargin+time.Second)
+	time.Sleep(time.Second + 200*time.Millisecond)
+	mark := len(f.group.Executions())
+	end := time.Now().Add(electionSpan)
+	for time.Now().Before(end) {
+		began := time.Now()
+		_, _, err := f.run(h, statement{text: "READ a", class: gypsumyard.StatementRead, timeout: 3 * time.Second})
+		is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+		is.True(time.Since(began) < 2*time.Second)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(len(f.group.Executions()), mark)
+}
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -41,7 +41,7 @@
 	if i.departure == nil {
 		g.log.WithField("instance", i.id).Info("instance is no longer listed")
 		i.departure = &departure{since: g.clock.Now()}
-		i.listed.Leaving = true
+		i.markLeaving(g.clock.Now())
 	}
 	if i.successor = g.listedAt(i); i.successor != nil && !i.retired {
 		i.retire()
@@ -49,6 +49,14 @@
 	g.instances = append(g.instances, i)
 }
 
+// markLeaving treats an instance without a list entry as leaving. The caller must hold
+// the group's mutex.
+func (i *instance) markLeaving(now time.Time) {
+	if !i.listed.Leaving {
+		i.listed.Leaving, i.listed.LeavingSince = true, now
+	}
+}
+
 // listedAt returns the listed instance that has the address of a departed one, or nil.
 // The caller must hold g.mu.
 func (g *group) listedAt(departed *instance) *instance {
@@ -68,7 +76,7 @@
 	now := g.clock.Now()
 	for _, i := range g.instances {
 		if i.departure != nil && now.Sub(i.departure.since) > listingDelay {
-			i.listed.Leaving = true
+			i.markLeaving(now)
 		}
 	}
 	g.instances = slices.DeleteFunc(g.instances, func(i *instance) bool {
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -36,6 +36,7 @@
 	metrics       *metrics
 	claims        *claimStore
 	replicaSets   *replicaSetStore
+	drainTimeout  time.Duration
 	eras          gypsumyard.Eras
 	promotions    gypsumyard.PromotionClient
 	lists         Lists
@@ -73,6 +74,10 @@
 // WithEras sets the tracker of the store's era, which the store's client updates.
 func WithEras(e gypsumyard.Eras) Option { return func(s *Service) { s.eras = e } }
 
+// WithDrainTimeout sets how soon a leaving instance must get no more work. Without it
+// there is no limit.
+func WithDrainTimeout(d time.Duration) Option { return func(s *Service) { s.drainTimeout = d } }
+
 // New returns the service. It stores promotion claims and replica sets below
 // claimPrefix.
 func New(store gypsumyard.Store, claimPrefix string, promotions gypsumyard.PromotionClient, options ...Option) *Service {
