lineowner: a commit of a leaving primary is on a replica that stays

Cause: a leaving replica counts for the acknowledgement until it is gone, and its log goes with it. With a leaving primary and replicas that stay but receive nothing, only leaving instances held a commit.

Fix: the acknowledgement of a commit by a leaving primary is passed on once a replica that stays has received it, otherwise the commit is in doubt. This concerns only the second or two of a handover.

The test failed before: 'not true: err != nil', the write was acknowledged.

--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -240,16 +240,17 @@
 }
 
 // confirmCommit returns nil if there is evidence, no older than evidenceTTL, that the
-// instance was the primary as it acknowledged a commit. A replica whose fence has ended
-// may let a replaced primary acknowledge commits. If the evidence is older, it waits for
-// newer evidence.
-func (g *group) confirmCommit(ctx context.Context, i *instance) error {
+// instance was the primary as it acknowledged a commit, which ends at the position. A
+// replica whose fence has ended may let a replaced primary acknowledge commits. A commit
+// of a leaving primary must also be on a replica that stays, since a leaving replica may
+// have acknowledged it. confirmCommit waits for evidenceTTL for what is missing.
+func (g *group) confirmCommit(ctx context.Context, i *instance, commit gypsumyard.Position) error {
 	oldest := g.clock.Now().Add(-evidenceTTL)
 	ctx, cancel := context.WithTimeoutCause(ctx, evidenceTTL, errCommitUnconfirmed)
 	defer cancel()
 	err := g.await(ctx, func() bool {
 		p, at := g.provenPrimary()
-		return p == i && !at.Before(oldest)
+		return p == i && !at.Before(oldest) && (!i.listed.Leaving || g.isOnStayingReplica(p, commit))
 	})
 	if err != nil {
 		g.log.WithField("instance", i.id).WithError(err).Warn("commit is not known to be kept")
@@ -258,6 +259,17 @@
 	return nil
 }
 
+// isOnStayingReplica reports whether a replica that is not leaving has received the log
+// of the primary p up to the position. The caller must hold g.mu.
+func (g *group) isOnStayingReplica(p *instance, position gypsumyard.Position) bool {
+	for _, i := range g.instances {
+		if i != p && i.usable() && i.status.term == p.status.term && i.status.received.Compare(position) >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitStalenessBound returns the position that a read must see to meet the
 // staleness.
 func (g *group) awaitStalenessBound(ctx context.Context, staleness time.Duration, arrived time.Time) (p gypsumyard.Position, err error) {
--- a/internal/lineowner/leaving_test.go
+++ b/internal/lineowner/leaving_test.go
@@ -29,6 +29,25 @@
 	return f, h, all[1]
 }
 
+// Guards against the loss of a commit that only leaving instances hold: their logs go
+// with them.
+func TestCommitThatOnlyLeavingInstancesHold(t *testing.T) {
+	is := is.New(t)
+	f, h, staying := leavingFixture(t, 0)
+	end := time.Now().Add(electionSpan)
+	for time.Now().Before(end) {
+		_, _, err := f.run(h, statement{text: "WRITE a 3", class: gypsumyard.StatementWrite, timeout: 500 * time.Millisecond})
+		is.True(err != nil)
+	}
+	staying.SetIsolated(false)
+	f.eventually("a write", func() bool {
+		_, err := f.write(h, "WRITE a 4")
+		return err == nil
+	})
+	f.eventually("a handover", func() bool { return f.group.Primary() == staying })
+	f.nothingLost()
+}
+
 // Guards against work for a leaving primary after the time in which it must be drained,
 // and against requests that wait for their deadline then.
 func TestLeavingPrimaryIsDrainedInTime(t *testing.T) {
--- a/internal/lineowner/single.go
+++ b/internal/lineowner/single.go
@@ -31,7 +31,7 @@
 	g.returnConn(u, a)
 	res = gypsumyard.Result{Position: a.position, TxStatus: 'I', Instance: u.instance.id}
 	if a.failure == nil && !reads {
-		if err := g.confirmCommit(ctx, u.instance); err != nil {
+		if err := g.confirmCommit(ctx, u.instance, a.position); err != nil {
 			return res, false, err
 		}
 	}
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -200,7 +200,7 @@
 		t.conn.dirty = a.failure != nil
 		g.endTransaction(t, false)
 		if t.wrote && j.commits() && a.failure == nil {
-			if err := g.confirmCommit(ctx, t.instance); err != nil {
+			if err := g.confirmCommit(ctx, t.instance, a.position); err != nil {
 				return res, err
 			}
 		}
