peer: a test counts the connections that are used, not the attempts to connect

Cause: the test's claim. Its proxy counted accepted TCP connections and took them for dialed links. A host dials links in pairs of connections, so an odd count cannot come from links. tcp.Dial starts another attempt when it sees no answer for 200 ms, as it is meant to, and closes the connections of the slower ones unused. On a busy machine a process sees the answer late although loopback answers at once. The code dials exactly as many links as it lost. Change: the proxy counts the connections that carried data, and the test checks that all others were closed without any, so one link more than was lost still fails it. TestSilentGossipIsReplaced made the same claim. With a connect that dials one link too many, both variants fail with "12 connections used, want 6".

--- a/internal/peer/helper_test.go
+++ b/internal/peer/helper_test.go
@@ -112,7 +112,9 @@
 	mu       sync.Mutex
 	conns    []net.Conn
 	stalled  chan struct{}
-	dials    int
+	// accepted is the number of connections from the client, used the number of
+	// those that carried data, and unused of those that it closed without any.
+	accepted, used, unused int
 }
 
 func startProxy(t testing.TB, to netip.AddrPort) *proxy {
@@ -145,10 +147,10 @@
 		}
 		p.mu.Lock()
 		p.conns = append(p.conns, c, u)
-		p.dials++
+		p.accepted++
 		stalled := p.stalled
 		p.mu.Unlock()
-		go pipe(c, u, stalled)
+		go pipe(&countedConn{Conn: c, proxy: p}, u, stalled)
 		go pipe(u, c, stalled)
 	}
 }
@@ -191,10 +193,45 @@
 	p.conns = nil
 }
 
-func (p *proxy) dialCount() int {
+// A countedConn is a client's connection to a proxy. Its first read tells whether
+// the client uses it.
+type countedConn struct {
+	net.Conn
+	proxy *proxy
+	first sync.Once
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.first.Do(func() { c.proxy.countRead(n) })
+	return n, err
+}
+
+func (p *proxy) countRead(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.dials
+	if n > 0 {
+		p.used++
+	} else {
+		p.unused++
+	}
+}
+
+// checkDials checks that the client used n connections and closed all others. It
+// has others if the machine is so busy that tcp.Dial starts a second attempt before
+// it sees the answer to the first.
+func (p *proxy) checkDials(t testing.TB, n int) {
+	t.Helper()
+	eventually(t, "all unused connections closed", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.accepted == p.used+p.unused
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used != n {
+		t.Errorf("%d connections used, want %d", p.used, n)
+	}
 }
 
 // eventually waits up to 5 s for the condition to hold.
@@ -208,3 +245,20 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// testDialers are dialers with and without overlapping attempts.
+var testDialers = map[string]func(context.Context, netip.AddrPort) (net.Conn, error){
+	"one attempt":          dialTCP,
+	"overlapping attempts": dialTwice,
+}
+
+// dialTwice does what tcp.Dial does when it sees no answer to its first attempt in
+// time: it uses the connection of a second one and closes the first, unused.
+func dialTwice(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	slow, err := dialTCP(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	defer slow.Close()
+	return dialTCP(ctx, to)
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -193,33 +193,38 @@
 // Guards against requests that hang on a connection that was lost without being
 // closed, whether it was lost during the request or while it was idle before.
 func TestSilentConnectionIsReplaced(t *testing.T) {
-	is := is.New(t)
-	block := make(chan struct{}, 1)
-	o := newFakeOwner(func(ctx context.Context, r *gypsumyard.Request, _ gypsumyard.ResponseSink) (gypsumyard.Result, error) {
-		if string(r.Messages) == "block" {
-			block <- struct{}{}
-			<-ctx.Done()
-		}
-		return gypsumyard.Result{}, nil
-	})
-	_, b := startHost(t, "b", o)
-	p := startProxy(t, b.Addr)
-	a, _ := startHost(t, "a")
-	e := a.Executor(gypsumyard.Host{Name: "b", Addr: p.addr()})
-	go func() {
-		<-block
-		p.stall()
-	}()
-	_, err := e.Execute(t.Context(), &gypsumyard.Request{Messages: []byte("block")}, discardSink{})
-	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
-	is.True(errors.Is(err, errKeepaliveTimeout))
-	_, err = e.Execute(t.Context(), &gypsumyard.Request{}, discardSink{})
-	is.NoErr(err)
-	p.stall()
-	time.Sleep(keepaliveTimeout + 100*time.Millisecond)
-	_, err = e.Execute(t.Context(), &gypsumyard.Request{}, discardSink{})
-	is.NoErr(err)
-	is.Equal(p.dialCount(), 6) // three links of two connections
+	for name, dial := range testDialers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			block := make(chan struct{}, 1)
+			o := newFakeOwner(func(ctx context.Context, r *gypsumyard.Request, _ gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+				if string(r.Messages) == "block" {
+					block <- struct{}{}
+					<-ctx.Done()
+				}
+				return gypsumyard.Result{}, nil
+			})
+			_, b := startHost(t, "b", o)
+			p := startProxy(t, b.Addr)
+			a, _ := startHost(t, "a")
+			a.dialer = dial
+			e := a.Executor(gypsumyard.Host{Name: "b", Addr: p.addr()})
+			go func() {
+				<-block
+				p.stall()
+			}()
+			_, err := e.Execute(t.Context(), &gypsumyard.Request{Messages: []byte("block")}, discardSink{})
+			is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassUnknown)
+			is.True(errors.Is(err, errKeepaliveTimeout))
+			_, err = e.Execute(t.Context(), &gypsumyard.Request{}, discardSink{})
+			is.NoErr(err)
+			p.stall()
+			time.Sleep(keepaliveTimeout + 100*time.Millisecond)
+			_, err = e.Execute(t.Context(), &gypsumyard.Request{}, discardSink{})
+			is.NoErr(err)
+			p.checkDials(t, 6) // three links of two connections
+		})
+	}
 }
 
 // Guards against transactions and requests that survive the loss of their entry
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -106,23 +106,28 @@
 // Guards against a Gossip stream whose connection is lost without being closed and
 // which loses heartbeats for so long that a host is declared dead.
 func TestSilentGossipIsReplaced(t *testing.T) {
-	is := is.New(t)
-	s, b := startHost(t, "b")
-	s.HandleMembers(func(m *peerpb.Members) *peerpb.Members { return &peerpb.Members{From: "b", Sequence: m.Sequence} })
-	p := startProxy(t, b.Addr)
-	a, _ := startHost(t, "a")
-	acked := make(chan uint64, 100)
-	a.HandleMembers(func(m *peerpb.Members) *peerpb.Members { acked <- m.Sequence; return nil })
-	to := gypsumyard.Host{Name: "b", Addr: p.addr()}
-	a.SendMembers(to, &peerpb.Members{From: "a", Sequence: 1})
-	is.Equal(<-acked, uint64(1))
-	p.stall()
-	began := time.Now()
-	eventually(t, "heartbeat over a new stream", func() bool {
-		a.SendMembers(to, &peerpb.Members{From: "a", Sequence: 2})
-		time.Sleep(50 * time.Millisecond)
-		return len(acked) > 0
-	})
-	t.Logf("replaced after %s", time.Since(began))
-	is.Equal(p.dialCount(), 2)
+	for name, dial := range testDialers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, b := startHost(t, "b")
+			s.HandleMembers(func(m *peerpb.Members) *peerpb.Members { return &peerpb.Members{From: "b", Sequence: m.Sequence} })
+			p := startProxy(t, b.Addr)
+			a, _ := startHost(t, "a")
+			a.dialer = dial
+			acked := make(chan uint64, 100)
+			a.HandleMembers(func(m *peerpb.Members) *peerpb.Members { acked <- m.Sequence; return nil })
+			to := gypsumyard.Host{Name: "b", Addr: p.addr()}
+			a.SendMembers(to, &peerpb.Members{From: "a", Sequence: 1})
+			is.Equal(<-acked, uint64(1))
+			p.stall()
+			began := time.Now()
+			eventually(t, "heartbeat over a new stream", func() bool {
+				a.SendMembers(to, &peerpb.Members{From: "a", Sequence: 2})
+				time.Sleep(50 * time.Millisecond)
+				return len(acked) > 0
+			})
+			t.Logf("replaced after %s", time.Since(began))
+			p.checkDials(t, 2)
+		})
+	}
 }
