httpcall: a response over its bound is an error of its own

What was seen: a response was cut at MaxResponseBytes without a word. The rest failed as broken JSON or, when the cut part was still valid, was taken for the whole answer. Cause: io.LimitReader ends like the body itself. Change: one byte more than the bound is read; a longer response to decode fails with a TooLongError beside ErrUnavailable or, for an update, ErrOutcomeUnknown. Responses that are not decoded and error responses keep the outcome that their status tells. Evidence: TestLongResponseIsAnError failed before: call_test.go:37: not true: errors.As(err, &long) Result: passes -count=3 and -race, with the two platform packages that call it.

--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -32,8 +33,9 @@
 }
 
 // Do makes the call once and decodes the response into out unless out is nil. A
-// call without a response fails with ErrUnavailable if it cannot have taken
-// effect, and with ErrOutcomeUnknown otherwise.
+// call without a usable response fails with ErrUnavailable if it cannot have taken
+// effect, and with ErrOutcomeUnknown otherwise. The error of a response to decode
+// that is longer than its bound also wraps a TooLongError.
 func Do(ctx context.Context, client *http.Client, c Call, out any) error {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
@@ -55,8 +57,8 @@
 	if c.ResponseHeader != nil {
 		*c.ResponseHeader = resp.Header
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxResponseBytes))
-	if err != nil {
+	data, err := ReadBody(resp.Body, c.MaxResponseBytes)
+	if err != nil && !errors.As(err, new(*TooLongError)) {
 		return callError(c.Method, true, err)
 	}
 	if err := statusError(c.Method, resp.StatusCode, data); err != nil {
@@ -65,6 +67,9 @@
 	if out == nil {
 		return nil
 	}
+	if err != nil {
+		return callError(c.Method, true, err)
+	}
 	if err := json.Unmarshal(data, out); err != nil {
 		return callError(c.Method, true, err)
 	}
@@ -100,3 +105,21 @@
 	}
 	return fmt.Errorf("status %d: %s", status, text)
 }
+
+// A TooLongError reports a response body that is longer than its bound in bytes.
+type TooLongError struct{ Limit int64 }
+
+// Error describes the error.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("response is longer than %d bytes", e.Limit)
+}
+
+// ReadBody reads a response body of up to limit bytes. Of a longer one it returns
+// the first limit bytes and a TooLongError.
+func ReadBody(r io.Reader, limit int64) (data []byte, err error) {
+	data, err = io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(data)) > limit {
+		return data[:limit], &TooLongError{limit}
+	}
+	return data, err
+}
