operator: the client reports a response that is too long

What was seen: the client cut a response at 1 MiB; the rest failed as broken JSON or was taken for the whole, and a long error response lost its own error. Cause: io.LimitReader ends like the body itself. Change: a longer response fails with httpcall.TooLongError; a long error response is the APIError of its status joined with it.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/httpcall"
 	"github.com/gypsumyard/gypsumyard/internal/planlist"
 )
 
@@ -82,6 +83,9 @@
 	return "?expected=" + strconv.FormatUint(expected, 10)
 }
 
+// call makes a call and decodes the response into result unless result is nil. An
+// error response is an APIError, a response of over maxBody bytes a
+// httpcall.TooLongError.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, result any) (err error) {
 	defer func() {
 		if err != nil {
@@ -100,19 +104,23 @@
 		return err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	data, err := httpcall.ReadBody(response.Body, maxBody)
+	if response.StatusCode >= http.StatusBadRequest {
+		return errors.Join(decodeError(response, data), err)
+	}
 	if err != nil {
 		return err
 	}
-	if response.StatusCode >= http.StatusBadRequest {
-		e := &APIError{Code: response.StatusCode}
-		if json.Unmarshal(data, &e.ErrorResponse) != nil {
-			e.ErrorResponse = ErrorResponse{Error: response.Status, Kind: "invalid"}
-		}
-		return e
-	}
 	if result == nil {
 		return nil
 	}
 	return json.Unmarshal(data, result)
 }
+
+func decodeError(r *http.Response, data []byte) *APIError {
+	e := &APIError{Code: r.StatusCode}
+	if json.Unmarshal(data, &e.ErrorResponse) != nil {
+		e.ErrorResponse = ErrorResponse{Error: r.Status, Kind: "invalid"}
+	}
+	return e
+}
