planlist: an edit given up after its update was sent has an unknown outcome

What was seen: an edit whose update was cut off by context.Canceled, or whose next read failed for good after the answer to its update was lost, returned the plain error, which reads as "not applied" although the update may have taken effect. Cause: only the error of an interrupted wait was checked for an update in doubt. The platform's clients wrap a cancellation in ErrOutcomeUnknown, so through them only the second case is reached. Change: every error with which an edit is given up passes that check. Only ErrOutcomeUnknown and the errors of a context leave an update in doubt: a refusal (status 400, a value too large) is still returned as it is.

--- a/internal/planlist/edit.go
+++ b/internal/planlist/edit.go
@@ -110,10 +110,10 @@
 			delay = initialRetryDelay
 			continue
 		case !retryable(err):
-			return EditResult{}, err
+			return EditResult{}, pending.finalError(err)
 		}
 		if e.clock.Sleep(ctx, delay) != nil {
-			return EditResult{}, pending.interruptedError(err)
+			return EditResult{}, pending.finalError(err)
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
@@ -124,6 +124,16 @@
 		errors.Is(err, context.DeadlineExceeded)
 }
 
+// mayHaveTakenEffect reports whether the update that failed with err may have taken
+// effect. Errors of other kinds are refusals.
+func mayHaveTakenEffect(err error) bool {
+	if errors.Is(err, gypsumyard.ErrUnavailable) {
+		return false
+	}
+	return errors.Is(err, gypsumyard.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) ||
+		errors.Is(err, context.DeadlineExceeded)
+}
+
 // A pendingEdit is the state of an edit across its attempts.
 type pendingEdit struct {
 	Edit
@@ -140,9 +150,9 @@
 	initialEdits uint64
 }
 
-// interruptedError returns the error of an edit whose context has ended.
-func (p *pendingEdit) interruptedError(cause error) error {
-	if p.inDoubt {
+// finalError returns the error of an edit that is given up because of cause.
+func (p *pendingEdit) finalError(cause error) error {
+	if p.inDoubt && !errors.Is(cause, gypsumyard.ErrOutcomeUnknown) {
 		return fmt.Errorf("%w: %v", gypsumyard.ErrOutcomeUnknown, cause)
 	}
 	return cause
@@ -179,7 +189,7 @@
 	p.sent++
 	created, err := e.store.Put(ctx, p.object, version, value)
 	if err != nil {
-		if !errors.Is(err, gypsumyard.ErrUnavailable) && !errors.Is(err, gypsumyard.ErrConflict) {
+		if mayHaveTakenEffect(err) {
 			p.inDoubt, p.inDoubtVersion = true, version
 		}
 		return EditResult{}, err
--- /dev/null
+++ b/internal/planlist/outcome_test.go
@@ -0,0 +1,73 @@
+package planlist
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/matryer/is"
+)
+
+// A scriptedStore is a memoryStore whose calls fail in a given way.
+type scriptedStore struct {
+	*memoryStore
+	// afterPut replaces the error of a Put that has reached the store.
+	afterPut func(error) error
+	// beforeGet is called before each Get and fails it by an error.
+	beforeGet func() error
+	gets      int
+}
+
+func newScriptedStore() *scriptedStore {
+	return &scriptedStore{
+		memoryStore: newMemoryStore(),
+		afterPut:    func(err error) error { return err },
+		beforeGet:   func() error { return nil },
+	}
+}
+
+func (s *scriptedStore) Put(ctx context.Context, name string, expected gypsumyard.Version, value []byte) (gypsumyard.Version, error) {
+	v, err := s.memoryStore.Put(ctx, name, expected, value)
+	return v, s.afterPut(err)
+}
+
+func (s *scriptedStore) Get(ctx context.Context, name string) (gypsumyard.Object, error) {
+	s.gets++
+	if err := s.beforeGet(); err != nil {
+		return gypsumyard.Object{}, err
+	}
+	return s.memoryStore.Get(ctx, name)
+}
+
+var goldEdit = Edit{Kind: Plans, Name: "gold", Value: planValue("gold", 0.1), Expected: AnyVersion}
+
+// Guards against an edit that is reported as failed although the update was sent and
+// may have taken effect, and against the opposite.
+func TestEditOfUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	refused := errors.New("status 400")
+	for _, c := range []struct {
+		put, get error
+		unknown  bool
+	}{
+		{put: context.Canceled, unknown: true},
+		{put: gypsumyard.ErrOutcomeUnknown, get: refused, unknown: true},
+		{put: gypsumyard.ErrOutcomeUnknown, get: context.Canceled, unknown: true},
+		{put: refused},
+	} {
+		s := newScriptedStore()
+		s.afterPut = func(error) error { return c.put }
+		s.beforeGet = func() error {
+			if s.gets > 1 {
+				return c.get
+			}
+			return nil
+		}
+		_, err := NewEditor(s, instantClock{clock.System()}).Apply(t.Context(), goldEdit)
+		is.True(err != nil)
+		is.Equal(errors.Is(err, gypsumyard.ErrOutcomeUnknown), c.unknown)
+		is.Equal(errors.Is(err, refused), !c.unknown)
+	}
+}
