planlist: an edit ends once its outcome can no longer be found out

What was seen: after the answer to its update was lost and the object had more edits than it records (64), Apply went on reading the object until its context ended (20 s for an operator's edit), though no later read can tell more. Cause: the error for this case was ErrOutcomeUnknown, which is retried. Change: it is an error of its own that wraps ErrOutcomeUnknown and is not retried.

--- a/internal/planlist/edit.go
+++ b/internal/planlist/edit.go
@@ -87,7 +87,8 @@
 // Apply applies the edit exactly once. It retries until ctx ends when the store
 // fails or the answer to an update is lost. It fails with *EntryConflictError if
 // the entry is not at the expected version, and with ErrOutcomeUnknown if the
-// outcome of a sent update is still unknown when ctx ends.
+// outcome of a sent update is still unknown when ctx ends or can no longer be found
+// out.
 func (e *Editor) Apply(ctx context.Context, edit Edit) (a EditResult, err error) {
 	defer func() {
 		if err != nil {
@@ -119,7 +120,14 @@
 	}
 }
 
+// errOutOfRecord indicates that the object's record of edits no longer reaches back to
+// an update of unknown outcome. Later attempts cannot find out more.
+var errOutOfRecord = fmt.Errorf("%w: out of the record of edits", gypsumyard.ErrOutcomeUnknown)
+
 func retryable(err error) bool {
+	if errors.Is(err, errOutOfRecord) {
+		return false
+	}
 	return errors.Is(err, gypsumyard.ErrUnavailable) || errors.Is(err, gypsumyard.ErrOutcomeUnknown) ||
 		errors.Is(err, context.DeadlineExceeded)
 }
@@ -169,7 +177,7 @@
 		return p.result(version, d), nil
 	}
 	if p.inDoubt && d.Edits-p.initialEdits > maxRecentOperations {
-		return EditResult{}, fmt.Errorf("%w: the object has had %d edits since", gypsumyard.ErrOutcomeUnknown, d.Edits-p.initialEdits)
+		return EditResult{}, fmt.Errorf("%w: the object has had %d edits since", errOutOfRecord, d.Edits-p.initialEdits)
 	}
 	p.inDoubt = p.inDoubt && version == p.inDoubtVersion
 	if found := d.Entries[p.Name].Version; p.Expected != AnyVersion && p.Expected != found {
--- a/internal/planlist/outcome_test.go
+++ b/internal/planlist/outcome_test.go
@@ -71,3 +71,35 @@
 		is.Equal(errors.Is(err, refused), !c.unknown)
 	}
 }
+
+// Guards against an edit that asks the store until its time is over although the
+// object's record of edits can no longer tell whether its update took effect.
+func TestEditOutOfTheRecordEnds(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedStore()
+	s.putFaults = []fault{faultRequestLost}
+	s.beforeGet = func() error {
+		if s.gets == 2 {
+			editOften(t, s.memoryStore, maxRecentOperations+1)
+		}
+		if s.gets > 5 {
+			t.Error("the store is still asked")
+			return errors.New("end of the test")
+		}
+		return nil
+	}
+	_, err := NewEditor(s, instantClock{clock.System()}).Apply(t.Context(), goldEdit)
+	is.True(errors.Is(err, gypsumyard.ErrOutcomeUnknown))
+	is.Equal(s.gets, 2)
+}
+
+// editOften makes edits of another entry of the object that holds goldEdit.
+func editOften(t *testing.T, s *memoryStore, n int) {
+	t.Helper()
+	e := NewEditor(s, clock.System())
+	for range n {
+		if _, err := e.Apply(t.Context(), Edit{Kind: Plans, Name: "silver", Value: planValue("silver", 0.1), Expected: AnyVersion}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
