planlist: an edit waits before it is repeated after a conflict

What was seen: after a version conflict an edit read and updated again at once, without a look at its context. Concurrent editors of one object used up the store's rate limit with calls that fail, and an edit whose every update conflicts went on after its time if the store does not look at the context either. Cause: the case continued without the wait of the other failures. Change: it waits a random 25 to 75 ms. An edit whose time ends there was not applied and fails with ErrUnavailable (and ErrConflict), as one whose last read did not get through.

--- a/internal/planlist/edit.go
+++ b/internal/planlist/edit.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -15,7 +16,8 @@
 const AnyVersion = ^uint64(0)
 
 // An edit is retried after a failure of the store with exponential backoff from
-// initialRetryDelay to maxRetryDelay.
+// initialRetryDelay to maxRetryDelay, and after a conflict with another edit in about
+// initialRetryDelay.
 const (
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = 2 * time.Second
@@ -108,8 +110,9 @@
 		case err == nil:
 			return a, nil
 		case errors.Is(err, gypsumyard.ErrConflict):
-			delay = initialRetryDelay
-			continue
+			// Another edit has succeeded, so the store works.
+			err = fmt.Errorf("%w: %w", gypsumyard.ErrUnavailable, err)
+			delay = conflictDelay()
 		case !retryable(err):
 			return EditResult{}, pending.finalError(err)
 		}
@@ -120,6 +123,10 @@
 	}
 }
 
+// conflictDelay returns the time before an edit is repeated after a conflict. It is
+// random, so that concurrent editors of one object do not meet again.
+func conflictDelay() time.Duration { return initialRetryDelay/2 + mathrand.N(initialRetryDelay) }
+
 // errOutOfRecord indicates that the object's record of edits no longer reaches back to
 // an update of unknown outcome. Later attempts cannot find out more.
 var errOutOfRecord = fmt.Errorf("%w: out of the record of edits", gypsumyard.ErrOutcomeUnknown)
--- a/internal/planlist/fake_test.go
+++ b/internal/planlist/fake_test.go
@@ -26,6 +26,7 @@
 	faultRequestLost
 	faultAnswerLost
 	faultUnavailable
+	faultConflict
 )
 
 func newMemoryStore() *memoryStore {
@@ -83,7 +84,7 @@
 		return 0, gypsumyard.ErrUnavailable
 	case f == faultRequestLost:
 		return 0, gypsumyard.ErrOutcomeUnknown
-	case s.objects[name].Version != expected:
+	case f == faultConflict || s.objects[name].Version != expected:
 		return 0, gypsumyard.ErrConflict
 	}
 	s.version++
--- a/internal/planlist/outcome_test.go
+++ b/internal/planlist/outcome_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
@@ -103,3 +105,44 @@
 		}
 	}
 }
+
+// A pauseClock records the waits instead of waiting.
+type pauseClock struct {
+	gypsumyard.Clock
+	waits *[]time.Duration
+}
+
+func (c pauseClock) Sleep(ctx context.Context, d time.Duration) error {
+	*c.waits = append(*c.waits, d)
+	return ctx.Err()
+}
+
+// Guards against editors that use up the store's rate limit because they repeat an
+// edit at once after each conflict, or all after the same time, and against an edit
+// that goes on after its time because it always meets a conflict.
+func TestConflictsAreSpaced(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedStore()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s.putFaults = slices.Repeat([]fault{faultConflict}, 20)
+	s.beforeGet = func() error {
+		if s.gets == 10 {
+			cancel()
+		}
+		if s.gets > 10 {
+			t.Error("the store is still asked")
+			return errors.New("end of the test")
+		}
+		return nil
+	}
+	var waits []time.Duration
+	_, err := NewEditor(s, pauseClock{clock.System(), &waits}).Apply(ctx, goldEdit)
+	is.True(errors.Is(err, gypsumyard.ErrUnavailable)) // The edit was not applied.
+	is.Equal(len(waits), 10)
+	for _, d := range waits {
+		is.True(d >= initialRetryDelay/2)
+		is.True(d <= 2*initialRetryDelay)
+	}
+	is.True(len(slices.Compact(slices.Sorted(slices.Values(waits)))) > 1)
+}
