upstream: no deadline is remembered after a read without a timeout

What was seen: nothing by callers; found by reading. A read without a timeout removes the connection's read deadline but kept the remembered one, so a following read with a timeout within 1/16 of the earlier one went without any. Run reads so only with ReadTimeout 0 after the first message, and never with a timeout after that, so this could not happen yet. Cause: the remembered deadline was not removed with the connection's. Change: it is. Evidence: TestReadDeadlineAfterNone failed before: deadline_test.go:33: not true: !n.deadline.IsZero() Result: passes -count=3 and -race.

--- a/internal/upstream/run.go
+++ b/internal/upstream/run.go
@@ -257,6 +257,7 @@
 // by less than 1/16 of the timeout, which saves a timer update for each message.
 func (r *exchangeRun) setReadDeadline(timeout time.Duration) error {
 	if timeout <= 0 {
+		r.readDeadline = time.Time{}
 		return r.conn.net.SetReadDeadline(time.Time{})
 	}
 	until := time.Now().Add(timeout)
