linecaller: a read whose time is over fails with TIMEOUT

What was seen: a read that ran into its statement timeout was answered FAILED, which says that it has run; TIMEOUT was never sent. Cause: the code was chosen by context.DeadlineExceeded. The owner ends a statement with an error of its own ("time of the statement is over"), and of an error from another host only class and text arrive. Change: an unknown outcome at or after the request's deadline is TIMEOUT. Writes and commits stay INDOUBT, statements in a transaction ABORTED, and what certainly did not run BUSY.

--- a/internal/linecaller/execute.go
+++ b/internal/linecaller/execute.go
@@ -1,7 +1,6 @@
 package linecaller
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -128,7 +127,7 @@
 		text += ", retry after " + e.RetryAfter.Round(time.Millisecond).String()
 	}
 	inTransaction := ss.state == stateTransaction
-	code := ss.errorCode(st, mayHaveRun, inTransaction, err)
+	code := ss.errorCode(r, st, mayHaveRun, inTransaction)
 	if st.Verb == line.Commit {
 		// The transaction is over, whether or not the commit took effect.
 		ss.abandon()
@@ -140,7 +139,7 @@
 // errorCode returns the error code for a failed statement. In a transaction
 // only a failed COMMIT can be in doubt: without a COMMIT none of the
 // transaction's writes take effect.
-func (ss *session) errorCode(st line.Statement, mayHaveRun, inTransaction bool, err error) line.Code {
+func (ss *session) errorCode(r *gypsumyard.Request, st line.Statement, mayHaveRun, inTransaction bool) line.Code {
 	commits := st.Verb == line.Commit
 	reads := st.Verb == line.Read || ss.prepared[st.Name].Verb == line.Read
 	switch {
@@ -148,7 +147,8 @@
 		return line.CodeInDoubt
 	case inTransaction:
 		return line.CodeAborted
-	case mayHaveRun && errors.Is(err, context.DeadlineExceeded):
+	case mayHaveRun && !ss.server.clock.Now().Before(r.Deadline):
+		// The reason of the error does not tell it: it is lost between hosts.
 		return line.CodeTimeout
 	case mayHaveRun:
 		return line.CodeFailed
--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -341,6 +341,47 @@
 	}
 }
 
+// Guards against FAILED, which says that a statement has run, for one whose time is
+// over, whatever the host that ran it says about the reason.
+func TestTimeoutCodes(t *testing.T) {
+	for _, c := range []struct {
+		name, text, code string
+		begin            bool
+		class            gypsumyard.ErrorClass
+	}{
+		{"read", "READ a", "TIMEOUT", false, gypsumyard.ClassUnknown},
+		{"prepared read", "EXECUTE s a", "TIMEOUT", false, gypsumyard.ClassUnknown},
+		{"read that did not run", "READ a", "BUSY", false, gypsumyard.ClassNotRun},
+		{"write", "WRITE a 1", "INDOUBT", false, gypsumyard.ClassUnknown},
+		{"read in a transaction", "READ a", "ABORTED", true, gypsumyard.ClassUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			r := f.lists.desired.Routes["orders"]
+			r.StatementTimeout = 20 * time.Millisecond
+			f.lists.desired.Routes["orders"] = r
+			f.executor.reply = func(r *gypsumyard.Request, _ line.Payload) (string, gypsumyard.Result, error) {
+				for f.server.clock.Now().Before(r.Deadline) {
+					time.Sleep(time.Millisecond)
+				}
+				return "", gypsumyard.Result{}, gypsumyard.Errorf(c.class, "time of the statement is over")
+			}
+			s := f.dial("START orders u1")
+			s.expect("READY")
+			s.send("QUERY a1 PREPARE s READ q1")
+			s.expect("COMPLETE -", "READY I")
+			state := "I"
+			if c.begin {
+				s.send("QUERY a2 BEGIN")
+				s.expect("COMPLETE -", "READY T")
+				state = "E"
+			}
+			s.send("QUERY a3 " + c.text)
+			s.expect("ERROR "+c.code, "READY "+state)
+		})
+	}
+}
+
 // Guards against malformed input that affects more than its own session.
 func TestHostileInput(t *testing.T) {
 	f := newFixture(t)
