linecaller: a drain does not miss a session that is about to wait

What was seen: found by reading. A session that had looked at the state of the drain and not yet marked itself as waiting missed the interrupt of CloseIdle (or EndTransactions): it stayed open, idle, until the next step of the drain or the end of the process. Cause: the look and the mark were two steps under two locks. Change: the look happens under the lock of the mark. A later interrupt finds the mark, an earlier one left a state that the look finds. The server's lock is taken inside the session's; nothing takes them the other way round. Evidence: TestDrainBeforeWait holds the session at the mark while the drain begins.

--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -216,19 +216,20 @@
 
 // beginWait marks the session as waiting. It returns false if the session
 // should be closed instead because the host is draining; input that has been
-// received is still processed.
+// received is still processed. The look at the state of the drain and the mark are
+// one step, so that no interrupt of a new state falls between them.
 func (ss *session) beginWait() bool {
-	s := ss.server
-	s.mu.Lock()
-	mayWait := !s.closingIdle || !s.closingTransactions && (ss.startedDuringDrain || ss.state != stateIdle) || ss.in.Buffered() > 0
-	s.mu.Unlock()
-	if !mayWait {
-		return false
-	}
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.waiting = true
-	return true
+	ss.waiting = ss.mayWait()
+	return ss.waiting
+}
+
+func (ss *session) mayWait() bool {
+	s := ss.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.closingIdle || !s.closingTransactions && (ss.startedDuringDrain || ss.state != stateIdle) || ss.in.Buffered() > 0
 }
 
 // endWait ends the wait that beginWait began. It reports whether the wait was
@@ -254,6 +255,11 @@
 	s.mu.Unlock()
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
+	ss.interruptLocked(closingTransactions)
+}
+
+// interruptLocked is interrupt for a caller that holds ss.mu.
+func (ss *session) interruptLocked(closingTransactions bool) {
 	if !ss.waiting || (ss.inTransaction || ss.startedDuringDrain) && !closingTransactions {
 		return
 	}
--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -173,8 +175,8 @@
 func (c *caller) expectEnd() {
 	c.t.Helper()
 	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if s, err := c.in.ReadString('\n'); err == nil {
-		c.t.Fatalf("have %q, want the end of the session", s)
+	if s, err := c.in.ReadString('\n'); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		c.t.Fatalf("have %q, %v, want the end of the session", s, err)
 	}
 }
 
@@ -442,6 +444,35 @@
 	is.NoErr(f.server.Drain(ctx))
 }
 
+// Guards against a session that stays open in a drain because it was interrupted
+// between its look at the state of the drain and its wait for a message.
+func TestDrainBeforeWait(t *testing.T) {
+	f := newFixture(t)
+	started, proceed := make(chan struct{}), make(chan struct{})
+	f.executor.reply = func(r *gypsumyard.Request, b line.Payload) (string, gypsumyard.Result, error) {
+		close(started)
+		<-proceed
+		return ok(r, b)
+	}
+	c := f.dial("START orders u1")
+	c.expect("READY")
+	c.send("QUERY a1 READ a")
+	<-started
+	f.server.mu.Lock()
+	ss := f.server.openSessions()[0]
+	f.server.mu.Unlock()
+	ss.mu.Lock()
+	close(proceed)
+	c.expect("COMPLETE", "READY I")
+	time.Sleep(50 * time.Millisecond) // The session is about to wait.
+	f.server.mu.Lock()
+	f.server.closingIdle = true
+	f.server.mu.Unlock()
+	ss.interruptLocked(false)
+	ss.mu.Unlock()
+	c.expectEnd()
+}
+
 // Guards against one statement that ends the process, with all sessions on it.
 func TestPanicEndsOnlyItsSession(t *testing.T) {
 	f := newFixture(t)
