caller: the memory of prepared statements is charged when it is checked

What was seen: found by reading. Sessions whose batches were checked at the same time passed the check with the same free memory and were all charged later, so they held more than the budget of their customer, or of the host, allows. Cause: the check reserved the memory and gave it back at once; the charge, at the upstream's answer, asked nobody. Change: the memory is reserved when the batch is split, handed over to the statement when the upstream accepts it, and what is left is released at the end of the batch. Evidence: TestStatementsOfBatchesAtOnceFitTheBudget (four sessions, room for two) failed before: prepared_test.go:59: 1060 of 662 bytes used prepared_test.go:61: 0 != 2 TestReservedMemoryIsReleased guards the other side: nothing stays reserved. Result: the package passes -count=3 and -race.

--- a/internal/caller/extended.go
+++ b/internal/caller/extended.go
@@ -80,7 +80,7 @@
 		if err := x.authorizeRequest(); err != nil {
 			return err
 		}
-		if _, err := x.runUnits(x.splitBatch(batch)); err != nil {
+		if _, err := x.runBatch(batch); err != nil {
 			return err
 		}
 	}
@@ -109,7 +109,7 @@
 			return x.flush()
 		}
 	}
-	ok, err := x.runUnits(x.splitBatch(batch))
+	ok, err := x.runBatch(batch)
 	if err != nil {
 		return err
 	}
@@ -117,17 +117,22 @@
 	return x.flush()
 }
 
+func (x *session) runBatch(batch []message) (ok bool, err error) {
+	defer x.prepared.releaseReserved()
+	return x.runUnits(x.splitBatch(batch))
+}
+
 // A batchSplitter splits an extended-query batch into units. It tracks the
 // prepared statements and portals that exist when each message is executed.
 type batchSplitter struct {
-	session       *session
-	byName        map[string]*preparedStatement
-	portals       map[string]*preparedStatement
-	units         []unit
-	newStatements int
-	newBytes      int
+	session *session
+	byName  map[string]*preparedStatement
+	portals map[string]*preparedStatement
+	units   []unit
 }
 
+// splitBatch splits a batch into units and reserves the memory for its prepared
+// statements.
 func (x *session) splitBatch(batch []message) []unit {
 	s := &batchSplitter{session: x, byName: map[string]*preparedStatement{}, portals: map[string]*preparedStatement{}}
 	for i := range batch {
@@ -188,11 +193,9 @@
 		return stateErrorf(stateSyntax, "cannot insert multiple commands into a prepared statement")
 	}
 	p := &preparedStatement{name: m.name, query: m.parse.Query, paramOIDs: m.parse.ParameterOIDs, statement: statements[0]}
-	if !s.session.prepared.fits(p, s.newStatements, s.newBytes) {
+	if !s.session.prepared.reserve(p) {
 		return stateErrorf(stateLimitExceeded, "too many prepared statements in one session")
 	}
-	s.newStatements++
-	s.newBytes += p.size()
 	s.byName[m.name] = p
 	m.target = p
 	return nil
--- a/internal/caller/prepared.go
+++ b/internal/caller/prepared.go
@@ -16,6 +16,9 @@
 	query     string
 	paramOIDs []uint32
 	statement sqltext.Statement
+	// reserved indicates that there is memory for the statement, but that the
+	// upstream has not accepted it yet.
+	reserved bool
 }
 
 func (p *preparedStatement) size() int {
@@ -37,42 +40,70 @@
 	limits *Limits
 	budget *budget
 	byName map[string]*preparedStatement
-	bytes  int
+	// batch holds the new statements of the running batch.
+	batch []*preparedStatement
+	// bytes is the size of all statements, reserved ones included.
+	bytes int
 }
 
 func (s *preparedStore) get(name string) *preparedStatement { return s.byName[name] }
 
-// fits reports whether the limits and the budget allow p and n more statements
-// of the given total size in bytes.
-func (s *preparedStore) fits(p *preparedStatement, n, bytes int) bool {
-	if total := bytes + p.size(); s.budget.reserve(total) {
-		s.budget.release(total)
-	} else {
+// reserve reserves the memory for p until put or releaseReserved. It returns false if
+// the limits or the budget do not allow another statement.
+func (s *preparedStore) reserve(p *preparedStatement) bool {
+	if len(s.byName)+len(s.batch) >= s.limits.Statements || s.bytes+p.size() > s.limits.StatementBytes {
 		return false
 	}
-	return len(s.byName)+n < s.limits.Statements && s.bytes+bytes+p.size() <= s.limits.StatementBytes
+	if !s.budget.reserve(p.size()) {
+		return false
+	}
+	p.reserved = true
+	s.batch = append(s.batch, p)
+	s.bytes += p.size()
+	return true
+}
+
+// releaseReserved releases the memory reserved for statements of the batch that were
+// not stored.
+func (s *preparedStore) releaseReserved() {
+	for _, p := range s.batch {
+		if p.reserved {
+			s.release(p)
+		}
+		p.reserved = false
+	}
+	s.batch = nil
 }
 
+// put stores a statement for which memory is reserved.
 func (s *preparedStore) put(p *preparedStatement) {
+	if !p.reserved {
+		return // It is stored already.
+	}
+	p.reserved = false
 	s.remove(p.name)
 	if s.byName == nil {
 		s.byName = map[string]*preparedStatement{}
 	}
 	s.byName[p.name] = p
-	s.bytes += p.size()
-	s.budget.release(-p.size())
 }
 
 func (s *preparedStore) remove(name string) {
 	if p, ok := s.byName[name]; ok {
-		s.bytes -= p.size()
-		s.budget.release(p.size())
+		s.release(p)
 		delete(s.byName, name)
 	}
 }
 
+func (s *preparedStore) release(p *preparedStatement) {
+	s.bytes -= p.size()
+	s.budget.release(p.size())
+}
+
+// clear removes all stored statements. What is reserved for the running batch stays.
 func (s *preparedStore) clear() {
-	s.budget.release(s.bytes)
+	for name := range s.byName {
+		s.remove(name)
+	}
 	s.byName = nil
-	s.bytes = 0
 }
