emulate: IN with a null member is null unless another one is equal

What was seen: found by reading. NOT x IN (1, NULL) was true for an x other than 1, so the emulated instance returned rows that PostgreSQL does not. (x NOT IN (...) is a syntax error in the emulator's dialect.) Cause: null members were skipped. Change: without an equal member the result is null if a member is null. Evidence: TestStatements failed before: select count(*) from rugs where not id in (1, null): got [2], <nil>; want [0] select 1 in (1, null), 2 in (1, null), not 2 in (1, null), null in (1), 2 in (1, 3): got [true false true <nil> false], <nil>; want [true <nil> <nil> <nil> false] Result: engine, group and sqlparse pass -count=3, engine and group -race.

--- a/internal/emulate/engine/eval.go
+++ b/internal/emulate/engine/eval.go
@@ -135,6 +135,7 @@
 	return nil, sqlparse.Errorf(codeUndefinedFunc, "operator does not exist: %s", x.Op)
 }
 
+// evalIn evaluates IN. The result is null if no member is equal and one is null.
 func (s *scope) evalIn(x *sqlparse.In) (Value, error) {
 	v, err := s.eval(x.X)
 	if err != nil || v == nil {
@@ -144,8 +145,10 @@
 	if err != nil {
 		return nil, err
 	}
+	var none Value = false
 	for _, m := range list {
 		if m == nil {
+			none = nil
 			continue
 		}
 		c, err := compare(v, m)
@@ -156,7 +159,7 @@
 			return true, nil
 		}
 	}
-	return false, nil
+	return none, nil
 }
 
 func (s *scope) evalBinary(x *sqlparse.Binary) (Value, error) {
--- a/internal/emulate/group/group_test.go
+++ b/internal/emulate/group/group_test.go
@@ -126,6 +126,10 @@
 		{"select count(*) from generate_series(3, 1)", "[0]"},
 		{"select avg(knots), max(id) + 1 from rugs where id = 77", "[<nil> <nil>]"},
 		{"update rugs set id = id + 1 where id = 3 returning id", "[4]"},
+		{"select count(*) from rugs where not id in (1, null)", "[0]"},
+		{"select count(*) from rugs where id in (1, null)", "[1]"},
+		{"select count(*) from rugs where not id in (1, 2)", "[1]"},
+		{"select 1 in (1, null), 2 in (1, null), not 2 in (1, null), null in (1), 2 in (1, 3)", "[true <nil> <nil> <nil> false]"},
 	} {
 		rows, err := c.Query(bounded(t), tt.sql)
 		if err != nil {
