emulate: a locking function in RETURNING or a default of INSERT is refused

What was seen: found by reading. RETURNING pg_is_in_recovery(), or with such a default, locked the engine a second time: the emulated instance hung with all its sessions. RETURNING pg_sleep(1) kept the engine locked for the second. Cause: INSERT did not tell its scope that it holds the engine's lock, as UPDATE and DELETE do. Change: it does, so the function is refused with 0A000 as there. In VALUES, which is evaluated before the lock, the functions still work, and the error no longer says otherwise. Evidence: TestLockingFunctionOfAWrite failed before: group_test.go:196: timeout: context deadline exceeded != 0A000 panic: test timed out after 40s Result: engine and group pass -count=3 and -race.

--- a/internal/emulate/engine/funcs.go
+++ b/internal/emulate/engine/funcs.go
@@ -53,7 +53,7 @@
 		return nil, sqlparse.Errorf(codeUndefinedFunc, "function %s with %d arguments does not exist", x.Name, len(x.Args))
 	}
 	if f.blocking && s.engineLocked {
-		return nil, sqlparse.Errorf(codeNotSupported, "function %s is not supported in WHERE, SET and VALUES", x.Name)
+		return nil, sqlparse.Errorf(codeNotSupported, "function %s is not supported in WHERE, SET, DEFAULT and RETURNING", x.Name)
 	}
 	args, err := s.evalAll(x.Args)
 	if err != nil {
--- a/internal/emulate/engine/write.go
+++ b/internal/emulate/engine/write.go
@@ -16,6 +16,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	s.engineLocked = true // For defaults and RETURNING.
 	if err := tx.checkWritable("INSERT"); err != nil {
 		return nil, err
 	}
--- a/internal/emulate/group/group_test.go
+++ b/internal/emulate/group/group_test.go
@@ -178,6 +178,26 @@
 	is.Equal(n, 0)
 }
 
+// Guards against an instance that hangs, with all its sessions, because a RETURNING list
+// or a default calls a function that locks the engine.
+func TestLockingFunctionOfAWrite(t *testing.T) {
+	is := is.New(t)
+	c := connect(t, start(t).Primary())
+	exec(t, c, createRugs)
+	exec(t, c, "insert into rugs (id, fine) values (3, pg_is_in_recovery()) returning id")
+	exec(t, c, "create table looms (id int8 primary key, spare bool default pg_is_in_recovery())")
+	for _, sql := range []string{
+		"insert into rugs (id) values (1) returning pg_is_in_recovery()",
+		"insert into rugs (id) values (2) returning pg_sleep(0)",
+		"insert into looms (id) values (1)",
+		"update rugs set knots = 1 returning pg_is_in_recovery()",
+		"delete from rugs returning pg_is_in_recovery()",
+	} {
+		_, err := c.Exec(bounded(t), sql)
+		is.Equal(code(err), "0A000")
+	}
+}
+
 // Guards against lost updates: the second writer must wait for the first one and
 // start from its result.
 func TestTwoWritersToOneRow(t *testing.T) {
