peer: the fuzz test's frames reach a request

What was seen: FuzzDecode's parts, cancels and credits were refused before they reached a request, and no request ever ran, so that code was not tested against hostile input. Cause: the link's request had the ID before the frame's, which suits frames that are requests only; complete requests were kept away. Change: the request has the frame's ID unless the frame is a request. Each frame goes to a link with an incomplete and to one with a running request, and what it completes runs on an owner that does nothing. The streams fail before the inbound links handle the frame, as before.

--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -37,7 +38,7 @@
 		}
 		f.Add(b)
 	}
-	s := New(gypsumyard.Host{Name: "self"}, []byte("secret"), WithLogger(discardLogger()))
+	s := fuzzedService(f)
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var frame peerpb.Frame
 		if proto.Unmarshal(b, &frame) != nil {
@@ -59,26 +60,81 @@
 	})
 }
 
-// handleEverywhere passes the frame to a link with one call, to an inbound link
-// and to a Gossip client. The inbound link's stream has failed, and frames that
-// hold a complete request are not passed to it, so that no request runs.
-func handleEverywhere(s *Service, f *peerpb.Frame) {
+// A fuzzedOwner runs each request at once and remembers nothing.
+type fuzzedOwner struct{ *fakeOwner }
+
+func (fuzzedOwner) Execute(context.Context, *gypsumyard.Request, gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+	return gypsumyard.Result{}, nil
+}
+
+func (fuzzedOwner) Abandon(context.Context, *gypsumyard.Request) error { return nil }
+
+// fuzzedService returns a service that does not listen and has an owner.
+func fuzzedService(t testing.TB) *Service {
+	t.Helper()
+	s := New(gypsumyard.Host{Name: "self"}, []byte("secret"), WithLogger(discardLogger()))
+	k, err := kernel.New(fuzzedOwner{newFakeOwner(nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	s.kernel = k
+	return s
+}
+
+// handleEverywhere passes the frame to a link with one call, to inbound links with one
+// request and to a Gossip client. The streams have failed. It returns the requests.
+func handleEverywhere(s *Service, f *peerpb.Frame) []*inboundRequest {
 	c1, c2 := net.Pipe()
 	defer func() { _, _ = c1.Close(), c2.Close() }()
 	st := newStream(nil, c1, s.clock)
 	l := &link{remote: &remote{service: s}, short: st, bulk: st, clock: s.clock, done: make(chan struct{}), calls: map[uint64]*call{}, openTransactions: map[gypsumyard.SessionID]string{}, lastID: 1}
 	l.calls[1] = &call{id: 1, window: shortBytes, allowed: shortBytes, notify: make(chan struct{}, 1)}
 	_ = l.handle(l.bulk, f)
-	in := newInboundLink(s, "entry", st)
-	in.bulk = st
 	st.fail(errClosed)
-	in.lastID = f.Id - 1
-	in.requests[f.Id-1] = &inboundRequest{id: f.Id - 1, size: 8, cancel: func(error) {}, partial: &peerpb.Request{}, window: newSendWindow(shortBytes)}
-	if r := f.GetRequest(); r == nil || uint64(len(r.Messages)) < r.Size {
-		_ = in.handle(f)
-	}
+	incomplete := handleInbound(s, st, f, &peerpb.Request{})
+	running := handleInbound(s, st, f, nil)
 	g := &gossipClient{service: s, stream: st, done: make(chan struct{}), calls: map[uint64]*gossipCall{1: {done: make(chan struct{})}}}
 	_ = g.handle(f)
+	return []*inboundRequest{incomplete, running}
+}
+
+// handleInbound passes the frame to an inbound link and waits for what it starts. The
+// link has a request with the frame's ID, or with the ID before that if the frame is a
+// request itself. partial is the incomplete request, nil if it is complete.
+func handleInbound(s *Service, st *stream, f *peerpb.Frame, partial *peerpb.Request) *inboundRequest {
+	in := newInboundLink(s, "entry", st)
+	defer in.cancel(errClosed)
+	in.bulk = st
+	in.lastID = f.Id
+	if f.GetRequest() != nil {
+		in.lastID--
+	}
+	r := &inboundRequest{id: in.lastID, size: 8, partial: partial, window: newSendWindow(shortBytes)}
+	r.ctx, r.cancel = context.WithCancelCause(in.ctx)
+	in.requests[r.id] = r
+	_ = in.handle(f)
+	in.wait.Wait()
+	return r
+}
+
+// Guards against a fuzz test whose frames are all dropped before they reach a request.
+func TestFuzzedFramesReachRequests(t *testing.T) {
+	is := is.New(t)
+	s := fuzzedService(t)
+	requests := handleEverywhere(s, &peerpb.Frame{Id: 3, Body: &peerpb.Frame_Part{Part: &peerpb.Part{Messages: []byte("m")}}})
+	is.Equal(string(requests[0].partial.GetMessages()), "m")
+	requests = handleEverywhere(s, &peerpb.Frame{Id: 3, Body: &peerpb.Frame_Part{Part: &peerpb.Part{Messages: []byte("messages")}}})
+	is.True(requests[0].partial == nil) // It was complete and has run.
+	is.True(requests[0].ctx.Err() != nil)
+	for _, r := range handleEverywhere(s, &peerpb.Frame{Id: 3, Body: &peerpb.Frame_Cancel{Cancel: &peerpb.Cancel{}}}) {
+		is.Equal(context.Cause(r.ctx), context.Canceled)
+	}
+	for _, r := range handleEverywhere(s, &peerpb.Frame{Id: 3, Body: &peerpb.Frame_Credit{Credit: &peerpb.Credit{Bytes: 5}}}) {
+		is.Equal(r.window.available, shortBytes+5)
+	}
 }
 
 // hostileStream opens a stream for raw frames and performs the handshake with the
