emulate: a waiting commit of the line group sees its client leave

What was seen: found by reading. A commit that waited for a replica went on after its client had closed the connection: the session kept one of the instance's connections (TOOMANY for others), and when a replica came back the commit was counted as acknowledged although nobody had an answer, so that its loss would have been blamed on the proxy. Cause: the channel that ends the wait was closed by the goroutine that waits. (The PostgreSQL group reads ahead and was not affected.) Change: a session reads up to 64 messages ahead, and the end of the connection ends the wait. A commit that enough replicas have already is acknowledged whether or not the client is still there, as before.

--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -254,8 +254,8 @@
 
 // commit appends a record to the primary's log and waits until enough replicas
 // have received it. It returns the record's position and reports whether the
-// commit is acknowledged. It gives up when the instance crashes or is demoted or
-// stop is closed.
+// commit is acknowledged. It gives up when the instance crashes or is demoted, or when
+// stop is closed before that.
 func (g *Group) commit(i *Instance, items map[string]string, stop <-chan struct{}) (gypsumyard.Position, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -265,11 +265,13 @@
 	for {
 		g.replicate(i)
 		switch n := g.countReceived(i, r.Position); {
-		case i.down || i.role != gypsumyard.RolePrimary || closed(stop):
+		case i.down || i.role != gypsumyard.RolePrimary:
 			return r.Position, false
 		case n >= g.syncReplicas:
 			g.acknowledged = append(g.acknowledged, r.Position)
 			return r.Position, true
+		case closed(stop):
+			return r.Position, false
 		}
 		g.changed.Wait()
 	}
--- a/internal/emulate/linegroup/session.go
+++ b/internal/emulate/linegroup/session.go
@@ -11,12 +11,20 @@
 	"github.com/gypsumyard/gypsumyard/internal/line"
 )
 
+// maxReadAhead is the number of messages that a session reads ahead. It sees the end
+// of its connection unless the client has sent more.
+const maxReadAhead = 64
+
 // A session is one connection to an instance.
 type session struct {
 	instance *Instance
 	net      net.Conn
-	in       *line.Reader
+	// messages holds the received messages. It is closed at the end of the
+	// connection, as is ended.
+	messages chan line.Message
 	ended    chan struct{}
+	// served is closed when the session has ended.
+	served   chan struct{}
 	state    byte
 	readOnly bool
 	term     gypsumyard.Term
@@ -27,16 +35,38 @@
 
 func newSession(i *Instance, n net.Conn) *session {
 	return &session{
-		instance: i, net: n, in: line.NewReader(n, 4096), ended: make(chan struct{}), state: 'I',
+		instance: i, net: n, messages: make(chan line.Message, maxReadAhead), ended: make(chan struct{}),
+		served: make(chan struct{}), state: 'I',
 		values: map[string]string{}, prepared: map[string]line.Prepared{},
 	}
 }
 
-func (s *session) serve() {
+// receive reads ahead until the connection or the session ends, so that a waiting
+// commit notices that its client has left.
+func (s *session) receive() {
+	defer s.instance.update(func() {}) // Wakes a waiting commit.
 	defer close(s.ended)
+	defer close(s.messages)
+	in := line.NewReader(s.net, 4096)
+	for {
+		m, err := in.Read()
+		if err != nil {
+			return
+		}
+		select {
+		case s.messages <- m:
+		case <-s.served:
+			return
+		}
+	}
+}
+
+func (s *session) serve() {
+	go s.receive()
+	defer close(s.served)
 	defer s.net.Close()
-	m, err := s.in.Read()
-	if err != nil || m.Word != line.WordStart || s.unresponsive() {
+	m, ok := <-s.messages
+	if !ok || m.Word != line.WordStart || s.unresponsive() {
 		s.awaitClose()
 		return
 	}
@@ -48,9 +78,9 @@
 		return
 	}
 	for {
-		m, err := s.in.Read()
+		m, ok := <-s.messages
 		f := m.Fields(2)
-		if err != nil || m.Word != line.WordQuery || len(f) != 2 {
+		if !ok || m.Word != line.WordQuery || len(f) != 2 {
 			return
 		}
 		if s.unresponsive() {
@@ -66,10 +96,8 @@
 
 // awaitClose waits until the client closes the connection.
 func (s *session) awaitClose() {
-	for {
-		if _, err := s.in.Read(); err != nil {
-			return
-		}
+	for range s.messages {
+		continue
 	}
 }
 
