--- a/internal/emulate/group/group_test.go
+++ b/internal/emulate/group/group_test.go
@@ -126,6 +126,10 @@
 		{"select count(*) from generate_series(3, 1)", "[0]"},
 		{"select avg(knots), max(id) + 1 from rugs where id = 77", "[<nil> <nil>]"},
 		{"update rugs set id = id + 1 where id = 3 returning id", "[4]"},
+		{"select count(*) from rugs where not id in (1, null)", "[0]"},
+		{"select count(*) from rugs where id in (1, null)", "[1]"},
+		{"select count(*) from rugs where not id in (1, 2)", "[1]"},
+		{"select 1 in (1, null), 2 in (1, null), not 2 in (1, null), null in (1), 2 in (1, 3)", "[true <nil> <nil> <nil> false]"},
 	} {
 		rows, err := c.Query(bounded(t), tt.sql)
 		if err != nil {
@@ -174,6 +178,26 @@
 	is.Equal(n, 0)
 }
 
+// Guards against an instance that hangs, with all its sessions, because a RETURNING list
+// or a default calls a function that locks the engine.
+func TestLockingFunctionOfAWrite(t *testing.T) {
+	is := is.New(t)
+	c := connect(t, start(t).Primary())
+	exec(t, c, createRugs)
+	exec(t, c, "insert into rugs (id, fine) values (3, pg_is_in_recovery()) returning id")
+	exec(t, c, "create table looms (id int8 primary key, spare bool default pg_is_in_recovery())")
+	for _, sql := range []string{
+		"insert into rugs (id) values (1) returning pg_is_in_recovery()",
+		"insert into rugs (id) values (2) returning pg_sleep(0)",
+		"insert into looms (id) values (1)",
+		"update rugs set knots = 1 returning pg_is_in_recovery()",
+		"delete from rugs returning pg_is_in_recovery()",
+	} {
+		_, err := c.Exec(bounded(t), sql)
+		is.Equal(code(err), "0A000")
+	}
+}
+
 // Guards against lost updates: the second writer must wait for the first one and
 // start from its result.
 func TestTwoWritersToOneRow(t *testing.T) {
--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -173,8 +175,8 @@
 func (c *caller) expectEnd() {
 	c.t.Helper()
 	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-	if s, err := c.in.ReadString('\n'); err == nil {
-		c.t.Fatalf("have %q, want the end of the session", s)
+	if s, err := c.in.ReadString('\n'); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		c.t.Fatalf("have %q, %v, want the end of the session", s, err)
 	}
 }
 
@@ -341,6 +343,47 @@
 	}
 }
 
+// Guards against FAILED, which says that a statement has run, for one whose time is
+// over, whatever the host that ran it says about the reason.
+func TestTimeoutCodes(t *testing.T) {
+	for _, c := range []struct {
+		name, text, code string
+		begin            bool
+		class            gypsumyard.ErrorClass
+	}{
+		{"read", "READ a", "TIMEOUT", false, gypsumyard.ClassUnknown},
+		{"prepared read", "EXECUTE s a", "TIMEOUT", false, gypsumyard.ClassUnknown},
+		{"read that did not run", "READ a", "BUSY", false, gypsumyard.ClassNotRun},
+		{"write", "WRITE a 1", "INDOUBT", false, gypsumyard.ClassUnknown},
+		{"read in a transaction", "READ a", "ABORTED", true, gypsumyard.ClassUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			r := f.lists.desired.Routes["orders"]
+			r.StatementTimeout = 20 * time.Millisecond
+			f.lists.desired.Routes["orders"] = r
+			f.executor.reply = func(r *gypsumyard.Request, _ line.Payload) (string, gypsumyard.Result, error) {
+				for f.server.clock.Now().Before(r.Deadline) {
+					time.Sleep(time.Millisecond)
+				}
+				return "", gypsumyard.Result{}, gypsumyard.Errorf(c.class, "time of the statement is over")
+			}
+			s := f.dial("START orders u1")
+			s.expect("READY")
+			s.send("QUERY a1 PREPARE s READ q1")
+			s.expect("COMPLETE -", "READY I")
+			state := "I"
+			if c.begin {
+				s.send("QUERY a2 BEGIN")
+				s.expect("COMPLETE -", "READY T")
+				state = "E"
+			}
+			s.send("QUERY a3 " + c.text)
+			s.expect("ERROR "+c.code, "READY "+state)
+		})
+	}
+}
+
 // Guards against malformed input that affects more than its own session.
 func TestHostileInput(t *testing.T) {
 	f := newFixture(t)
@@ -401,6 +444,35 @@
 	is.NoErr(f.server.Drain(ctx))
 }
 
+// Guards against a session that stays open in a drain because it was interrupted
+// between its look at the state of the drain and its wait for a message.
+func TestDrainBeforeWait(t *testing.T) {
+	f := newFixture(t)
+	started, proceed := make(chan struct{}), make(chan struct{})
+	f.executor.reply = func(r *gypsumyard.Request, b line.Payload) (string, gypsumyard.Result, error) {
+		close(started)
+		<-proceed
+		return ok(r, b)
+	}
+	c := f.dial("START orders u1")
+	c.expect("READY")
+	c.send("QUERY a1 READ a")
+	<-started
+	f.server.mu.Lock()
+	ss := f.server.openSessions()[0]
+	f.server.mu.Unlock()
+	ss.mu.Lock()
+	close(proceed)
+	c.expect("COMPLETE", "READY I")
+	time.Sleep(50 * time.Millisecond) // The session is about to wait.
+	f.server.mu.Lock()
+	f.server.closingIdle = true
+	f.server.mu.Unlock()
+	ss.interruptLocked(false)
+	ss.mu.Unlock()
+	c.expectEnd()
+}
+
 // Guards against one statement that ends the process, with all sessions on it.
 func TestPanicEndsOnlyItsSession(t *testing.T) {
 	f := newFixture(t)
@@ -426,3 +498,17 @@
 		other.expect("COMPLETE", "READY I")
 	}
 }
+
+// Guards against a host that ends with a panic because it could not listen.
+func TestStopAfterFailedStart(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	s := New(f.server.Addr(), WithLogger(f.server.log)) // The address is in use.
+	k, err := kernel.New(&executor{Stub: kerneltest.New("dispatch")}, &lists{Stub: kerneltest.New("lists")}, members{Stub: kerneltest.New("members")}, s)
+	is.NoErr(err)
+	is.True(k.Start(t.Context()) != nil)
+	is.Equal(s.Addr(), f.server.Addr())
+	is.NoErr(s.Drain(t.Context()))
+	is.NoErr(s.Stop(t.Context()))
+	<-s.Done()
+}
--- a/internal/planlist/edit.go
+++ b/internal/planlist/edit.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -15,7 +16,8 @@
 const AnyVersion = ^uint64(0)
 
 // An edit is retried after a failure of the store with exponential backoff from
-// initialRetryDelay to maxRetryDelay.
+// initialRetryDelay to maxRetryDelay, and after a conflict with another edit in about
+// initialRetryDelay.
 const (
 	initialRetryDelay = 50 * time.Millisecond
 	maxRetryDelay     = 2 * time.Second
@@ -87,7 +89,8 @@
 // Apply applies the edit exactly once. It retries until ctx ends when the store
 // fails or the answer to an update is lost. It fails with *EntryConflictError if
 // the entry is not at the expected version, and with ErrOutcomeUnknown if the
-// outcome of a sent update is still unknown when ctx ends.
+// outcome of a sent update is still unknown when ctx ends or can no longer be found
+// out.
 func (e *Editor) Apply(ctx context.Context, edit Edit) (a EditResult, err error) {
 	defer func() {
 		if err != nil {
@@ -107,23 +110,45 @@
 		case err == nil:
 			return a, nil
 		case errors.Is(err, gypsumyard.ErrConflict):
-			delay = initialRetryDelay
-			continue
+			// Another edit has succeeded, so the store works.
+			err = fmt.Errorf("%w: %w", gypsumyard.ErrUnavailable, err)
+			delay = conflictDelay()
 		case !retryable(err):
-			return EditResult{}, err
+			return EditResult{}, pending.finalError(err)
 		}
 		if e.clock.Sleep(ctx, delay) != nil {
-			return EditResult{}, pending.interruptedError(err)
+			return EditResult{}, pending.finalError(err)
 		}
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
 
+// conflictDelay returns the time before an edit is repeated after a conflict. It is
+// random, so that concurrent editors of one object do not meet again.
+func conflictDelay() time.Duration { return initialRetryDelay/2 + mathrand.N(initialRetryDelay) }
+
+// errOutOfRecord indicates that the object's record of edits no longer reaches back to
+// an update of unknown outcome. Later attempts cannot find out more.
+var errOutOfRecord = fmt.Errorf("%w: out of the record of edits", gypsumyard.ErrOutcomeUnknown)
+
 func retryable(err error) bool {
+	if errors.Is(err, errOutOfRecord) {
+		return false
+	}
 	return errors.Is(err, gypsumyard.ErrUnavailable) || errors.Is(err, gypsumyard.ErrOutcomeUnknown) ||
 		errors.Is(err, context.DeadlineExceeded)
 }
 
+// mayHaveTakenEffect reports whether the update that failed with err may have taken
+// effect. Errors of other kinds are refusals.
+func mayHaveTakenEffect(err error) bool {
+	if errors.Is(err, gypsumyard.ErrUnavailable) {
+		return false
+	}
+	return errors.Is(err, gypsumyard.ErrOutcomeUnknown) || errors.Is(err, context.Canceled) ||
+		errors.Is(err, context.DeadlineExceeded)
+}
+
 // A pendingEdit is the state of an edit across its attempts.
 type pendingEdit struct {
 	Edit
@@ -140,9 +165,9 @@
 	initialEdits uint64
 }
 
-// interruptedError returns the error of an edit whose context has ended.
-func (p *pendingEdit) interruptedError(cause error) error {
-	if p.inDoubt {
+// finalError returns the error of an edit that is given up because of cause.
+func (p *pendingEdit) finalError(cause error) error {
+	if p.inDoubt && !errors.Is(cause, gypsumyard.ErrOutcomeUnknown) {
 		return fmt.Errorf("%w: %v", gypsumyard.ErrOutcomeUnknown, cause)
 	}
 	return cause
@@ -159,7 +184,7 @@
 		return p.result(version, d), nil
 	}
 	if p.inDoubt && d.Edits-p.initialEdits > maxRecentOperations {
-		return EditResult{}, fmt.Errorf("%w: the object has had %d edits since", gypsumyard.ErrOutcomeUnknown, d.Edits-p.initialEdits)
+		return EditResult{}, fmt.Errorf("%w: the object has had %d edits since", errOutOfRecord, d.Edits-p.initialEdits)
 	}
 	p.inDoubt = p.inDoubt && version == p.inDoubtVersion
 	if found := d.Entries[p.Name].Version; p.Expected != AnyVersion && p.Expected != found {
@@ -179,7 +204,7 @@
 	p.sent++
 	created, err := e.store.Put(ctx, p.object, version, value)
 	if err != nil {
-		if !errors.Is(err, gypsumyard.ErrUnavailable) && !errors.Is(err, gypsumyard.ErrConflict) {
+		if mayHaveTakenEffect(err) {
 			p.inDoubt, p.inDoubtVersion = true, version
 		}
 		return EditResult{}, err
