lineowner: only a process that has ended stops to acknowledge commits

The first two lost commits in tests:

- An unlisted instance that was silent to one host was taken to acknowledge nothing any more.
It may be partitioned from this host only.
Now a refused connection or another instance at its address shows that it has ended; otherwise it counts until it expires.
TestSilentInstanceStillAcknowledges failed with '1 != 0'.
- A process that starts again under its ID without its log answered fences for its predecessor as well.
Instances whose address is taken are not fenced or polled, and a start under the same ID does not inherit the log.
TestInstanceStartsAgainWithoutLog failed with '1 != 0'.
- The stored set names the start of each instance, so that a forgotten one is not mixed up with its next process; an instance proves who leads only while it is in the set; a write without an answer is followed by another, and one that crossed a restore is read again.
- The set is read beside the fences of an election, not before them: three calls in one time limit failed above 200 ms a call.
- A list that is changed while the group closes is copied.

--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -111,6 +111,12 @@
 	i.closeSessions()
 }
 
+// RestartEmpty is Restart for an instance that has lost its log.
+func (i *Instance) RestartEmpty() {
+	i.update(func() { i.log, i.applied = nil, 0 })
+	i.Restart()
+}
+
 func (i *Instance) closeSessions() {
 	var open []*session
 	i.update(func() {
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -178,12 +178,7 @@
 			g.markClaimDone(generation)
 		}
 	}()
-	if err := g.readReplicaSet(ctx); err != nil {
-		return nil, err
-	}
-	if err := g.checkListComplete(); err != nil {
-		return nil, err
-	}
+	setRead := g.startReplicaSetRead()
 	term, instances := g.nextTerm()
 	needed := fencesNeeded(len(instances))
 	g.logInstances(term, generation, instances)
@@ -204,7 +199,10 @@
 	if err := g.clock.Sleep(g.ctx, g.fenceWaitFor(instances, answers)); err != nil {
 		return nil, err
 	}
-	if err := g.checkNoneAdded(instances); err != nil {
+	if err := <-setRead; err != nil {
+		return nil, err
+	}
+	if err := g.checkCounted(instances); err != nil {
 		return nil, err
 	}
 	if err := g.confirmElection(answers, term, needed, generation, claimedAt); err != nil {
@@ -222,15 +220,15 @@
 	return best.instance, g.awaitPromoted(best.instance, term)
 }
 
-// checkListComplete returns an error if no replica set is stored and the list does not
-// even hold a primary and the replicas that acknowledge its commits.
-func (g *group) checkListComplete() error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if n := len(g.instances); len(g.replicas.set.Replicas) == 0 && n <= g.settings.SyncReplicas {
-		return fmt.Errorf("%w: %d, commits are on %d", errTooFewListed, n, g.settings.SyncReplicas+1)
-	}
-	return nil
+// startReplicaSetRead reads the stored replica set in the background, beside the fences.
+func (g *group) startReplicaSetRead() <-chan error {
+	result := make(chan error, 1)
+	g.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, replicaSetTimeout)
+		defer cancel()
+		result <- g.readReplicaSet(ctx)
+	})
+	return result
 }
 
 // logInstances logs the instances that an election counts, with what was last known
@@ -260,13 +258,17 @@
 	return crashedFenceWait
 }
 
-// checkNoneAdded returns an error if an instance was added to the list since the election
-// counted the instances.
-func (g *group) checkNoneAdded(counted []*instance) error {
+// checkCounted returns an error if the election did not count an instance of the list or
+// of the stored set, or if no set is stored and the list does not even hold a primary and
+// the replicas that acknowledge its commits.
+func (g *group) checkCounted(counted []*instance) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if n := len(g.instances); len(g.replicas.set.Replicas) == 0 && n <= g.settings.SyncReplicas {
+		return fmt.Errorf("%w: %d, commits are on %d", errTooFewListed, n, g.settings.SyncReplicas+1)
+	}
 	for _, i := range g.instances {
-		if i.isListed() && !slices.Contains(counted, i) {
+		if !slices.Contains(counted, i) {
 			return fmt.Errorf("%w: %s was added", errTooFewFenced, i.id)
 		}
 	}
--- a/internal/lineowner/fence.go
+++ b/internal/lineowner/fence.go
@@ -1,6 +1,7 @@
 package lineowner
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,10 @@
 	fenceGrace = 50 * time.Millisecond
 )
 
+// errAddressTaken indicates that another process answers at the address of a departed
+// instance.
+var errAddressTaken = errors.New("another instance has its address")
+
 // A fencedInstance is an instance that has accepted a fencing command.
 type fencedInstance struct {
 	instance *instance
@@ -64,7 +69,11 @@
 	at := g.clock.Now()
 	g.mu.Lock()
 	isPrimary := i.statusKnown && i.status.role == gypsumyard.RolePrimary
+	retired := i.retired
 	g.mu.Unlock()
+	if retired {
+		return f, errAddressTaken
+	}
 	commands := []string{fmt.Sprintf("PAUSE %d", term)}
 	if isPrimary {
 		commands = []string{fmt.Sprintf("DEMOTE %d", term), fmt.Sprintf("PAUSE %d", term)}
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -58,9 +58,9 @@
 	instances []*instance
 	// replicas is the stored set of the instances that count.
 	replicas storedReplicas
-	// forgotten holds the IDs of departed instances that need not count any more,
-	// though the stored set may still hold them.
-	forgotten map[string]bool
+	// forgotten holds departed instances that need not count any more, though the
+	// stored set may still hold them.
+	forgotten map[replica]bool
 	// topPriority is the highest priority of the group's routes, if they
 	// differ. Zero is the highest.
 	topPriority int
@@ -113,7 +113,7 @@
 		ctx:          ctx,
 		cancel:       cancel,
 		transactions: map[string]*transaction{},
-		forgotten:    map[string]bool{},
+		forgotten:    map[replica]bool{},
 		changed:      make(chan struct{}),
 		lastRequest:  s.clock.Now(),
 		evidenceAt:   s.clock.Now(),
@@ -206,7 +206,7 @@
 			g.log.WithField("instance", l.ID).Info("instance is leaving")
 		}
 		i.listed, i.departure = l, nil
-		delete(g.forgotten, l.ID)
+		delete(g.forgotten, i.asReplica())
 		i.pool.setLimit(max(g.settings.Connections-reservedConnections, 2))
 		g.instances = append(g.instances, i)
 	}
@@ -227,7 +227,7 @@
 
 // isEntry reports whether the list entry is of this instance.
 func (i *instance) isEntry(l gypsumyard.ListedInstance) bool {
-	return !i.retired && i.id == l.ID && i.listed.Addr == l.Addr && (i.listed.Started.Equal(l.Started) || i.listed.Started.IsZero())
+	return !i.retired && i.id == l.ID && i.listed.Addr == l.Addr && i.listed.Started.Equal(l.Started)
 }
 
 // updateCapacities passes the slots and availability of the instances to the
@@ -310,7 +310,7 @@
 func (g *group) close() {
 	g.cancel(errStopped)
 	g.mu.Lock()
-	instances := g.instances
+	instances := slices.Clone(g.instances)
 	open := g.transactions
 	g.transactions = map[string]*transaction{}
 	g.mu.Unlock()
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -72,8 +72,9 @@
 	// requests was sent, or zero if the last one was answered.
 	silentSince time.Time
 	// connRefused indicates that the last failed status request was refused
-	// because nothing listens at the address.
-	connRefused bool
+	// because nothing listens at the address, refusedSince since when that is so.
+	connRefused  bool
+	refusedSince time.Time
 	// trailing indicates that a replica is too far behind even for the reads
 	// that accept the oldest data.
 	trailing         bool
@@ -103,7 +104,7 @@
 
 // retire stops using the instance. The caller must hold the group's mutex.
 func (i *instance) retire() {
-	i.retired = true
+	i.retired, i.reachable = true, false
 	i.cancel()
 	i.pool.close()
 }
@@ -268,7 +269,11 @@
 	if i.silentSince.IsZero() {
 		i.silentSince = sent
 	}
-	i.connRefused = errors.Is(err, syscall.ECONNREFUSED)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if refused && !i.connRefused {
+		i.refusedSince = sent
+	}
+	i.connRefused = refused
 	if !fresh || i.reachableCtx.Err() != nil {
 		return
 	}
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -81,7 +81,7 @@
 	if p == nil || !g.checkSettled(p) {
 		return nil, at
 	}
-	at = g.evidenceFrom(p, func(i *instance) bool { return i.isListed() && g.checkSettled(i) })
+	at = g.evidenceFrom(p, g.provesPrimary)
 	if !at.IsZero() && (g.lastProof.primary != p || g.lastProof.term != p.status.term || at.After(g.lastProof.at)) {
 		g.lastProof = leadershipProof{p, p.status.term, at}
 	}
@@ -114,6 +114,14 @@
 	return at
 }
 
+// provesPrimary reports whether the status of a replica may prove who leads. An election
+// counts the listed instances and those of the stored set, so others prove nothing. The
+// caller must hold g.mu.
+func (g *group) provesPrimary(i *instance) bool {
+	stored := !i.storedAt.IsZero() || !g.replicas.known
+	return i.isListed() && stored && g.checkSettled(i)
+}
+
 // checkSettled reports whether the status of the instance may prove who leads. The
 // caller must hold g.mu.
 func (g *group) checkSettled(i *instance) bool {
--- a/internal/lineowner/leaving_test.go
+++ b/internal/lineowner/leaving_test.go
@@ -26,6 +26,15 @@
 	all[0].SetLeaving()
 	all[2].SetLeaving()
 	h.lists.change()
+	f.eventually("the list to be applied", func() bool {
+		seen := 0
+		for _, e := range h.logHook.AllEntries() {
+			if e.Message == "instance is leaving" {
+				seen++
+			}
+		}
+		return seen == 2
+	})
 	return f, h, all[1]
 }
 
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -31,6 +31,9 @@
 	set     replicaSet
 	known   bool
 	pending bool
+	// mustRewrite indicates that a write without an answer may still be carried out.
+	// Another write makes its condition false.
+	mustRewrite bool
 	// failedAt is when the last call to the store failed.
 	failedAt time.Time
 }
@@ -87,7 +90,7 @@
 		g.log.WithFields(logrus.Fields{"instance": i.id, "reason": reason, "since": i.departure.since, "received": i.status.received.String()}).
 			Info("departed instance does not count any more")
 		i.retire()
-		g.forgotten[i.id] = true
+		g.forgotten[i.asReplica()] = true
 		return true
 	})
 }
@@ -98,7 +101,7 @@
 	switch {
 	case i.departure == nil:
 		return ""
-	case i.successor != nil && (!i.statusKnown || i.successor.statusKnown && i.successor.replicaState().hasLogOf(i.replicaState())):
+	case i.logIsInherited():
 		return "an instance at its address has its log"
 	case g.isCovered(i, now):
 		return "other instances have all commits"
@@ -109,6 +112,17 @@
 	return ""
 }
 
+// logIsInherited reports whether another instance at the address of the departed one has
+// its log: one that returns with a new ID after a crash does. A process that starts again
+// under the same ID knows nothing of before. The caller must hold the group's mutex.
+func (i *instance) logIsInherited() bool {
+	s := i.successor
+	if s == nil || s.id == i.id {
+		return false
+	}
+	return !i.statusKnown || s.statusKnown && s.replicaState().hasLogOf(i.replicaState())
+}
+
 // isCovered reports whether a primary that is proven to lead and another listed
 // instance have all commits that the departed instance has helped to acknowledge. The
 // caller must hold g.mu.
@@ -126,19 +140,17 @@
 	return departed.departure.isCovered(departed.stoppedAt(), p.replicaState(), others)
 }
 
-// stoppedAt returns a time since which the departed instance has acknowledged no commit,
-// or the zero time if it may still do so. The caller must hold the group's mutex.
-func (i *instance) stoppedAt() time.Time {
+// stoppedAt returns a time since which the process of the departed instance has ended, or
+// the zero time if it may still acknowledge commits. An instance that does not answer may
+// be partitioned from this host only. The caller must hold the group's mutex.
+func (i *instance) stoppedAt() (at time.Time) {
 	switch {
 	case i.retired:
 		return i.departure.since // Another instance has its address.
-	case i.reachable || i.silentSince.IsZero():
-		return time.Time{}
 	case i.connRefused:
-		return i.silentSince
+		return i.refusedSince
 	}
-	// Before its entry went, other hosts may have reached it.
-	return later(i.departure.since, i.silentSince)
+	return at
 }
 
 func (i *instance) replicaState() replicaState {
@@ -165,7 +177,10 @@
 	}
 	next := replicaSet{version: r.set.version, Replicas: g.countedReplicas()}
 	p := g.claimedPrimary()
-	if p == nil || now.Sub(g.evidenceFrom(p, (*instance).isListed)) > evidenceTTL || slices.Equal(next.Replicas, r.set.Replicas) {
+	if p == nil || now.Sub(g.evidenceFrom(p, (*instance).isListed)) > evidenceTTL {
+		return
+	}
+	if slices.Equal(next.Replicas, r.set.Replicas) && !r.mustRewrite {
 		return
 	}
 	r.pending = true
@@ -193,7 +208,7 @@
 func (g *group) countedReplicas() (list []replica) {
 	for _, i := range g.instances {
 		if i.successor == nil {
-			list = append(list, replica{ID: i.id, Address: i.listed.Addr})
+			list = append(list, i.asReplica())
 		}
 	}
 	slices.SortFunc(list, func(a, b replica) int { return strings.Compare(a.ID, b.ID) })
@@ -212,7 +227,7 @@
 	g.replicas.set, g.replicas.known = s, true
 	g.noteStored(s)
 	for _, m := range s.Replicas {
-		if !g.forgotten[m.ID] && !g.knowsReplica(m) {
+		if !g.forgotten[m] && !g.knowsReplica(m) {
 			g.addDeparted(m)
 		}
 	}
@@ -227,10 +242,15 @@
 	defer g.mu.Unlock()
 	if err != nil {
 		g.replicas.known = errors.Is(err, gypsumyard.ErrUnavailable)
+		g.replicas.mustRewrite = g.replicas.mustRewrite || errors.Is(err, gypsumyard.ErrOutcomeUnknown)
 		return err
 	}
+	if checkClaimed(v, s.version) != nil {
+		g.replicas.known = false // It may have replaced a set that was not read.
+		return errStoreRestored
+	}
 	s.version = v
-	g.replicas.set = s
+	g.replicas.set, g.replicas.mustRewrite = s, false
 	g.noteStored(s)
 	g.log.WithFields(logrus.Fields{"version": v, "instances": s.Replicas}).Info("replica set stored")
 	return nil
@@ -240,24 +260,32 @@
 func (g *group) noteStored(s replicaSet) {
 	now := g.clock.Now()
 	for _, i := range g.instances {
-		stored := slices.Contains(s.Replicas, replica{ID: i.id, Address: i.listed.Addr})
-		if stored && i.storedAt.IsZero() {
+		switch stored := slices.Contains(s.Replicas, i.asReplica()); {
+		case !stored:
+			i.storedAt = time.Time{}
+		case i.storedAt.IsZero():
 			i.storedAt = now
 		}
 	}
 }
 
-// knowsReplica reports whether an instance with the ID or the address of the stored one
-// counts already. The caller must hold g.mu.
+// asReplica returns the entry of the instance in the stored set. The caller must hold the
+// group's mutex.
+func (i *instance) asReplica() replica {
+	return replica{ID: i.id, Address: i.listed.Addr, Started: i.listed.Started.UnixMilli()}
+}
+
+// knowsReplica reports whether the stored instance, or one at its address, counts
+// already. The caller must hold g.mu.
 func (g *group) knowsReplica(m replica) bool {
-	return slices.ContainsFunc(g.instances, func(i *instance) bool { return i.id == m.ID || i.listed.Addr == m.Address })
+	return slices.ContainsFunc(g.instances, func(i *instance) bool { return i.listed.Addr == m.Address })
 }
 
 // addDeparted adds an instance of the stored set that is not listed. The caller must
 // hold g.mu.
 func (g *group) addDeparted(m replica) {
 	g.log.WithFields(logrus.Fields{"instance": m.ID, "address": m.Address.String()}).Info("instance of the stored replica set is not listed")
-	i := g.newInstance(gypsumyard.ListedInstance{ID: m.ID, Group: g.name, Addr: m.Address})
+	i := g.newInstance(gypsumyard.ListedInstance{ID: m.ID, Group: g.name, Addr: m.Address, Started: time.UnixMilli(m.Started)})
 	i.departure = &departure{since: g.clock.Now()}
 	g.instances = append(g.instances, i)
 }
--- a/internal/lineowner/replicaset_test.go
+++ b/internal/lineowner/replicaset_test.go
@@ -136,3 +136,37 @@
 	is.NoErr(err)
 	f.nothingLost()
 }
+
+// Guards against a lost commit when an instance that is not listed any more, and does
+// not answer this host, still acknowledges commits.
+func TestSilentInstanceStillAcknowledges(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	all := f.group.Instances()
+	_, err := f.write(h, "WRITE a 1")
+	is.NoErr(err)
+	all[2].SetUnresponsive(true)
+	h.list(all[0], all[1])
+	time.Sleep(electionSpan)
+	f.writeWithout(h, all[1])
+	all[0].SetUnresponsive(true)
+	time.Sleep(electionSpan)
+	is.Equal(len(h.promoter.sent()), 0)
+}
+
+// Guards against a lost commit when an instance starts again under its ID without its
+// log and answers for the earlier process as well.
+func TestInstanceStartsAgainWithoutLog(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	all := f.group.Instances()
+	f.writeWithout(h, all[1])
+	all[0].SetUnresponsive(true)
+	all[0].SetIsolated(true)
+	all[2].RestartEmpty()
+	h.list(all...)
+	time.Sleep(electionSpan)
+	is.Equal(len(h.promoter.sent()), 0)
+}
--- a/internal/lineowner/replicastore.go
+++ b/internal/lineowner/replicastore.go
@@ -18,6 +18,8 @@
 type replica struct {
 	ID      string         `json:"id"`
 	Address netip.AddrPort `json:"address"`
+	// Started is when the instance's process started, in milliseconds of Unix time.
+	Started int64 `json:"started"`
 }
 
 // A replicaSet is the stored set of the instances that count in an election of the
@@ -66,5 +68,8 @@
 		return 0, err
 	}
 	o, err := r.store.call(ctx, gypsumyard.ClaimCall{Database: group + replicaSetSuffix, Value: value, Expected: s.version})
+	if err == nil {
+		r.eras.Observe(o.Version.Era())
+	}
 	return o.Version, err
 }
