lineowner: a request holds no slot while it waits for a connection

Urgent orders were refused ('expected wait 2.5s'), reads that had been granted a slot after 6 ms had run after 904 ms, commits ended in doubt.

Cause: an instance keeps the connections of dead hosts for some seconds and refuses new ones beyond its limit. The few connections of the new owner were held by open transactions. New requests took all slots of the primary and waited, with the slot, for a connection; the transactions that would have returned one waited for a slot. Only the timeouts of the statements ended it.

Change: a request that gets no connection returns its slot, waits, and asks for a slot again; a read goes to another instance. The wait also ends when connections may be opened again after a refusal, which nothing signaled before.

--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -111,26 +111,53 @@
 // attempt makes one attempt at a request outside a transaction. It reports
 // whether the request may be retried: nothing of it was kept, or it only reads.
 func (g *group) attempt(ctx, waitCtx context.Context, j *job, sink gypsumyard.ResponseSink) (res gypsumyard.Result, retry bool, err error) {
-	p, err := g.place(waitCtx, j)
+	u, p, err := g.acquire(waitCtx, j)
 	if err != nil {
-		return res, false, notRun(err)
-	}
-	u, err := g.admit(waitCtx, j, p.targets)
-	if err != nil {
-		return res, false, notRun(err)
+		return res, waitCtx.Err() == nil && errors.Is(err, errNoConnection), notRun(err)
 	}
 	defer u.release()
-	u.conn, err = u.instance.pool.get(waitCtx, j.Settings)
-	if err != nil {
-		j.excluded[u.instance.id] = true
-		return res, waitCtx.Err() == nil && !errors.Is(err, errNoMoreConns), notRun(err)
-	}
 	if opensTransaction(j.Class) {
 		return g.beginTransaction(ctx, j, u, p, sink)
 	}
 	return g.runSingle(ctx, j, u, p, sink)
 }
 
+// errNoConnection indicates that the chosen instance gave no connection.
+var errNoConnection = errors.New("cannot connect to the instance")
+
+// acquire waits for a slot of an instance that may run the request and for a
+// connection to it. It holds no slot while it waits for a connection: the open
+// transactions that hold the connections need the slots to end.
+func (g *group) acquire(ctx context.Context, j *job) (u *slotUse, p placement, err error) {
+	for {
+		p, err = g.place(ctx, j)
+		if err != nil {
+			return nil, p, err
+		}
+		u, err = g.admit(ctx, j, p.targets)
+		if err != nil {
+			return nil, p, err
+		}
+		var freed <-chan struct{}
+		u.conn, freed, err = u.instance.pool.get(ctx, j.Settings)
+		if err == nil {
+			return u, p, nil
+		}
+		u.release()
+		switch {
+		case !errors.Is(err, errNoMoreConns):
+			j.excluded[u.instance.id] = true
+			return nil, p, fmt.Errorf("%w: %w", errNoConnection, err)
+		case len(p.targets) > 1:
+			j.excluded[u.instance.id] = true
+			continue
+		}
+		if err := u.instance.pool.awaitFree(ctx, freed); err != nil {
+			return nil, p, err
+		}
+	}
+}
+
 func opensTransaction(c gypsumyard.StatementClass) bool {
 	return c == gypsumyard.StatementBegin || c == gypsumyard.StatementBeginRead
 }
--- a/internal/lineowner/pool.go
+++ b/internal/lineowner/pool.go
@@ -40,7 +40,7 @@
 	closed bool
 	// refusedUntil is when connections may be opened again after a refusal.
 	refusedUntil time.Time
-	// freed is closed and replaced when a connection becomes free.
+	// freed is closed and replaced when a connection may have become free.
 	freed chan struct{}
 }
 
@@ -48,30 +48,42 @@
 	return &pool{instance: i, user: user, clock: clock, freed: make(chan struct{})}
 }
 
-// get returns an idle connection, opens one if the limit allows it, or waits for
-// one to become free.
-func (p *pool) get(ctx context.Context, settings []gypsumyard.Setting) (*conn, error) {
+// get returns an idle connection, or opens one if the limit allows it. If it cannot,
+// it fails at once with errNoMoreConns and returns the channel that is closed when
+// that may have changed.
+func (p *pool) get(ctx context.Context, settings []gypsumyard.Setting) (c *conn, freed <-chan struct{}, err error) {
 	for {
 		c, mayDial, freed, err := p.take(settings)
 		switch {
 		case err != nil:
-			return nil, err
+			return nil, nil, err
 		case c != nil && (p.clock.Since(c.lastUsed) < idleCheckAfter || c.alive()):
-			return c, nil
+			return c, nil, nil
 		case c != nil:
 			p.discard(c)
-			continue
 		case mayDial:
-			return p.dial(ctx)
-		}
-		select {
-		case <-freed:
-		case <-ctx.Done():
-			return nil, fmt.Errorf("%w: %w", errNoMoreConns, context.Cause(ctx))
+			c, err = p.dial(ctx)
+			return c, nil, err
+		default:
+			return nil, freed, errNoMoreConns
 		}
 	}
 }
 
+// awaitFree waits until get may succeed: freed is closed, or connections may be
+// opened again after a refusal.
+func (p *pool) awaitFree(ctx context.Context, freed <-chan struct{}) error {
+	t := p.clock.NewTimer(tooManyBackoff)
+	defer t.Stop()
+	select {
+	case <-freed:
+	case <-t.C():
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", errNoMoreConns, context.Cause(ctx))
+	}
+	return nil
+}
+
 // take returns an idle connection, preferably one that need not be reset. If
 // there is none, it reserves a new connection within the limit, or returns the
 // channel to wait on.
