owner: tests that a majority is of the listed instances

Four of its paths don't exist here, and nothing showed it: instances that crashed together and come back one by one, a primary that is silent for long, the removal of the replica that alone had acknowledged, and one added instance that another host's list lacks. The list is the operators' (planlist applies an object whole, by version); nothing that an instance does takes it off, so the majority of promote.Run and of group.confirmed is of all that are listed. Majorities of two lists that differ by one instance, added or removed, have a common member.

Shown by mutations (each undone): promotionState leaves out members that aren't reachable: --- FAIL: TestFirstOfCrashedInstancesIsNotPromoted (0.31s) quorum_test.go:83: appraisal-3 was promoted at 2/3 --- FAIL: TestSilentPrimaryStillCounts (0.66s) quorum_test.go:101: appraisal-3 was promoted at 2/3 --- FAIL: TestReplicaRemovedThenPrimaryFails (0.36s) quorum_test.go:115: appraisal-3 was promoted at 2/3 promotion.majority is (n+1)/2: --- FAIL: TestReplicaRemovedThenPrimaryFails (0.36s) quorum_test.go:115: appraisal-3 was promoted at 2/3 Database.Majority, which acknowledgements use, is (n+1)/2: --- FAIL: TestAddedInstanceUnknownToAnotherHost (0.67s) quorum_test.go:128: acknowledged row 1 isn't in the log of appraisal-2, which was promoted at 2/3

--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -122,10 +122,16 @@
 
 // serve starts another service that considers itself the owner of the group.
 func serve(t testing.TB, g *group.Group, options ...owner.Option) *fixture {
+	t.Helper()
+	return serveListed(t, g, g.Database("north"), options...)
+}
+
+// serveListed is serve for a host whose list of databases holds d.
+func serveListed(t testing.TB, g *group.Group, d gypsumyard.Database, options ...owner.Option) *fixture {
 	t.Helper()
 	f := &fixture{t: t, group: g}
 	newView := func(name string) *fakeView {
-		return &fakeView{name: name, db: g.Database("north"), owner: "host-1", changes: make(chan struct{}), done: closed()}
+		return &fakeView{name: name, db: d, owner: "host-1", changes: make(chan struct{}), done: closed()}
 	}
 	f.members, f.lists = newView("members"), newView("lists")
 	f.peers = &fakePeers{fakeView: fakeView{name: "peer", done: closed()}, released: make(chan string, 8)}
--- /dev/null
+++ b/internal/owner/quorum_test.go
@@ -0,0 +1,145 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/matryer/is"
+)
+
+// detectAndPromote is longer than it takes to detect a dead primary and to try
+// several promotions.
+const detectAndPromote = 2 * time.Second
+
+// listed returns the entry of the database with the instances of the given
+// names only.
+func listed(g *group.Group, names ...string) gypsumyard.Database {
+	d := g.Database("north")
+	d.Instances = nil
+	for _, n := range names {
+		d.Instances = append(d.Instances, g.Instance(n).Upstream())
+	}
+	return d
+}
+
+// isolate stops the replication of the instances of the given names.
+func isolate(g *group.Group, names ...string) {
+	for _, n := range names {
+		g.Instance(n).Isolate(true)
+	}
+}
+
+// holds reports whether the instance's log holds the insert of the row.
+func holds(in *group.Instance, id int64) bool {
+	for _, r := range in.Rows("rugs") {
+		if r[0] == id {
+			return true
+		}
+	}
+	return false
+}
+
+// neverPrimary fails if the instance is promoted within the time of a failover.
+func neverPrimary(t *testing.T, in *group.Instance) {
+	t.Helper()
+	for end := time.Now().Add(detectAndPromote); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if st := in.Status(); st.Role == gypsumyard.RolePrimary {
+			t.Fatalf("%s was promoted at %v", in.Name(), st.Applied)
+		}
+	}
+}
+
+// awaitSuccessor waits for a primary in a later term and fails if it lacks the
+// insert of one of the rows.
+func awaitSuccessor(t *testing.T, g *group.Group, term gypsumyard.Term, rows ...int64) {
+	t.Helper()
+	var p *group.Instance
+	eventually(t, "new primary", func() bool {
+		p = g.Primary()
+		return p != nil && p.Status().Applied.Term > term
+	})
+	for _, id := range rows {
+		if !holds(p, id) {
+			t.Fatalf("acknowledged row %d isn't in the log of %s, which was promoted at %v", id, p.Name(), p.Status().Applied)
+		}
+	}
+}
+
+// Guards against a majority that is counted among the instances that can be
+// reached: instances that crashed together come back one by one, the first of
+// them lacks an acknowledged row and is fenced alone, and the others acknowledge
+// more.
+func TestFirstOfCrashedInstancesIsNotPromoted(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withPromoter())
+	isolate(f.group, "3")
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	for _, in := range f.group.Instances() {
+		in.Kill()
+	}
+	is.NoErr(f.group.Instance("3").Restart())
+	neverPrimary(t, f.group.Instance("3"))
+	is.True(f.group.Instance("3").Status().Fence > 1) // it was fenced alone
+	is.NoErr(f.group.Instance("1").Restart())
+	is.NoErr(f.group.Instance("2").Restart())
+	w := f.must("s", gypsumyard.StatementWrite, insert(2))
+	f.group.Primary().Kill()
+	awaitSuccessor(t, f.group, w.result.Position.Term, 1, 2)
+}
+
+// Guards against a primary that no longer counts because it has been silent for
+// long: a replica that is behind must not be promoted alone.
+func TestSilentPrimaryStillCounts(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withPromoter())
+	isolate(f.group, "3")
+	w := f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.group.Instance("1").Partition(true)
+	f.group.Instance("2").Kill()
+	neverPrimary(t, f.group.Instance("3"))
+	is.NoErr(f.group.Instance("2").Restart())
+	awaitSuccessor(t, f.group, w.result.Position.Term, 1)
+}
+
+// Guards against the promotion of a replica that is behind when the replica that
+// alone acknowledged was removed from the list and the primary fails.
+func TestReplicaRemovedThenPrimaryFails(t *testing.T) {
+	f := start(t, nil, withPromoter())
+	isolate(f.group, "3")
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.lists.setDatabase(listed(f.group, "1", "3"))
+	time.Sleep(100 * time.Millisecond)
+	f.group.Instance("1").Kill()
+	neverPrimary(t, f.group.Instance("3"))
+}
+
+// Guards against a promotion by a host whose list lacks one added instance: what
+// the others acknowledge with the added one must be in the log that it promotes.
+func TestAddedInstanceUnknownToAnotherHost(t *testing.T) {
+	g := startFour(t)
+	newer := serveListed(t, g, listed(g, "1", "2", "3", "4"))
+	isolate(g, "2")
+	g.Instance("3").SetLag(300*time.Millisecond, 0)
+	w := newer.must("s", gypsumyard.StatementWrite, insert(1))
+	g.Instance("1").Kill()
+	serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	awaitSuccessor(t, g, w.result.Position.Term, 1)
+}
+
+// startFour returns a group of four instances that hold the table, which no host
+// owns.
+func startFour(t *testing.T) *group.Group {
+	f := start(t, []group.Option{group.WithInstances(4)})
+	f.members.setOwner("host-2")
+	eventually(t, "replication of the table", func() bool {
+		for _, in := range f.group.Instances() {
+			if in.Status().Applied != f.group.Instance("1").Status().Applied {
+				return false
+			}
+		}
+		return true
+	})
+	return f.group
+}
