promote: the model restarts instances

It cannot, as long as an instance's fence, token and log outlast its restart, as the emulated instances' do: Promote is refused unless the instance is fenced for this term with this token, and a fenced instance that restarts still refuses replication of lower terms. Nothing showed that the rule is needed. The explored runs now also restart instances, and one test restarts the fenced instance that isn't chosen, with the old primary going on, right before the promotion takes effect.

--- a/internal/promote/model_test.go
+++ b/internal/promote/model_test.go
@@ -23,6 +23,10 @@
 	ignoreFence bool
 	// earlyConfirm confirms a write that only the primary holds.
 	earlyConfirm bool
+	// forgetFence loses the fence of a node that restarts.
+	forgetFence bool
+	// forgetLog loses the records of a replica that restarts.
+	forgetLog bool
 }
 
 type record struct {
@@ -109,6 +113,17 @@
 	n.log = append(n.log, record{term: n.term(), id: cl.nextID})
 }
 
+// restart crashes and restarts a node. Its log, role and fence are kept.
+func (cl *cluster) restart(n *node) {
+	n.down = false
+	if cl.forgetFence {
+		n.fence, n.token = 0, ""
+	}
+	if cl.forgetLog && n.role == gypsumyard.RoleReplica {
+		n.log = n.log[:1]
+	}
+}
+
 // replicate copies one record from the node's primary, after truncating records
 // that diverge from the primary's log.
 func (cl *cluster) replicate(n *node) {
--- a/internal/promote/run_test.go
+++ b/internal/promote/run_test.go
@@ -70,7 +70,11 @@
 	case 4, 5:
 		cl.poll(n)
 	case 6:
-		n.down = !n.down && !slices.ContainsFunc(cl.nodes, func(o *node) bool { return o.down })
+		if n.down || e.draw(4, "at once") == 0 {
+			cl.restart(n)
+			break
+		}
+		n.down = !slices.ContainsFunc(cl.nodes, func(o *node) bool { return o.down })
 	case 7:
 		first := e.draw(2, "promoter")
 		e.restart(first)
@@ -201,6 +205,7 @@
 		"majority":      {minority: true},
 		"fence":         {ignoreFence: true},
 		"early confirm": {earlyConfirm: true},
+		"forgot log":    {forgetLog: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -223,6 +228,61 @@
 	return func(n int, _ string) int { return r.IntN(n) }
 }
 
+// A restartingNode is a node whose restart, or whatever before does, happens
+// between the fences and the effect of its promotion.
+type restartingNode struct {
+	gypsumyard.Instance
+	before func()
+}
+
+func (n *restartingNode) Promote(ctx context.Context, term gypsumyard.Term, token gypsumyard.Token) (gypsumyard.InstanceStatus, error) {
+	n.before()
+	return n.Instance.Promote(ctx, term, token)
+}
+
+// Guards against a confirmed write that is lost when the fenced instances restart
+// between the fences and the promotion while the old primary, which the promoter
+// cannot reach, goes on: their fences must outlast the restart.
+func TestRestartBetweenFenceAndPromotion(t *testing.T) {
+	for name, m := range map[string]mutations{"none": {}, "forgot fence": {forgetFence: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				faults := restartBetween(t, m)
+				t.Logf("faults: %v", faults)
+				if (faults != nil) != (m != mutations{}) {
+					t.Fatalf("faults: %v", faults)
+				}
+			})
+		})
+	}
+}
+
+func restartBetween(t *testing.T, m mutations) []string {
+	cl := newCluster(3, m)
+	old := cl.nodes[0]
+	goOn := func(chosen int) {
+		cl.mu.Lock()
+		defer cl.mu.Unlock()
+		old.down = false
+		cl.restart(cl.nodes[3-chosen])
+		cl.write(old)
+		for _, n := range cl.nodes {
+			cl.replicate(n)
+			cl.poll(n)
+		}
+		old.down = true
+	}
+	old.down = true
+	list := cl.instances(0, true)
+	for i := 1; i < 3; i++ {
+		list[i] = &restartingNode{list[i], func() { goOn(i) }}
+	}
+	_, err := Run(t.Context(), list)
+	is.New(t).NoErr(err)
+	cl.check()
+	return cl.violations
+}
+
 // Guards against a promotion without a majority, and against an error that does
 // not name the instances that did not answer.
 func TestNoMajority(t *testing.T) {
