owner: a primary that was removed from the list doesn't acknowledge

What callers saw: a write that ran on the primary while an edit replaced the primary in the list was acknowledged with one of the new list's instances, and the promotion after it, which asks only instances of the new list, could miss it. Cause: group.confirmed counted the primary without looking whether it is listed, so with {1,2,3} edited to {2,3,4} the instances 1 and 2 acknowledged, and 3 and 4 are a majority to promote. Fix: it counts listed instances only, as promotions do, and takes the instance instead of its name: an instance with the same name and another address is another. Without a listed majority the outcome is unknown after the confirm timeout.

--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -244,22 +244,23 @@
 	if fenced >= g.database.Majority() || len(h) == 0 || h[len(h)-1].Term != term {
 		return nil
 	}
-	if !g.confirmed(gypsumyard.Position{Term: term, Offset: h[len(h)-1].Start}, best.name) {
+	if !g.confirmed(gypsumyard.Position{Term: term, Offset: h[len(h)-1].Start}, best) {
 		return nil
 	}
 	return best
 }
 
 // confirmed reports whether a majority holds the record at p in the term in
-// which it was written, given that the named primary does. An instance counts
+// which it was written, given that the primary does. The primary counts only
+// while it is listed: a promotion need not fence others. Another instance counts
 // if its log held p at any earlier moment and it has not been fenced for a
 // later term since: a promotion fences a majority, so it finds p on at least
 // one of these instances. The caller must hold g.mu.
-func (g *group) confirmed(p gypsumyard.Position, primary string) bool {
-	n := 1
+func (g *group) confirmed(p gypsumyard.Position, primary *member) bool {
+	n := 0
 	for _, m := range g.members {
 		s := &m.view.Status
-		if m.name != primary && s.Term() == p.Term && s.Fence <= p.Term && s.Contains(p) {
+		if m == primary || s.Term() == p.Term && s.Fence <= p.Term && s.Contains(p) {
 			n++
 		}
 	}
--- a/internal/owner/needed.go
+++ b/internal/owner/needed.go
@@ -87,7 +87,7 @@
 
 // awaitConfirmed waits until a majority holds the record at p. It fails if a
 // majority has moved to a later term.
-func (g *group) awaitConfirmed(ctx context.Context, p gypsumyard.Position, primary string) error {
+func (g *group) awaitConfirmed(ctx context.Context, p gypsumyard.Position, primary *member) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, g.settings.confirmTimeout, errNotConfirmed)
 	defer cancel()
 	replaced := false
--- a/internal/owner/quorum_test.go
+++ b/internal/owner/quorum_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
 	"github.com/matryer/is"
 )
 
@@ -143,3 +144,24 @@
 	})
 	return f.group
 }
+
+// Guards against a primary that counts for acknowledgement after it was removed
+// from the list: the promotion after it need not ask it.
+func TestRemovedPrimaryDoesNotAcknowledge(t *testing.T) {
+	g := startFour(t)
+	isolate(g, "3", "4")
+	g.Instance("2").SetLag(400*time.Millisecond, 0)
+	f := serveListed(t, g, listed(g, "1", "2", "3"), owner.WithConfirmTimeout(time.Second))
+	written := make(chan *answer, 1)
+	go func() { written <- f.exec("s", gypsumyard.StatementWrite, insert(1)) }()
+	eventually(t, "commit on the primary", func() bool { return holds(g.Instance("1"), 1) })
+	f.lists.setDatabase(listed(g, "2", "3", "4"))
+	if a := <-written; a.err != nil {
+		is.New(t).Equal(gypsumyard.ClassOf(a.err), gypsumyard.ClassUnknown)
+		return
+	}
+	g.Instance("1").Kill()
+	g.Instance("2").Partition(true)
+	serveListed(t, g, listed(g, "2", "3", "4"), withPromoter())
+	awaitSuccessor(t, g, 1, 1)
+}
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -177,7 +177,7 @@
 	}
 	g.endTransaction(t)
 	g.finishAttempt(r, a, out, missingStatus(out))
-	res.Position, err = g.acknowledge(ctx, t.member.name, out)
+	res.Position, err = g.acknowledge(ctx, t.member, out)
 	if err != nil {
 		g.metrics.unknownOutcomes.Inc(1)
 		return res, outcomeUnknown(err)
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -138,7 +138,7 @@
 		out.StatusAfter = g.statusAfterWrite(ctx, a)
 	}
 	g.finishAttempt(r, a, out, missingStatus(out))
-	res.Position, err = g.acknowledge(ctx, a.member.name, out)
+	res.Position, err = g.acknowledge(ctx, a.member, out)
 	if err != nil {
 		return res, false, outcomeUnknown(err)
 	}
@@ -194,7 +194,7 @@
 
 // acknowledge waits until a majority holds what the exchange wrote, and
 // returns the position up to which it holds the log.
-func (g *group) acknowledge(ctx context.Context, primary string, out *upstream.Outcome) (p gypsumyard.Position, err error) {
+func (g *group) acknowledge(ctx context.Context, primary *member, out *upstream.Outcome) (p gypsumyard.Position, err error) {
 	if out.StatusAfter == nil {
 		return p, errNoStatus
 	}
