owner: KNOWN-RED tests of edits of a database's instances

What callers see: after an edit that replaces an instance, or two edits of one instance each while a replica is behind, a promotion can lose acknowledged rows, and two primaries can acknowledge at the same time if two hosts have different lists. Cause: group.confirmed, group.primary, countPolledSince and replaced (owner) and promotion.majority (promote) count a majority of this host's copy of the list at this moment. No list that was in force before counts, and instances keep no record of the list under which a term acknowledges. {1,2} of {1,2,3} and {3,4} of {1,3,4} have no common member.

Not mended here. The list that was in force must outlive the owner, so it belongs into the database's entry (planlist, root package) and not into a host's memory: an entry holds the former instances beside the present ones until the owner has seen a majority of the present ones confirm a position that the primary reported after all hosts had that entry; until then acknowledgements, evidence and fences need a majority of both; only then an edit may change the instances again. An operator who has lost a majority for good needs an explicit way to drop the former list. Memory of the owner alone would mend one of the three tests only and would leave that operator without a way.

--- a/internal/owner/quorum_test.go
+++ b/internal/owner/quorum_test.go
@@ -165,3 +165,75 @@
 	serveListed(t, g, listed(g, "2", "3", "4"), withPromoter())
 	awaitSuccessor(t, g, 1, 1)
 }
+
+// neverWithout fails if a primary that lacks the insert of the row is promoted
+// within the time of a failover. It is no fault if none is promoted.
+func neverWithout(t *testing.T, g *group.Group, term gypsumyard.Term, id int64) {
+	t.Helper()
+	for end := time.Now().Add(detectAndPromote); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p := g.Primary()
+		if p != nil && p.Status().Applied.Term > term && !holds(p, id) {
+			t.Fatalf("acknowledged row %d isn't in the log of %s, which was promoted at %v", id, p.Name(), p.Status().Applied)
+		}
+	}
+}
+
+// Guards against a lost row when the replica that acknowledged it is replaced by
+// a new instance, in one edit of the list or in two, and the primary fails: the
+// new instance and the replica that is behind are a majority of the new list.
+func TestReplicaReplacedThenPrimaryFails(t *testing.T) {
+	for name, edits := range map[string][][]string{
+		"one edit":  {{"1", "3", "4"}},
+		"two edits": {{"1", "3"}, {"1", "3", "4"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startFour(t)
+			isolate(g, "3", "4")
+			f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+			w := f.must("s", gypsumyard.StatementWrite, insert(1))
+			for _, e := range edits {
+				f.lists.setDatabase(listed(g, e...))
+				time.Sleep(100 * time.Millisecond)
+			}
+			g.Instance("1").Kill()
+			neverWithout(t, g, w.result.Position.Term, 1)
+		})
+	}
+}
+
+// Guards against a lost row when a host acknowledges with an instance that
+// replaced another one, and a host whose list is older promotes.
+func TestReplacedInstanceUnknownToAnotherHost(t *testing.T) {
+	g := startFour(t)
+	isolate(g, "2", "3")
+	newer := serveListed(t, g, listed(g, "1", "2", "4"))
+	w := newer.must("s", gypsumyard.StatementWrite, insert(1))
+	g.Instance("1").Kill()
+	serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	neverWithout(t, g, w.result.Position.Term, 1)
+}
+
+// Guards against a former primary that acknowledges because a new instance, which
+// no promotion has fenced, counts as evidence that it still leads.
+func TestNewInstanceIsNoEvidence(t *testing.T) {
+	g := startFour(t)
+	old := g.Instance("1")
+	former := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	former.must("s", gypsumyard.StatementWrite, insert(1))
+	old.Partition(true)
+	isolate(g, "4")
+	awaitSuccessor(t, g, 1, 1)
+	eventually(t, "row 2 by the new primary", func() bool {
+		return former.exec("s", gypsumyard.StatementWrite, insert(2)).err == nil
+	})
+	former.members.setOwner("host-2")
+	g.Instance("3").Partition(true)
+	old.Partition(false)
+	g.Instance("4").Isolate(false)
+	next := serveListed(t, g, listed(g, "1", "3", "4"))
+	r := request("s", gypsumyard.StatementWrite, insert(3))
+	r.Deadline = time.Now().Add(detectAndPromote)
+	if a := next.run(r); a.err == nil && !holds(g.Instance(a.result.Instance), 2) {
+		t.Fatalf("%s acknowledged row 3 at %v; it lacks row 2, which %s acknowledged", a.result.Instance, a.result.Position, g.Primary().Name())
+	}
+}
