owner, upstream: changed credentials of a database reach its pools

What callers saw: after an edit of a database's user or password, each new connection to its instances was refused, until the host was started again or lost the database. Cause: group.update keeps an instance whose name and address are unchanged, with the pool and the control connections that newMember gave the credentials of that time; update changed the pool's limit only. Fix: Pool.SetAddress and Control.SetAddress. An idle connection with the former credentials is closed, one in use when it is given back; a control connection is opened anew at its next call. A dial that began with the former ones is repeated. The emulated group's credentials can be changed.

--- a/internal/emulate/group/group.go
+++ b/internal/emulate/group/group.go
@@ -20,6 +20,9 @@
 	work      sync.WaitGroup
 	done      chan struct{}
 	close     sync.Once
+
+	// mu guards the credentials in config.
+	mu sync.Mutex
 }
 
 // New starts a group whose instances are named NAME-1, NAME-2 and so on. They
@@ -105,15 +108,28 @@
 		Region:      region,
 		Slots:       g.config.slots,
 		Connections: g.config.connections,
-		User:        g.config.user,
-		Password:    g.config.password,
 	}
+	d.User, d.Password = g.credentials()
 	for _, in := range g.instances {
 		d.Instances = append(d.Instances, in.Upstream())
 	}
 	return d
 }
 
+func (g *Group) credentials() (user, password string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.config.user, g.config.password
+}
+
+// SetCredentials changes the user and the password that new sessions need. Open
+// sessions continue.
+func (g *Group) SetCredentials(user, password string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.config.user, g.config.password = user, password
+}
+
 // Done returns a channel that is closed when Close has stopped all instances.
 func (g *Group) Done() <-chan struct{} { return g.done }
 
--- a/internal/emulate/group/session.go
+++ b/internal/emulate/group/session.go
@@ -137,8 +137,8 @@
 }
 
 func (s *session) authenticate() error {
-	c := s.instance.group.config
-	if c.password == "" {
+	user, password := s.instance.group.credentials()
+	if password == "" {
 		return nil
 	}
 	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
@@ -153,7 +153,7 @@
 		return err
 	}
 	p, ok := m.(*pgproto3.PasswordMessage)
-	if !ok || s.user != c.user || p.Password != c.password {
+	if !ok || s.user != user || p.Password != password {
 		return sqlparse.Errorf("28P01", "password authentication failed for user %q", s.user)
 	}
 	return nil
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -107,6 +107,7 @@
 		if m == nil {
 			m = g.newMember(d, u)
 		}
+		m.setAddress(upstream.AddressOf(d, u))
 		m.pool.SetLimit(upstream.MaxConnections(d))
 		m.permits.setLimit(upstream.MaxConnections(d), d.Slots)
 		g.members = append(g.members, m)
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -67,6 +67,21 @@
 	followOrderedAt time.Time
 }
 
+// An addressSetter is an Instance whose credentials can be changed.
+type addressSetter interface {
+	SetAddress(a upstream.Address)
+}
+
+// setAddress changes the credentials of the connections to the instance.
+func (m *member) setAddress(a upstream.Address) {
+	m.pool.SetAddress(a)
+	for _, c := range []gypsumyard.Instance{m.pollConn, m.orderConn} {
+		if s, ok := c.(addressSetter); ok {
+			s.SetAddress(a)
+		}
+	}
+}
+
 // requestPoll requests an immediate status poll of the instance.
 func (m *member) requestPoll() {
 	select {
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -65,6 +65,24 @@
 	}
 }
 
+// Guards against credentials that stay in use after the entry of the database has
+// changed: new connections to the instances would be refused.
+func TestChangedCredentials(t *testing.T) {
+	is := is.New(t)
+	f := start(t, []group.Option{group.WithCredentials("gypsumyard", "first")})
+	f.group.SetCredentials("proxy", "second")
+	f.lists.setDatabase(f.group.Database("north"))
+	for _, in := range f.group.Instances() {
+		in.Kill()
+		is.NoErr(in.Restart())
+	}
+	eventually(t, "write with the changed credentials", func() bool {
+		r := request("s", gypsumyard.StatementWrite, insert(1))
+		r.Deadline = time.Now().Add(time.Second)
+		return f.run(r).err == nil
+	})
+}
+
 // A rateAdmitter records the rate factors.
 type rateAdmitter struct {
 	gypsumyard.Admitter
--- a/internal/upstream/control.go
+++ b/internal/upstream/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/gypsumyard/gypsumyard"
 )
@@ -14,10 +15,12 @@
 type Control struct {
 	clock    gypsumyard.Clock
 	upstream gypsumyard.Upstream
-	address  Address
 	sem      chan struct{}
 	conn     *Conn
 	closed   bool
+
+	mu      sync.Mutex
+	address Address
 }
 
 var _ gypsumyard.Instance = (*Control)(nil)
@@ -31,6 +34,20 @@
 // Upstream returns the name and address of the instance.
 func (c *Control) Upstream() gypsumyard.Upstream { return c.upstream }
 
+// SetAddress changes the address and the credentials. They apply from the next
+// call on.
+func (c *Control) SetAddress(a Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.address = a
+}
+
+func (c *Control) currentAddress() Address {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.address
+}
+
 // Status reads the instance's state.
 func (c *Control) Status(ctx context.Context) (gypsumyard.InstanceStatus, error) {
 	return c.call(ctx, "status", statusSQL)
@@ -124,11 +141,12 @@
 	if c.closed {
 		return errors.New("control closed")
 	}
-	if c.conn != nil && c.conn.socketIdle() {
+	a := c.currentAddress()
+	if c.conn != nil && c.conn.address == a && c.conn.socketIdle() {
 		return nil
 	}
 	c.drop()
-	c.conn, err = Dial(ctx, c.clock, c.address)
+	c.conn, err = Dial(ctx, c.clock, a)
 	return err
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,7 +52,6 @@
 // A Pool holds the connections of one owner to one instance.
 type Pool struct {
 	clock    gypsumyard.Clock
-	address  Address
 	accepted acceptedSettings
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -61,6 +60,7 @@
 	closed   tally.Counter
 
 	mu      sync.Mutex
+	address Address
 	limit   int
 	idle    []*Conn
 	open    int // in use, idle or being opened
@@ -109,13 +109,37 @@
 	p.limit = limit
 }
 
+// SetAddress changes the address and the credentials. Idle connections with the
+// former ones are closed, those in use when they are given back.
+func (p *Pool) SetAddress(a Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.address == a {
+		return
+	}
+	p.address = a
+	p.accepted.clear()
+	for _, c := range p.idle {
+		p.drop(c)
+	}
+	p.idle = nil
+	p.backoff, p.retryAt = 0, time.Time{}
+	p.dialUpTo(len(p.waiters))
+}
+
+func (p *Pool) currentAddress() Address {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address
+}
+
 // Get returns a connection, which must be given back with Put, Discard or Abort.
 // If checked is true, the instance has responded on it less than a second ago. An
 // error means that no request was sent.
 func (p *Pool) Get(ctx context.Context, checked bool) (c *Conn, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("connection to %s: %w", p.address.Addr, err)
+			err = fmt.Errorf("connection to %s: %w", p.currentAddress().Addr, err)
 		}
 	}()
 	for {
@@ -242,10 +266,19 @@
 // dial opens one connection and hands it to the first waiter.
 func (p *Pool) dial() {
 	defer p.work.Done()
-	c, err := Dial(p.ctx, p.clock, p.address)
+	a := p.currentAddress()
+	c, err := Dial(p.ctx, p.clock, a)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
+	if a != p.address {
+		p.open--
+		if err == nil {
+			c.Close()
+		}
+		p.dialUpTo(len(p.waiters))
+		return
+	}
 	if err != nil {
 		p.open--
 		p.dialFailed(err)
@@ -300,8 +333,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.used--
-	if p.ctx.Err() != nil || p.open > p.limit {
+	if p.ctx.Err() != nil || p.open > p.limit || c.address != p.address {
 		p.drop(c)
+		p.dialUpTo(len(p.waiters))
 		return
 	}
 	p.handOut(c, false)
--- a/internal/upstream/settings.go
+++ b/internal/upstream/settings.go
@@ -87,6 +87,12 @@
 	return ok
 }
 
+func (p *acceptedSettings) clear() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keys = nil
+}
+
 func (p *acceptedSettings) add(key string) {
 	if p == nil {
 		return
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -315,3 +315,25 @@
 	is.NoErr(err)
 	is.True(out.Completed)
 }
+
+// Guards against connections with former credentials that stay in the pool.
+func TestPoolChangesCredentials(t *testing.T) {
+	is := is.New(t)
+	g := startGroup(t, group.WithCredentials("gypsumyard", "first"))
+	p := startPool(t, g, 4)
+	idle, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	used, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	p.Put(idle)
+	g.SetCredentials("proxy", "second")
+	p.SetAddress(AddressOf(g.Database("north"), g.Instances()[0].Upstream()))
+	is.True(!idle.socketIdle())
+	c, err := p.Get(t.Context(), false)
+	is.NoErr(err)
+	is.Equal(c.address.User, "proxy")
+	is.True(used.socketIdle())
+	p.Put(used)
+	is.True(!used.socketIdle())
+	p.Put(c)
+}
