owner: an idle rollback is counted once it has succeeded

What operators saw: idle-transactions-rolled-back and the line "idle transaction rolled back" also for transactions whose instance never answered the ROLLBACK, and before it was sent. Such a transaction ends when the instance notices that the connection was closed, which a silent instance may do much later. Cause: rollBackIdleTransactions counted and logged first, and rollBack told nothing. Fix: rollBack returns the error; the count and the line follow a success, and a failure has a line of its own, with the error. The same for an abandoned transaction.

TestFailedRollbackIsNotCounted before: transaction_test.go:129: 1 != 0 After: go test -run 'FailedRollback|Abandon' -count=3: ok.

--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -202,22 +202,27 @@
 	if err != nil {
 		return err
 	}
-	g.rollBack(t)
+	if err := g.rollBack(t); err != nil {
+		g.log.WithField("session", t.session).WithError(err).Warn("abandoned transaction not rolled back, connection closed")
+	}
 	return nil
 }
 
-// rollBack rolls back a transaction in which nothing runs. The caller must
-// hold the lock of the transaction, which rollBack releases.
-func (g *group) rollBack(t *transaction) {
+// rollBack rolls back a transaction in which nothing runs, and ends it. If the
+// instance does not confirm the rollback, it fails and closes the connection. The
+// caller must hold the lock of the transaction, which rollBack releases.
+func (g *group) rollBack(t *transaction) error {
 	ctx, cancel := context.WithTimeout(g.ctx, rollbackTimeout)
 	defer cancel()
-	if err := t.conn.Rollback(ctx); err != nil {
+	err := t.conn.Rollback(ctx)
+	if err != nil {
 		t.member.pool.Discard(t.conn)
 	} else {
 		t.member.pool.Put(t.conn)
 	}
 	g.endTransaction(t)
 	g.unlockTransaction(t)
+	return err
 }
 
 // rollBackIdleTransactions rolls back idle transactions until the group ends.
@@ -225,13 +230,21 @@
 	defer g.work.Done()
 	for g.clock.Sleep(g.ctx, idleCheckInterval) == nil {
 		for _, t := range g.idleTransactions() {
-			g.log.WithField("session", t.session).Warn("idle transaction rolled back")
-			g.metrics.idleRolledBack.Inc(1)
-			g.rollBack(t)
+			g.rollBackIdle(t)
 		}
 	}
 }
 
+func (g *group) rollBackIdle(t *transaction) {
+	log := g.log.WithField("session", t.session)
+	if err := g.rollBack(t); err != nil {
+		log.WithError(err).Warn("idle transaction not rolled back, connection closed")
+		return
+	}
+	log.Warn("idle transaction rolled back")
+	g.metrics.idleRolledBack.Inc(1)
+}
+
 // idleTransactions returns the transactions that have reached the idle
 // timeout, with their locks held. It skips those in which a request runs.
 func (g *group) idleTransactions() (idle []*transaction) {
--- a/internal/owner/transaction_test.go
+++ b/internal/owner/transaction_test.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/gypsumyard/gypsumyard/internal/owner"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 )
 
 // Guards against statements of two transactions on one connection, and against
@@ -104,6 +105,32 @@
 	is.Equal(len(f.group.Primary().Rows("rugs")), 0)
 }
 
+// Guards against a rollback that is counted although the instance has not made it:
+// it ends with the connection then.
+func TestFailedRollbackIsNotCounted(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	f := start(t, nil, owner.WithIdleTransactionTimeout(300*time.Millisecond), owner.WithMetrics(scope))
+	rolledBack := func() (n int64) {
+		for _, c := range scope.Snapshot().Counters() {
+			if c.Name() == "idle-transactions-rolled-back" {
+				n += c.Value()
+			}
+		}
+		return n
+	}
+	open := func() int {
+		d, _ := f.service.Describe("appraisal")
+		return d.(owner.Description).OpenTransactions
+	}
+	f.must("s", gypsumyard.StatementBegin, "begin")
+	f.group.Primary().HangConnections()
+	eventually(t, "end of the transaction", func() bool { return open() == 0 })
+	is.Equal(rolledBack(), int64(0))
+	f.must("s", gypsumyard.StatementBegin, "begin")
+	eventually(t, "rollback", func() bool { return open() == 0 && rolledBack() == 1 })
+}
+
 // Guards against a failed transaction that ends early or is reported as open.
 func TestFailedTransaction(t *testing.T) {
 	is := is.New(t)
