owner: releases of databases that are never gained are dropped

AcceptRelease kept the time of a release until this host gained the database. If it never did (another host was the owner by then, or the database was removed), the entry stayed for as long as the process ran. A release counts for the takeover period (3 s) only, so each release now drops those that are older.

TestOldReleasesAreDropped before: ownership_test.go:128: 101 != 1 After: go test -run 'OldReleases|Takeover|Ownership' -count=3: ok.

--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// Released returns how many releases of databases that this host does not own
+// are kept.
+func (s *Service) Released() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.released)
+}
+
 // BeginCancel does the first part of CancelStatement, which finds and marks
 // the connection, and returns the second part, which sends the cancellation.
 func (s *Service) BeginCancel(database string, session gypsumyard.SessionID) func(context.Context) error {
--- a/internal/owner/ownership_test.go
+++ b/internal/owner/ownership_test.go
@@ -113,6 +113,21 @@
 	is.Equal(a.text(), "[0.5 1]")
 }
 
+// Guards against a host that keeps the releases of databases that it never owns for
+// as long as it runs.
+func TestOldReleasesAreDropped(t *testing.T) {
+	is := is.New(t)
+	k := &jumpClock{Clock: clock.System()}
+	f := start(t, nil, owner.WithClock(k))
+	for i := range 100 {
+		f.service.AcceptRelease(fmt.Sprint("other-", i), "host-2")
+	}
+	is.Equal(f.service.Released(), 100)
+	k.offset.Add(int64(4 * time.Second))
+	f.service.AcceptRelease("other", "host-2")
+	is.Equal(f.service.Released(), 1)
+}
+
 // Guards against bounded-staleness reads that wait although a replica is fresh
 // enough, and against answers that are older than the session accepts.
 func TestMaxStaleness(t *testing.T) {
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -268,9 +268,20 @@
 		g.restoreFullRate()
 		return
 	}
+	s.dropOldReleases()
 	s.released[database] = s.clock.Now()
 }
 
+// dropOldReleases drops the releases that no takeover can use any more, which are
+// those of databases that this host did not come to own. The caller must hold s.mu.
+func (s *Service) dropOldReleases() {
+	for name, at := range s.released {
+		if s.clock.Since(at) >= s.takeoverPeriod {
+			delete(s.released, name)
+		}
+	}
+}
+
 func (s *Service) group(database string) *group {
 	s.mu.Lock()
 	defer s.mu.Unlock()
