owner: a transaction on a replaced primary ends with the proxy's own error

What callers saw: a write in a transaction whose primary had been fenced was answered with the instance's 25006, "cannot execute in a read-only transaction", in a transaction that then stayed open and failed; a COMMIT that the instance had refused so was answered with outcome unknown, although it proves that nothing ran. Cause: concludeStatement delivered any error of the instance, and took a refused COMMIT for one that no majority had confirmed. Fix: if the instance refused with 25006 before a statement completed, and its status (after the COMMIT, or by the control connection, since a failed transaction can't be asked) shows that it doesn't accept writes or is in another term than at the begin, the transaction ends and the answer is not run, 25P01, as for other transactions that the proxy has rolled back; hosts don't send it again. A read-only transaction of the caller's own still gets 25006 (TestReadOnlyTransactionOnPrimary). If the status can't be read, the instance's answer is delivered as before. Not covered: a batch of several statements of which one had completed.

--- a/internal/owner/errors.go
+++ b/internal/owner/errors.go
@@ -30,6 +30,14 @@
 		State:   "25P01",
 		Message: "the transaction has ended: it was rolled back",
 	}
+	// errTransactionReplaced is the error of a statement or a commit that the
+	// primary refused because it was replaced.
+	errTransactionReplaced = &gypsumyard.Error{
+		Class:   gypsumyard.ClassNotRun,
+		State:   errNoTransaction.State,
+		Message: "the primary was replaced: the transaction was rolled back",
+		NoRetry: true,
+	}
 )
 
 // notRun returns err as the error of a request that did not run. If err wraps
--- a/internal/owner/read.go
+++ b/internal/owner/read.go
@@ -147,7 +147,7 @@
 		return res, false, deliver(s.sink, out.Response)
 	}
 	replica := out.StatusBefore != nil && out.StatusBefore.Role == gypsumyard.RoleReplica
-	g.keepTransaction(s.request, a, replica, &res)
+	g.keepTransaction(s.request, a, out, replica, &res)
 	g.releaseSlot(s.request, a, true)
 	return res, false, deliver(s.sink, out.Response)
 }
--- a/internal/owner/transaction.go
+++ b/internal/owner/transaction.go
@@ -28,6 +28,8 @@
 	// replica indicates that the transaction runs on a replica and cannot
 	// write.
 	replica bool
+	// term is the instance's term at the begin, zero if it is not known.
+	term gypsumyard.Term
 	// lock is held by the request that runs in the transaction.
 	lock chan struct{}
 	// abandoned is done when the transaction is abandoned or has ended. It
@@ -44,7 +46,7 @@
 
 // keepTransaction registers the transaction that the request has left open. It
 // keeps the attempt's connection.
-func (g *group) keepTransaction(r *job, a *attempt, replica bool, res *gypsumyard.Result) {
+func (g *group) keepTransaction(r *job, a *attempt, out *upstream.Outcome, replica bool, res *gypsumyard.Result) {
 	if a.permit == nil {
 		// The request was not known to begin a transaction.
 		a.permit = a.member.permits.forceAcquire(r.Customer)
@@ -60,6 +62,9 @@
 		status:   res.TxStatus,
 		lastUsed: g.clock.Now(),
 	}
+	if s := out.StatusBefore; s != nil {
+		t.term = s.Term()
+	}
 	a.permit = nil
 	t.abandoned, t.abandon = context.WithCancelCause(g.ctx)
 	g.mu.Lock()
@@ -160,6 +165,11 @@
 		err, _ = classifyWriteFailure(ctx, out, err)
 		return res, err
 	}
+	if g.refusedAsReplaced(ctx, t, out) {
+		g.endTransaction(t)
+		g.discardRejected(r, a, out)
+		return res, errTransactionReplaced
+	}
 	res.TxStatus = out.TxStatus
 	if out.TxStatus != 'I' {
 		t.status = out.TxStatus
@@ -185,6 +195,27 @@
 	return res, deliver(sink, out.Response)
 }
 
+// refusedAsReplaced reports whether the instance refused a write or the commit
+// because it was fenced, or promoted anew, since the transaction began. Otherwise a
+// read-only error answers to the caller's own settings.
+func (g *group) refusedAsReplaced(ctx context.Context, t *transaction, out *upstream.Outcome) bool {
+	if t.replica || out.Failure == nil || !out.Failure.ReadOnly() || out.Completed || out.Delivered {
+		return false
+	}
+	s := out.StatusAfter
+	if s == nil {
+		// The connection cannot be asked: its transaction has failed.
+		ctx, cancel := context.WithTimeout(ctx, slowPollTimeoutFactor*g.pollTimeout)
+		defer cancel()
+		polled, err := t.member.pollConn.Status(ctx)
+		if err != nil {
+			return false
+		}
+		s = &polled
+	}
+	return !s.Writable() || t.term != 0 && s.Term() != t.term
+}
+
 // abandonTransaction rolls back the transaction of a session that has ended. A
 // statement that runs in it is canceled.
 func (g *group) abandonTransaction(ctx context.Context, r *gypsumyard.Request) error {
--- a/internal/owner/transaction_test.go
+++ b/internal/owner/transaction_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/gypsumyard/gypsumyard/internal/upstream"
 	"github.com/matryer/is"
 	"github.com/uber-go/tally/v4"
 )
@@ -131,6 +133,46 @@
 	eventually(t, "rollback", func() bool { return open() == 0 && rolledBack() == 1 })
 }
 
+// Guards against an instance's own error 25006 at the caller of a transaction whose
+// primary was replaced: it says that the caller asked for a read-only transaction.
+func TestTransactionOnFencedPrimary(t *testing.T) {
+	for _, sql := range []string{insert(2), "commit"} {
+		t.Run(sql, func(t *testing.T) {
+			is := is.New(t)
+			f := start(t, nil)
+			tx := f.must("s", gypsumyard.StatementBegin, "begin")
+			is.NoErr(f.runIn(tx, "s", gypsumyard.StatementWrite, insert(1)).err)
+			p := f.group.Primary()
+			_, err := upstream.NewControl(clock.System(), f.group.Database("north"), p.Upstream()).Fence(t.Context(), 2, "other")
+			is.NoErr(err)
+			class := gypsumyard.StatementWrite
+			if sql == "commit" {
+				class = gypsumyard.StatementCommit
+			}
+			a := f.runIn(tx, "s", class, sql)
+			is.Equal(a.text(), "")
+			is.Equal(gypsumyard.ClassOf(a.err), gypsumyard.ClassNotRun)
+			is.Equal(a.result.Transaction, "")
+			again := f.runIn(tx, "s", gypsumyard.StatementRead, "select 1")
+			is.True(gypsumyard.ClassOf(again.err) == gypsumyard.ClassNotRun)
+			is.Equal(len(p.Rows("rugs")), 0)
+		})
+	}
+}
+
+// Guards against a read-only transaction on the primary that ends at a write: the
+// instance's error is the answer to what the caller asked for.
+func TestReadOnlyTransactionOnPrimary(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	tx := f.must("s", gypsumyard.StatementBegin, "begin read only")
+	a := f.runIn(tx, "s", gypsumyard.StatementWrite, insert(1))
+	is.NoErr(a.err)
+	is.Equal(a.text(), "25006")
+	is.Equal(a.result.TxStatus, byte('E'))
+	is.Equal(f.runIn(tx, "s", gypsumyard.StatementRollback, "rollback").text(), "ROLLBACK")
+}
+
 // Guards against a failed transaction that ends early or is reported as open.
 func TestFailedTransaction(t *testing.T) {
 	is := is.New(t)
--- a/internal/owner/write.go
+++ b/internal/owner/write.go
@@ -126,7 +126,7 @@
 	}
 	res.Instance, res.TxStatus = a.member.name, out.TxStatus
 	if out.TxStatus != 'I' {
-		g.keepTransaction(r, a, false, &res)
+		g.keepTransaction(r, a, out, false, &res)
 		g.releaseSlot(r, a, true)
 		return res, false, deliver(sink, out.Response)
 	}
