owner: a replica that was fenced alone is taken back by a promotion

What callers saw: after a promotion that had found no majority, the instance that it had fenced never followed the primary that came back in its old term. When the other replica failed too, no write was acknowledged although two of three instances were up (trial: 5 s of "no majority of instances confirmed the write in time"). The most advanced instance is chosen as ever, normally the same primary; transactions that are open on it end. The wait leaves a promotion of another host in progress the time to end. Rules for a leaving primary and one that is cut off come first.

--- a/internal/owner/detecting.go
+++ b/internal/owner/detecting.go
@@ -41,6 +41,9 @@
 	// quorumStreamedAt is when enough replicas last received the log of the
 	// primary to confirm a write.
 	quorumStreamedAt time.Time
+	// strandedSince is when an instance was first seen that answers and is fenced
+	// for a later term than the primary's. It is zero while there is none.
+	strandedSince time.Time
 	// cutOff is a primary that answers and must be replaced because its log
 	// does not reach a majority.
 	cutOff string
@@ -101,7 +104,10 @@
 		if writable.Leaving && hasSuccessor(s, writable.Upstream.Name) {
 			return PromotionDecision{Promote: true, Planned: true, Reason: "the primary is leaving"}, true
 		}
-		return p.evaluateReplication(s, writable.Upstream.Name)
+		if d, ok := p.evaluateReplication(s, writable.Upstream.Name); ok {
+			return d, ok
+		}
+		return p.evaluateStranded(s, writable.Status.Term())
 	}
 	if s.Primary != "" && s.Failures > 0 {
 		return d, false
@@ -141,6 +147,27 @@
 	return PromotionDecision{Promote: true, Reason: "replicas have not received the log of the primary for " + silent.String()}, true
 }
 
+// evaluateStranded looks for an instance that a promotion without a majority has
+// fenced. It refuses the log of the primary, whose term is lower, until a promotion
+// in a later term, which normally chooses the same primary.
+func (p *detectingPromoter) evaluateStranded(s PromotionState, term gypsumyard.Term) (d PromotionDecision, ok bool) {
+	stranded := slices.ContainsFunc(s.Views, func(v gypsumyard.InstanceView) bool {
+		return v.Reachable && v.Status.Fence > term
+	})
+	now := p.clock.Now()
+	if !stranded {
+		p.strandedSince = time.Time{}
+		return d, false
+	}
+	if p.strandedSince.IsZero() {
+		p.strandedSince = now
+	}
+	if now.Sub(p.strandedSince) < p.detectTimeout {
+		return d, false
+	}
+	return PromotionDecision{Promote: true, Reason: "an instance is fenced for a later term and cannot follow"}, true
+}
+
 // writableView returns the view of an instance that answers and accepts
 // writes, or nil. An instance does not count if a majority is fenced for a
 // later term.
@@ -261,7 +288,7 @@
 	case d.Planned && slices.Contains(leavingInstances(s), r.Primary):
 		p.notBefore = p.clock.Now().Add(handoverRetryDelay)
 	}
-	p.notWritableSince, p.quorumStreamedAt, p.cutOff = time.Time{}, time.Time{}, ""
+	p.notWritableSince, p.quorumStreamedAt, p.strandedSince, p.cutOff = time.Time{}, time.Time{}, time.Time{}, ""
 	p.detector.Reset()
 	return r.Primary, r.Term, err
 }
