--- /dev/null
+++ b/internal/owner/quorum_test.go
@@ -0,0 +1,239 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
+	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/matryer/is"
+)
+
+// detectAndPromote is longer than it takes to detect a dead primary and to try
+// several promotions.
+const detectAndPromote = 2 * time.Second
+
+// listed returns the entry of the database with the instances of the given
+// names only.
+func listed(g *group.Group, names ...string) gypsumyard.Database {
+	d := g.Database("north")
+	d.Instances = nil
+	for _, n := range names {
+		d.Instances = append(d.Instances, g.Instance(n).Upstream())
+	}
+	return d
+}
+
+// isolate stops the replication of the instances of the given names.
+func isolate(g *group.Group, names ...string) {
+	for _, n := range names {
+		g.Instance(n).Isolate(true)
+	}
+}
+
+// holds reports whether the instance's log holds the insert of the row.
+func holds(in *group.Instance, id int64) bool {
+	for _, r := range in.Rows("rugs") {
+		if r[0] == id {
+			return true
+		}
+	}
+	return false
+}
+
+// neverPrimary fails if the instance is promoted within the time of a failover.
+func neverPrimary(t *testing.T, in *group.Instance) {
+	t.Helper()
+	for end := time.Now().Add(detectAndPromote); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if st := in.Status(); st.Role == gypsumyard.RolePrimary {
+			t.Fatalf("%s was promoted at %v", in.Name(), st.Applied)
+		}
+	}
+}
+
+// awaitSuccessor waits for a primary in a later term and fails if it lacks the
+// insert of one of the rows.
+func awaitSuccessor(t *testing.T, g *group.Group, term gypsumyard.Term, rows ...int64) {
+	t.Helper()
+	var p *group.Instance
+	eventually(t, "new primary", func() bool {
+		p = g.Primary()
+		return p != nil && p.Status().Applied.Term > term
+	})
+	for _, id := range rows {
+		if !holds(p, id) {
+			t.Fatalf("acknowledged row %d isn't in the log of %s, which was promoted at %v", id, p.Name(), p.Status().Applied)
+		}
+	}
+}
+
+// Guards against a majority that is counted among the instances that can be
+// reached: instances that crashed together come back one by one, the first of
+// them lacks an acknowledged row and is fenced alone, and the others acknowledge
+// more.
+func TestFirstOfCrashedInstancesIsNotPromoted(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withPromoter())
+	isolate(f.group, "3")
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	for _, in := range f.group.Instances() {
+		in.Kill()
+	}
+	is.NoErr(f.group.Instance("3").Restart())
+	neverPrimary(t, f.group.Instance("3"))
+	is.True(f.group.Instance("3").Status().Fence > 1) // it was fenced alone
+	is.NoErr(f.group.Instance("1").Restart())
+	is.NoErr(f.group.Instance("2").Restart())
+	w := f.must("s", gypsumyard.StatementWrite, insert(2))
+	f.group.Primary().Kill()
+	awaitSuccessor(t, f.group, w.result.Position.Term, 1, 2)
+}
+
+// Guards against a primary that no longer counts because it has been silent for
+// long: a replica that is behind must not be promoted alone.
+func TestSilentPrimaryStillCounts(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil, withPromoter())
+	isolate(f.group, "3")
+	w := f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.group.Instance("1").Partition(true)
+	f.group.Instance("2").Kill()
+	neverPrimary(t, f.group.Instance("3"))
+	is.NoErr(f.group.Instance("2").Restart())
+	awaitSuccessor(t, f.group, w.result.Position.Term, 1)
+}
+
+// Guards against the promotion of a replica that is behind when the replica that
+// alone acknowledged was removed from the list and the primary fails.
+func TestReplicaRemovedThenPrimaryFails(t *testing.T) {
+	f := start(t, nil, withPromoter())
+	isolate(f.group, "3")
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.lists.setDatabase(listed(f.group, "1", "3"))
+	time.Sleep(100 * time.Millisecond)
+	f.group.Instance("1").Kill()
+	neverPrimary(t, f.group.Instance("3"))
+}
+
+// Guards against a promotion by a host whose list lacks one added instance: what
+// the others acknowledge with the added one must be in the log that it promotes.
+func TestAddedInstanceUnknownToAnotherHost(t *testing.T) {
+	g := startFour(t)
+	newer := serveListed(t, g, listed(g, "1", "2", "3", "4"))
+	isolate(g, "2")
+	g.Instance("3").SetLag(300*time.Millisecond, 0)
+	w := newer.must("s", gypsumyard.StatementWrite, insert(1))
+	g.Instance("1").Kill()
+	serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	awaitSuccessor(t, g, w.result.Position.Term, 1)
+}
+
+// startFour returns a group of four instances that hold the table, which no host
+// owns.
+func startFour(t *testing.T) *group.Group {
+	f := start(t, []group.Option{group.WithInstances(4)})
+	f.members.setOwner("host-2")
+	eventually(t, "replication of the table", func() bool {
+		for _, in := range f.group.Instances() {
+			if in.Status().Applied != f.group.Instance("1").Status().Applied {
+				return false
+			}
+		}
+		return true
+	})
+	return f.group
+}
+
+// Guards against a primary that counts for acknowledgement after it was removed
+// from the list: the promotion after it need not ask it.
+func TestRemovedPrimaryDoesNotAcknowledge(t *testing.T) {
+	g := startFour(t)
+	isolate(g, "3", "4")
+	g.Instance("2").SetLag(400*time.Millisecond, 0)
+	f := serveListed(t, g, listed(g, "1", "2", "3"), owner.WithConfirmTimeout(time.Second))
+	written := make(chan *answer, 1)
+	go func() { written <- f.exec("s", gypsumyard.StatementWrite, insert(1)) }()
+	eventually(t, "commit on the primary", func() bool { return holds(g.Instance("1"), 1) })
+	f.lists.setDatabase(listed(g, "2", "3", "4"))
+	if a := <-written; a.err != nil {
+		is.New(t).Equal(gypsumyard.ClassOf(a.err), gypsumyard.ClassUnknown)
+		return
+	}
+	g.Instance("1").Kill()
+	g.Instance("2").Partition(true)
+	serveListed(t, g, listed(g, "2", "3", "4"), withPromoter())
+	awaitSuccessor(t, g, 1, 1)
+}
+
+// neverWithout fails if a primary that lacks the insert of the row is promoted
+// within the time of a failover. It is no fault if none is promoted.
+func neverWithout(t *testing.T, g *group.Group, term gypsumyard.Term, id int64) {
+	t.Helper()
+	for end := time.Now().Add(detectAndPromote); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		p := g.Primary()
+		if p != nil && p.Status().Applied.Term > term && !holds(p, id) {
+			t.Fatalf("acknowledged row %d isn't in the log of %s, which was promoted at %v", id, p.Name(), p.Status().Applied)
+		}
+	}
+}
+
+// Guards against a lost row when the replica that acknowledged it is replaced by
+// a new instance, in one edit of the list or in two, and the primary fails: the
+// new instance and the replica that is behind are a majority of the new list.
+func TestReplicaReplacedThenPrimaryFails(t *testing.T) {
+	for name, edits := range map[string][][]string{
+		"one edit":  {{"1", "3", "4"}},
+		"two edits": {{"1", "3"}, {"1", "3", "4"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startFour(t)
+			isolate(g, "3", "4")
+			f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+			w := f.must("s", gypsumyard.StatementWrite, insert(1))
+			for _, e := range edits {
+				f.lists.setDatabase(listed(g, e...))
+				time.Sleep(100 * time.Millisecond)
+			}
+			g.Instance("1").Kill()
+			neverWithout(t, g, w.result.Position.Term, 1)
+		})
+	}
+}
+
+// Guards against a lost row when a host acknowledges with an instance that
+// replaced another one, and a host whose list is older promotes.
+func TestReplacedInstanceUnknownToAnotherHost(t *testing.T) {
+	g := startFour(t)
+	isolate(g, "2", "3")
+	newer := serveListed(t, g, listed(g, "1", "2", "4"))
+	w := newer.must("s", gypsumyard.StatementWrite, insert(1))
+	g.Instance("1").Kill()
+	serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	neverWithout(t, g, w.result.Position.Term, 1)
+}
+
+// Guards against a former primary that acknowledges because a new instance, which
+// no promotion has fenced, counts as evidence that it still leads.
+func TestNewInstanceIsNoEvidence(t *testing.T) {
+	g := startFour(t)
+	old := g.Instance("1")
+	former := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	former.must("s", gypsumyard.StatementWrite, insert(1))
+	old.Partition(true)
+	isolate(g, "4")
+	awaitSuccessor(t, g, 1, 1)
+	eventually(t, "row 2 by the new primary", func() bool {
+		return former.exec("s", gypsumyard.StatementWrite, insert(2)).err == nil
+	})
+	former.members.setOwner("host-2")
+	g.Instance("3").Partition(true)
+	old.Partition(false)
+	g.Instance("4").Isolate(false)
+	next := serveListed(t, g, listed(g, "1", "3", "4"))
+	r := request("s", gypsumyard.StatementWrite, insert(3))
+	r.Deadline = time.Now().Add(detectAndPromote)
+	if a := next.run(r); a.err == nil && !holds(g.Instance(a.result.Instance), 2) {
+		t.Fatalf("%s acknowledged row 3 at %v; it lacks row 2, which %s acknowledged", a.result.Instance, a.result.Position, g.Primary().Name())
+	}
+}
