platform, catalog, linehost: calls to the platform as a metric

Callers saw nothing of it: on-call and the capacity page knew the sum of the calls to the store only, not which were avoidable.

Change: a client of package platform carries the reason of its calls (For), tells an observer of each call, and no longer counts them itself (nothing read that count). Registry, lists and owner get a client for their reason; the lists choose it for each call: start, watcher, stand-in or restore. The host counts platform_calls{kind,reason}, 7 kinds and 8 reasons at most. Kinds and reasons are typed in the root package.

A status of the store's objects is never written, so there is no such kind. A call for a claim that goes through another host counts there, under the same reason.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -71,8 +71,19 @@
 	return s.Newer(after), nil
 }
 
+// forAll returns the store for all reasons.
+func forAll(store gypsumyard.Store) StoreFor {
+	return func(gypsumyard.CallReason) gypsumyard.Store { return store }
+}
+
 // start starts the service of a host and stops it at the end of the test.
 func start(t *testing.T, store gypsumyard.Store, p *peers, self string, hosts ...string) *Service {
+	t.Helper()
+	return startFor(t, forAll(store), p, self, hosts...)
+}
+
+// startFor is start with a store for each reason.
+func startFor(t *testing.T, store StoreFor, p *peers, self string, hosts ...string) *Service {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -221,7 +232,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		s := New(memstore.New(), decoder{}, names, "region", WithLogger(log))
+		s := New(forAll(memstore.New()), decoder{}, names, "region", WithLogger(log))
 		highest := int64(0)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			v := rapid.Int64Range(1, 20).Draw(t, "version")
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -22,7 +22,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	c := clock.NewFake(time.Unix(1000, 0))
-	return New(memstore.New(), decoder{}, names, "region", WithLogger(log), WithClock(c)), c
+	return New(forAll(memstore.New()), decoder{}, names, "region", WithLogger(log), WithClock(c)), c
 }
 
 // entry returns the entry of instance i-1 with its place in the store's history.
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -33,11 +33,14 @@
 	return kind + "/"
 }
 
+// A StoreFor returns the platform's store to make calls for the reason.
+type StoreFor func(gypsumyard.CallReason) gypsumyard.Store
+
 // A Service is the kernel service "lists". It implements [gypsumyard.Lists],
 // [gypsumyard.DesiredStateSource] and [gypsumyard.ObjectReplica].
 type Service struct {
 	*objectCache
-	store  gypsumyard.Store
+	store  StoreFor
 	eras   gypsumyard.Eras
 	kernel *kernel.Kernel
 
@@ -68,7 +71,7 @@
 func WithEras(e gypsumyard.Eras) Option { return func(s *Service) { s.eras = e } }
 
 // New returns the catalog of a host in the region.
-func New(store gypsumyard.Store, decoder gypsumyard.Decoder, names ObjectNames, region string, options ...Option) *Service {
+func New(store StoreFor, decoder gypsumyard.Decoder, names ObjectNames, region string, options ...Option) *Service {
 	s := &Service{
 		objectCache: &objectCache{
 			names:            names,
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -129,7 +129,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.stopping, wait)
 	defer cancel()
-	events, v, err := s.store.Watch(ctx, prefix, after)
+	events, v, err := s.store(s.callReason(prefix)).Watch(ctx, prefix, after)
 	if errors.Is(err, gypsumyard.ErrHistoryGone) {
 		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
 		return s.list(prefix)
@@ -164,6 +164,20 @@
 	return s.completeVersion(prefix) > 0 && !s.isWatcher()
 }
 
+// callReason returns why this host calls the store for the prefix.
+func (s *Service) callReason(prefix string) gypsumyard.CallReason {
+	complete := s.completeVersion(prefix)
+	switch {
+	case complete == 0:
+		return gypsumyard.ReasonStart
+	case complete.Era() < s.latestEra():
+		return gypsumyard.ReasonRestore
+	case s.isWatcher():
+		return gypsumyard.ReasonWatcher
+	}
+	return gypsumyard.ReasonStandIn
+}
+
 func (s *Service) latestEra() gypsumyard.Era {
 	e, _ := s.eras.Era()
 	return e
@@ -204,8 +218,9 @@
 	ctx, cancel := context.WithCancel(s.stopping)
 	defer cancel()
 	answers := make(chan listResult, maxConcurrentLists)
+	store := s.store(s.callReason(prefix))
 	call := func() {
-		objects, v, err := s.store.List(ctx, prefix)
+		objects, v, err := store.List(ctx, prefix)
 		answers <- listResult{objects, v, err}
 	}
 	t := s.clock.NewTimer(listRetryInterval)
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -104,16 +104,17 @@
 func (h *Host) services() []kernel.Service {
 	s := h.settings
 	eras := era.NewTracker(era.WithClock(h.clock), era.WithLogger(h.logger("store")), era.WithMetrics(h.scope))
-	client := platform.NewClient(s.StoreAddr, s.PromotionAddr)
+	client := platform.NewClient(s.StoreAddr, s.PromotionAddr, platform.WithCallObserver(countCalls(h.scope)))
+	store := func(r gypsumyard.CallReason) gypsumyard.Store { return client.For(r) }
 	names := catalog.ObjectNames{Desired: platform.DesiredStateObject, Instances: platform.InstancePrefix, Hosts: hostPrefix}
-	h.registry = catalog.NewRegistry(client, client, hostPrefix, s.Host, eras, h.logger("registry"))
-	h.lists = catalog.New(client, platform.Decoder{}, names, s.Host.Region, catalog.WithClock(h.clock), catalog.WithLogger(h.logger("lists")),
+	h.registry = catalog.NewRegistry(store(gypsumyard.ReasonRegistration), client.For(gypsumyard.ReasonHosts), hostPrefix, s.Host, eras, h.logger("registry"))
+	h.lists = catalog.New(store, platform.Decoder{}, names, s.Host.Region, catalog.WithClock(h.clock), catalog.WithLogger(h.logger("lists")),
 		catalog.WithEras(eras))
 	peers := peer.New(s.Host, peerSecret(s), peer.WithClock(h.clock), peer.WithLogger(h.logger("peer")), peer.WithMetrics(h.scope))
 	h.members = member.New(s.Host, member.WithClock(h.clock), member.WithLogger(h.logger("members")), member.WithMetrics(h.scope),
 		member.WithSeeds(s.Seeds...))
-	h.owner = lineowner.New(client, claimPrefix, client, lineowner.WithClock(h.clock), lineowner.WithLogger(h.logger("owner")),
-		lineowner.WithMetrics(h.scope), lineowner.WithEras(eras))
+	h.owner = lineowner.New(store(gypsumyard.ReasonClaim), claimPrefix, client.For(gypsumyard.ReasonPromotion),
+		lineowner.WithClock(h.clock), lineowner.WithLogger(h.logger("owner")), lineowner.WithMetrics(h.scope), lineowner.WithEras(eras))
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.logger("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = linecaller.New(s.CallerAddr, linecaller.WithClock(h.clock), linecaller.WithLogger(h.logger("caller")),
 		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
--- a/internal/linehost/system_test.go
+++ b/internal/linehost/system_test.go
@@ -140,11 +140,11 @@
 	}
 }
 
-func (s *system) start(h *node) {
+func (s *system) start(h *node, options ...linehost.Option) {
 	s.t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	host, err := linehost.New(h.settings, linehost.WithLogger(log))
+	host, err := linehost.New(h.settings, append(options, linehost.WithLogger(log))...)
 	s.must(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
