catalog: watches are renewed as rarely as the platform allows

Callers saw nothing.

Change: both times are two and three fifths of the time allowed, at most those of the instances' watch (2.4 s, 3.6 s). With 3 s nothing changes. A change that a watch misses is found by the next one, is pulled within 0.9 s, or is read by each host itself after the validity, so the sum stays under the time allowed for any value of it.

TestMissedChangeIsInForceInTime passed before and holds the other side: a change that the watch misses is in force on 20 hosts within 3 s and 6 s, at eight moments of the watch.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -79,15 +79,16 @@
 // start starts the service of a host and stops it at the end of the test.
 func start(t *testing.T, store gypsumyard.Store, p *peers, self string, hosts ...string) *Service {
 	t.Helper()
-	return startFor(t, forAll(store), p, self, hosts...)
+	return startFor(t, forAll(store), p, self, hosts)
 }
 
-// startFor is start with a store for each reason.
-func startFor(t *testing.T, store StoreFor, p *peers, self string, hosts ...string) *Service {
+// startFor is start with a store for each reason, and with options.
+func startFor(t *testing.T, store StoreFor, p *peers, self string, hosts []string, options ...Option) *Service {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New(store, decoder{}, names, "region", WithLogger(log), WithEras(era.NewTracker(era.WithLogger(log))))
+	options = append(options, WithLogger(log), WithEras(era.NewTracker(era.WithLogger(log))))
+	s := New(store, decoder{}, names, "region", options...)
 	m := &members{Stub: kerneltest.New("members"), self: self}
 	for _, h := range hosts {
 		m.hosts = append(m.hosts, gypsumyard.Host{Name: h, State: gypsumyard.HostLive})
--- a/internal/catalog/contact.go
+++ b/internal/catalog/contact.go
@@ -10,12 +10,6 @@
 )
 
 const (
-	// desiredValidity and instancesValidity are how long a host may rely on its
-	// copies after the store has confirmed that they are complete. They exceed the
-	// time between two answers to a watch, and are short enough that a change is in
-	// force in time if the host then asks the store itself.
-	desiredValidity   = 1800 * time.Millisecond
-	instancesValidity = 3600 * time.Millisecond
 	// defaultPeerValidity is how long a host relies on the answer of a peer that
 	// does not say for how long.
 	defaultPeerValidity = 1500 * time.Millisecond
@@ -43,11 +37,11 @@
 	lastAnswer time.Time
 }
 
-func newContact(c gypsumyard.Clock, log logrus.FieldLogger, names ObjectNames) *contact {
+func newContact(c gypsumyard.Clock, log logrus.FieldLogger, names ObjectNames, desired cadence) *contact {
 	return &contact{
 		clock:          c,
 		log:            log,
-		validity:       map[string]time.Duration{names.desiredPrefix(): desiredValidity, names.Instances: instancesValidity},
+		validity:       map[string]time.Duration{names.desiredPrefix(): desired.validity, names.Instances: instancesValidity},
 		unreachable:    map[string]bool{},
 		confirmedUntil: map[string]time.Time{},
 	}
--- a/internal/catalog/outage_test.go
+++ b/internal/catalog/outage_test.go
@@ -12,7 +12,7 @@
 )
 
 // startFleet starts n hosts with one store. The first host is the watcher.
-func startFleet(t *testing.T, store gypsumyard.Store, n int) (fleet []*Service) {
+func startFleet(t *testing.T, store gypsumyard.Store, n int, options ...Option) (fleet []*Service) {
 	t.Helper()
 	var hosts []string
 	for i := range n {
@@ -20,7 +20,7 @@
 	}
 	p := &peers{hosts: map[string]*Service{}}
 	for _, h := range hosts {
-		fleet = append(fleet, start(t, store, p, h, hosts...))
+		fleet = append(fleet, startFor(t, forAll(store), p, h, hosts, options...))
 	}
 	return fleet
 }
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -127,7 +127,7 @@
 	if u.ValidFor == 0 {
 		return defaultPeerValidity
 	}
-	return min(u.ValidFor, desiredValidity)
+	return min(u.ValidFor, s.cadence.validity)
 }
 
 // Newer returns what the copies add to copies that are complete up to after. While
--- a/internal/catalog/reason_test.go
+++ b/internal/catalog/reason_test.go
@@ -50,7 +50,7 @@
 	put(t, store, names.Desired, "1")
 	watcher, other := newReasons(store), newReasons(store)
 	p := &peers{hosts: map[string]*Service{}}
-	fleet := []*Service{startFor(t, watcher.storeFor, p, "a", "a", "b"), startFor(t, other.storeFor, p, "b", "a", "b")}
+	fleet := []*Service{startFor(t, watcher.storeFor, p, "a", []string{"a", "b"}), startFor(t, other.storeFor, p, "b", []string{"a", "b"})}
 	eventuallyAll(t, fleet, applyWithin, "the state", func(s *Service) bool { return desiredNumber(s) == 1 })
 	time.Sleep(time.Second) // The other host relies on the watcher.
 	is.Equal(watcher.take(), []gypsumyard.CallReason{gypsumyard.ReasonStart, gypsumyard.ReasonWatcher})
@@ -58,7 +58,7 @@
 
 	copied := store.Copy()
 	store.SetDown(true)
-	time.Sleep(desiredValidity + 1500*time.Millisecond)
+	time.Sleep(newCadence(defaultApplyTimeout).validity + 1500*time.Millisecond)
 	is.Equal(watcher.take(), []gypsumyard.CallReason{gypsumyard.ReasonWatcher})
 	is.Equal(other.take(), []gypsumyard.CallReason{gypsumyard.ReasonStandIn})
 
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -43,6 +43,8 @@
 	store  StoreFor
 	eras   gypsumyard.Eras
 	kernel *kernel.Kernel
+	// cadence is how often the desired state is asked for.
+	cadence cadence
 
 	stopping context.Context
 	stop     context.CancelFunc
@@ -70,6 +72,11 @@
 // WithEras sets the tracker of the store's era, which the store's client updates.
 func WithEras(e gypsumyard.Eras) Option { return func(s *Service) { s.eras = e } }
 
+// WithApplyTimeout sets how soon a new desired state must be in force.
+func WithApplyTimeout(d time.Duration) Option {
+	return func(s *Service) { s.cadence = newCadence(d) }
+}
+
 // New returns the catalog of a host in the region.
 func New(store StoreFor, decoder gypsumyard.Decoder, names ObjectNames, region string, options ...Option) *Service {
 	s := &Service{
@@ -85,14 +92,15 @@
 			changes:          make(chan struct{}),
 			ready:            make(chan struct{}),
 		},
-		store: store,
-		eras:  era.NewTracker(),
-		done:  make(chan struct{}),
+		store:   store,
+		eras:    era.NewTracker(),
+		cadence: newCadence(defaultApplyTimeout),
+		done:    make(chan struct{}),
 	}
 	for _, o := range options {
 		o(s)
 	}
-	s.contact = newContact(s.clock, s.log, names)
+	s.contact = newContact(s.clock, s.log, names, s.cadence)
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -21,11 +21,6 @@
 	watcherCount = 3
 	// watcherKey is the rendezvous key that selects the watchers.
 	watcherKey = "desired-state"
-	// desiredWatchTimeout bounds one watch call for the desired state, and
-	// instancesWatchTimeout one for the instances, whose changes may take longer to
-	// be in force.
-	desiredWatchTimeout   = 1200 * time.Millisecond
-	instancesWatchTimeout = 2400 * time.Millisecond
 	// delegationCheckInterval is how often a host that leaves the watch to others
 	// checks whether it must watch the store itself.
 	delegationCheckInterval = 200 * time.Millisecond
@@ -123,7 +118,7 @@
 	if list || after == 0 || after.Era() < s.latestEra() {
 		return s.list(prefix)
 	}
-	wait := desiredWatchTimeout
+	wait := s.cadence.watchTimeout
 	if prefix == s.names.Instances {
 		wait = instancesWatchTimeout
 	}
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -109,7 +109,7 @@
 	names := catalog.ObjectNames{Desired: platform.DesiredStateObject, Instances: platform.InstancePrefix, Hosts: hostPrefix}
 	h.registry = catalog.NewRegistry(store(gypsumyard.ReasonRegistration), client.For(gypsumyard.ReasonHosts), hostPrefix, s.Host, eras, h.logger("registry"))
 	h.lists = catalog.New(store, platform.Decoder{}, names, s.Host.Region, catalog.WithClock(h.clock), catalog.WithLogger(h.logger("lists")),
-		catalog.WithEras(eras))
+		catalog.WithEras(eras), catalog.WithApplyTimeout(s.ApplyTimeout))
 	peers := peer.New(s.Host, peerSecret(s), peer.WithClock(h.clock), peer.WithLogger(h.logger("peer")), peer.WithMetrics(h.scope))
 	h.members = member.New(s.Host, member.WithClock(h.clock), member.WithLogger(h.logger("members")), member.WithMetrics(h.scope),
 		member.WithSeeds(s.Seeds...))
