--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -21,11 +21,9 @@
 	watcherCount = 3
 	// watcherKey is the rendezvous key that selects the watchers.
 	watcherKey = "desired-state"
-	// desiredWatchTimeout bounds one watch call for the desired state, and
-	// instancesWatchTimeout one for the instances, whose changes may take longer to
-	// be in force.
-	desiredWatchTimeout   = 1200 * time.Millisecond
-	instancesWatchTimeout = 2400 * time.Millisecond
+	// regainTimeout bounds the first watch after a failed call. A store that is too
+	// slow for it is asked for a list next.
+	regainTimeout = 400 * time.Millisecond
 	// delegationCheckInterval is how often a host that leaves the watch to others
 	// checks whether it must watch the store itself.
 	delegationCheckInterval = 200 * time.Millisecond
@@ -54,7 +52,8 @@
 // service stops, except while this host leaves the watch to others.
 func (s *Service) watchLoop(prefix string) {
 	var r readPacer
-	listNext, answered := false, false
+	var err error
+	answered := false
 	for s.stopping.Err() == nil {
 		if s.delegatesWatch(prefix) {
 			if s.clock.Sleep(s.stopping, delegationCheckInterval) != nil {
@@ -62,7 +61,7 @@
 			}
 			continue
 		}
-		err := s.readStore(prefix, listNext)
+		err = s.readStore(prefix, err)
 		if s.stopping.Err() != nil {
 			return
 		}
@@ -72,10 +71,7 @@
 			answered = true
 			s.awaitWatchers(prefix)
 		}
-		standsIn := s.standsIn(prefix)
-		// A store that does not answer watches may still list.
-		listNext = errors.Is(err, context.DeadlineExceeded) && !standsIn
-		pause := r.next(err != nil, standsIn)
+		pause := r.next(err != nil, s.standsIn(prefix))
 		if pause > 0 && s.clock.Sleep(s.stopping, pause/2+rand.N(pause)) != nil {
 			return
 		}
@@ -116,20 +112,18 @@
 }
 
 // readStore makes the next call to the store: a watch from the version up to which
-// the copies are complete, or a list if one is requested, there is no such version,
-// or the store has dropped its history since.
-func (s *Service) readStore(prefix string, list bool) error {
+// the copies are complete, or a list if there is no such version, the store has
+// dropped its history since, or a watcher's previous call had no answer: a store that
+// does not answer watches may still list. It gets the error of the previous call.
+func (s *Service) readStore(prefix string, previous error) error {
 	after := s.completeVersion(prefix)
+	list := errors.Is(previous, context.DeadlineExceeded) && !s.standsIn(prefix)
 	if list || after == 0 || after.Era() < s.latestEra() {
 		return s.list(prefix)
 	}
-	wait := desiredWatchTimeout
-	if prefix == s.names.Instances {
-		wait = instancesWatchTimeout
-	}
-	ctx, cancel := context.WithTimeout(s.stopping, wait)
+	ctx, cancel := context.WithTimeout(s.stopping, s.watchTimeout(prefix, previous != nil))
 	defer cancel()
-	events, v, err := s.store.Watch(ctx, prefix, after)
+	events, v, err := s.store(s.callReason(prefix)).Watch(ctx, prefix, after)
 	if errors.Is(err, gypsumyard.ErrHistoryGone) {
 		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
 		return s.list(prefix)
@@ -143,6 +137,19 @@
 	return nil
 }
 
+// watchTimeout returns the bound on the next watch. The first watch of a watcher after
+// a failed call is short: the other hosts soon stop to rely on their copies, and a
+// watch confirms them only when it ends.
+func (s *Service) watchTimeout(prefix string, failed bool) time.Duration {
+	switch {
+	case failed && !s.standsIn(prefix):
+		return regainTimeout
+	case prefix == s.names.Instances:
+		return instancesWatchTimeout
+	}
+	return s.cadence.watchTimeout
+}
+
 // delegatesWatch reports whether this host leaves the watch of the store to the
 // watchers. A watch can miss changes and the loss of its history without an error,
 // so if all hosts watched, all would have to renew their watches often. After a
@@ -164,6 +171,20 @@
 	return s.completeVersion(prefix) > 0 && !s.isWatcher()
 }
 
+// callReason returns why this host calls the store for the prefix.
+func (s *Service) callReason(prefix string) gypsumyard.CallReason {
+	complete := s.completeVersion(prefix)
+	switch {
+	case complete == 0:
+		return gypsumyard.ReasonStart
+	case complete.Era() < s.latestEra():
+		return gypsumyard.ReasonRestore
+	case s.isWatcher():
+		return gypsumyard.ReasonWatcher
+	}
+	return gypsumyard.ReasonStandIn
+}
+
 func (s *Service) latestEra() gypsumyard.Era {
 	e, _ := s.eras.Era()
 	return e
@@ -204,8 +225,9 @@
 	ctx, cancel := context.WithCancel(s.stopping)
 	defer cancel()
 	answers := make(chan listResult, maxConcurrentLists)
+	store := s.store(s.callReason(prefix))
 	call := func() {
-		objects, v, err := s.store.List(ctx, prefix)
+		objects, v, err := store.List(ctx, prefix)
 		answers <- listResult{objects, v, err}
 	}
 	t := s.clock.NewTimer(listRetryInterval)
