lineowner: decide which instances to forget before the list changes

Found by reading: whyForget looks at all instances of the group and was called while slices.DeleteFunc moved them, so it could see one twice and miss another. No run showed it.

--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -82,17 +82,19 @@
 			i.markLeaving(now)
 		}
 	}
-	g.instances = slices.DeleteFunc(g.instances, func(i *instance) bool {
+	var over []*instance
+	for _, i := range g.instances {
 		reason := g.whyForget(i, now)
 		if reason == "" {
-			return false
+			continue
 		}
 		g.log.WithFields(logrus.Fields{"instance": i.id, "reason": reason, "since": i.departure.since, "received": i.status.received.String()}).
 			Info("departed instance does not count any more")
 		i.retire()
 		g.forgotten[i.asReplica()] = true
-		return true
-	})
+		over = append(over, i)
+	}
+	g.instances = slices.DeleteFunc(g.instances, func(i *instance) bool { return slices.Contains(over, i) })
 }
 
 // whyForget returns why the instance need not count any more, or an empty string. The
