--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,7 +37,7 @@
 	308:  "the same",
 	502:  "a host that was assigned the group and started again did not know of it, the others did",
 	595:  "the same",
-	6016: "not traced: an election was in progress when the run ended",
+	6016: "elections that fence too few instances make another host replace a primary that works",
 }
 
 // hostBinary is the path of the host's executable.
