--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,7 +28,7 @@
 }{
 	{120, "three hosts that each owned the group interrupted each other's elections"},
 	{217, "the emulator let a primary that had stepped down follow a crashed one, which truncated its log"},
-	{5008, "two instances lost for good counted in elections for longer than the recovery may take"},
+	{5008, "two instances lost for good count in elections for almost as long as the recovery may take"},
 }
 
 // restoreRegressions are those of TestSoakRestoredStore.
