--- a/desired.go
+++ b/desired.go
@@ -40,6 +40,8 @@
 	Objective time.Duration
 	// Priority orders routes under contention. Zero is the highest.
 	Priority int
+	// Open indicates that the route serves callers without a key.
+	Open bool
 }
 
 // A Group is the configuration of a database group in the desired state.
@@ -61,6 +63,13 @@
 	Version Version
 	Routes  map[string]Route
 	Groups  map[string]Group
+	// Keyed indicates that callers identify themselves by keys. Without it all
+	// routes are open and there are no customers.
+	Keyed bool
+	// Customers holds the customers by name.
+	Customers map[string]CallerCustomer
+	// Keys maps the hash of each key to the name of the customer that holds it.
+	Keys map[KeyHash]string
 	// TransactionIdle is the idle timeout of transactions: one that is idle for
 	// longer may be terminated. Zero means no limit.
 	TransactionIdle time.Duration
--- a/internal/line/errors.go
+++ b/internal/line/errors.go
@@ -29,6 +29,8 @@
 	CodeInDoubt Code = "INDOUBT"
 	// CodeNoDatabase: there is no database of that name.
 	CodeNoDatabase Code = "NODATABASE"
+	// CodeDenied: the session's key is unknown or was withdrawn.
+	CodeDenied Code = "DENIED"
 	// CodeMalformed: the message violates the protocol.
 	CodeMalformed Code = "MALFORMED"
 )
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -108,3 +108,19 @@
 		}
 	})
 }
+
+// Guards against payloads of sessions without a key that differ from those that earlier
+// versions sent, and against a key that is lost on the way.
+func TestPayloadKey(t *testing.T) {
+	is := is.New(t)
+	p := Payload{Consistency: gypsumyard.ConsistencyPrimary, RoutePriority: 1, Objective: time.Second, ID: "5c", Text: "READ 1"}
+	recorded := "\x02\x80\xa8\xd6\xb9\x07\x07primary\x025c\x06READ 1\x00\x00"
+	is.Equal(string(p.Marshal()), recorded)
+	p.KeyHolder, p.Key, p.StateNumber = "miny", gypsumyard.HashKey("key"), 12
+	is.True(strings.HasPrefix(string(p.Marshal()), recorded))
+	got, err := UnmarshalPayload(p.Marshal())
+	is.NoErr(err)
+	is.Equal(got, p)
+	_, err = UnmarshalPayload(p.Marshal()[:len(recorded)+20])
+	is.True(errors.Is(err, ErrMalformed))
+}
--- a/internal/line/payload.go
+++ b/internal/line/payload.go
@@ -22,9 +22,17 @@
 	// Prepared is the prepared statement to which the name in an EXECUTE
 	// refers.
 	Prepared Prepared
+	// KeyHolder is the customer that holds the session's key, or empty for an anonymous
+	// session. Key is the hash of that key.
+	KeyHolder string
+	Key       gypsumyard.KeyHash
+	// StateNumber is the number of the desired state by which the session's host has
+	// checked the key.
+	StateNumber int64
 }
 
-// Marshal encodes the payload.
+// Marshal encodes the payload. The fields of a session with a key come last: hosts that
+// do not know them ignore what follows the others.
 func (p *Payload) Marshal() []byte {
 	out := make([]byte, 0, 64+len(p.ID)+len(p.Text)+len(p.Prepared.Shape))
 	for _, n := range []int64{int64(p.RoutePriority), int64(p.Objective)} {
@@ -34,7 +42,12 @@
 		out = binary.AppendUvarint(out, uint64(len(s)))
 		out = append(out, s...)
 	}
-	return out
+	if p.Key.IsZero() {
+		return out
+	}
+	out = binary.AppendVarint(out, p.StateNumber)
+	out = append(out, p.Key[:]...)
+	return append(out, p.KeyHolder...)
 }
 
 // UnmarshalPayload decodes a payload that was encoded by Marshal.
@@ -64,5 +77,21 @@
 		in = in[size+int(n):]
 	}
 	p.Consistency, p.Prepared.Verb = gypsumyard.Consistency(consistency), Verb(verb)
-	return p, nil
+	if len(in) == 0 {
+		return p, nil
+	}
+	return p, p.unmarshalKey(in)
+}
+
+// unmarshalKey decodes the fields of a session with a key.
+func (p *Payload) unmarshalKey(in []byte) error {
+	number, size := binary.Varint(in)
+	if size <= 0 || len(in)-size < len(p.Key) {
+		return ErrMalformed
+	}
+	p.StateNumber = number
+	in = in[size:]
+	n := copy(p.Key[:], in)
+	p.KeyHolder = string(in[n:])
+	return nil
 }
