catalog, peer: the time since which the desired state is proven

Cause: a host cannot tell how old its copy of the desired state may be, so one that is cut off would accept withdrawn keys for ever. Change: the catalog records when the read that last confirmed its copy was sent, and takes over the age that a peer states in proof_age_ns.

--- a/desired.go
+++ b/desired.go
@@ -108,6 +108,15 @@
 	Changes() <-chan struct{}
 }
 
+// A DesiredStateProver tells since when the copy of the desired state is proven.
+type DesiredStateProver interface {
+	// ProvenAt returns when the read of the store that last confirmed the copy was
+	// sent. Each state that the store acknowledged before that time is in force, or
+	// a later one. It returns zero if nothing proves the copy. Callers that compare
+	// it with the desired state must call it first.
+	ProvenAt() time.Time
+}
+
 // A Decoder converts objects of the platform's store to the types of this
 // package.
 type Decoder interface {
--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -75,9 +76,11 @@
 	// completeVersions holds, by watched prefix, the store's version up to which no
 	// change is missing.
 	completeVersions map[string]gypsumyard.Version
-	current          *snapshot
-	changes          chan struct{}
-	ready            chan struct{}
+	// current is read without the lock, since each statement reads it and a large
+	// desired state is decoded under the lock.
+	current atomic.Pointer[snapshot]
+	changes chan struct{}
+	ready   chan struct{}
 }
 
 // Apply merges the objects that are newer than the copies, and returns how many
@@ -292,7 +295,7 @@
 		}
 	}
 	slices.SortFunc(s.databases, func(a, b gypsumyard.Database) int { return cmp.Compare(a.Name, b.Name) })
-	c.current = s
+	c.current.Store(s)
 	close(c.changes)
 	c.changes = make(chan struct{})
 	c.checkReady()
@@ -337,8 +340,4 @@
 	}
 }
 
-func (c *objectCache) snapshot() *snapshot {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.current
-}
+func (c *objectCache) snapshot() *snapshot { return c.current.Load() }
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -48,6 +48,9 @@
 	if left := s.contact.peerValidFor(); left > 0 {
 		pause = min(pause, max(left-pullMargin, pullIntervalMin))
 	}
+	if left, ok := s.untilProofPull(); ok {
+		pause = min(pause, max(left, pullIntervalMin))
+	}
 	return pause
 }
 
@@ -85,6 +88,7 @@
 		return fmt.Errorf("from %s: %w", from.Name, err)
 	}
 	s.applyUpdate(u, after, from.Name)
+	s.notePeerProof(sent, u)
 	s.contact.notePeer(from.Name, sent, s.peerValidity(u))
 	return nil
 }
@@ -133,6 +137,8 @@
 // Newer returns what the copies add to copies that are complete up to after. While
 // they may not be relied on, the update claims no completeness.
 func (s *Service) Newer(after gypsumyard.Version) (u gypsumyard.ObjectUpdate) {
+	// Before the objects, so that they are at least as new as the proof.
+	u.ProofAge, u.Proven = s.statedProofAge()
 	u.Objects, u.Complete = s.objectCache.Newer(after)
 	u.ValidFor = s.contact.validFor()
 	if u.ValidFor == 0 {
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -52,11 +52,16 @@
 	done     chan struct{}
 
 	contact *contact
+	proof   proof
+	// revokeTimeout is how soon a withdrawn key must not be accepted, or zero if that
+	// is not strict.
+	revokeTimeout time.Duration
 }
 
 var (
 	_ gypsumyard.Lists              = (*Service)(nil)
 	_ gypsumyard.DesiredStateSource = (*Service)(nil)
+	_ gypsumyard.DesiredStateProver = (*Service)(nil)
 	_ gypsumyard.ObjectReplica      = (*Service)(nil)
 )
 
@@ -77,6 +82,10 @@
 	return func(s *Service) { s.cadence = newCadence(d) }
 }
 
+// WithRevokeTimeout sets how soon after its withdrawal a key must not be accepted on any
+// host. Zero, the default, lets hosts that have lost the store accept it for longer.
+func WithRevokeTimeout(d time.Duration) Option { return func(s *Service) { s.revokeTimeout = d } }
+
 // New returns the catalog of a host in the region.
 func New(store StoreFor, decoder gypsumyard.Decoder, names ObjectNames, region string, options ...Option) *Service {
 	s := &Service{
@@ -88,7 +97,6 @@
 			region:           region,
 			objects:          map[string]*cachedObject{},
 			completeVersions: map[string]gypsumyard.Version{},
-			current:          &snapshot{},
 			changes:          make(chan struct{}),
 			ready:            make(chan struct{}),
 		},
@@ -97,6 +105,7 @@
 		cadence: newCadence(defaultApplyTimeout),
 		done:    make(chan struct{}),
 	}
+	s.current.Store(&snapshot{})
 	for _, o := range options {
 		o(s)
 	}
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -123,6 +123,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.stopping, s.watchTimeout(prefix, previous != nil))
 	defer cancel()
+	sent := s.clock.Now()
 	events, v, err := s.store(s.callReason(prefix)).Watch(ctx, prefix, after)
 	if errors.Is(err, gypsumyard.ErrHistoryGone) {
 		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
@@ -134,6 +135,7 @@
 	s.contact.noteAnswer(prefix)
 	s.Apply(events)
 	s.setCompleteVersion(prefix, v)
+	s.noteConfirmed(prefix, sent)
 	return nil
 }
 
@@ -146,8 +148,10 @@
 		return regainTimeout
 	case prefix == s.names.Instances:
 		return instancesWatchTimeout
+	case s.proofIsLate():
+		return regainTimeout
 	}
-	return s.cadence.watchTimeout
+	return s.strictWatchTimeout()
 }
 
 // delegatesWatch reports whether this host leaves the watch of the store to the
@@ -162,6 +166,9 @@
 	if complete := s.completeVersion(prefix); complete.Era() < s.latestEra() {
 		return false
 	}
+	if prefix == s.names.desiredPrefix() && s.proofIsLate() {
+		return false
+	}
 	return s.contact.peerValidFor() > 0 || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
 }
 
@@ -227,8 +234,9 @@
 	answers := make(chan listResult, maxConcurrentLists)
 	store := s.store(s.callReason(prefix))
 	call := func() {
+		sent := s.clock.Now()
 		objects, v, err := store.List(ctx, prefix)
-		answers <- listResult{objects, v, err}
+		answers <- listResult{sent, objects, v, err}
 	}
 	t := s.clock.NewTimer(listRetryInterval)
 	defer t.Stop()
@@ -245,6 +253,7 @@
 			}
 			s.contact.noteAnswer(prefix)
 			s.applyList(prefix, l.objects, l.version)
+			s.noteConfirmed(prefix, l.sent)
 			return nil
 		case <-t.C():
 			if calls < maxConcurrentLists {
@@ -258,6 +267,7 @@
 
 // A listResult is the answer to one list call.
 type listResult struct {
+	sent    time.Time
 	objects []gypsumyard.Object
 	version gypsumyard.Version
 	err     error
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -265,3 +265,20 @@
 	}
 	return gypsumyard.NewVersion(gypsumyard.Era(era), revision)
 }
+
+// encodeProofAge returns the wire form of the age of a proof: one nanosecond more than
+// the age, since hosts that state none send zero.
+func encodeProofAge(age time.Duration, proven bool) int64 {
+	if !proven {
+		return 0
+	}
+	return int64(max(age, 0)) + 1
+}
+
+// decodeProofAge returns the age that encodeProofAge has encoded.
+func decodeProofAge(ns int64) (age time.Duration, proven bool) {
+	if ns <= 0 {
+		return 0, false
+	}
+	return time.Duration(ns - 1), true
+}
--- a/internal/peer/compat_test.go
+++ b/internal/peer/compat_test.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
@@ -39,3 +41,23 @@
 	is.Equal(decodeVersion(uint32(gypsumyard.MaxEra), 5), gypsumyard.NewVersion(gypsumyard.MaxEra, 5))
 	is.Equal(decodeVersion(uint32(gypsumyard.MaxEra)+1, 5), gypsumyard.Version(0))
 }
+
+// Guards against a host that states no age of its proof, as those before its introduction
+// do, and is taken for one that has just read the store.
+func TestProofAge(t *testing.T) {
+	is := is.New(t)
+	for _, ns := range []int64{0, -1, math.MinInt64} {
+		_, proven := decodeProofAge(ns)
+		is.True(!proven)
+	}
+	is.Equal(encodeProofAge(0, false), int64(0))
+	is.Equal(encodeProofAge(time.Second, false), int64(0))
+	for _, age := range []time.Duration{0, 1, time.Hour} {
+		got, proven := decodeProofAge(encodeProofAge(age, true))
+		is.True(proven)
+		is.Equal(got, age)
+	}
+	sent, err := proto.Marshal(&peerpb.Reply{Last: true, ProofAgeNs: encodeProofAge(0, false)})
+	is.NoErr(err)
+	is.Equal(sent, []byte{0x20, 1}) // As from a host that does not know the field.
+}
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -96,6 +96,7 @@
 		*objects = u.Objects
 		last.CompleteEra, last.CompleteRevision = uint32(u.Complete.Era()), u.Complete.Revision()
 		last.ValidForNs, last.EraAgeNs = int64(u.ValidFor), int64(u.EraAge)
+		last.ProofAgeNs = encodeProofAge(u.ProofAge, u.Proven)
 	case *peerpb.Call_Probe:
 		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -51,6 +51,7 @@
 	last := replies[len(replies)-1]
 	u.Complete = decodeVersion(last.CompleteEra, last.CompleteRevision)
 	u.ValidFor, u.EraAge = max(time.Duration(last.ValidForNs), 0), max(time.Duration(last.EraAgeNs), 0)
+	u.ProofAge, u.Proven = decodeProofAge(last.ProofAgeNs)
 	return u, nil
 }
 
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -35,7 +35,7 @@
 func (r *fakeLists) Newer(after gypsumyard.Version) gypsumyard.ObjectUpdate {
 	r.after = after
 	return gypsumyard.ObjectUpdate{
-		Objects: r.newer, Complete: gypsumyard.NewVersion(2, uint64(len(r.newer))), ValidFor: time.Second, EraAge: time.Hour,
+		Objects: r.newer, Complete: gypsumyard.NewVersion(2, uint64(len(r.newer))), ValidFor: time.Second, EraAge: time.Hour, Proven: true,
 	}
 }
 
@@ -56,7 +56,7 @@
 	is.Equal(lists.applied, big[:3])
 	got, err := peers.FetchObjects(t.Context(), b, gypsumyard.NewVersion(1, 4))
 	is.NoErr(err)
-	is.Equal(got, gypsumyard.ObjectUpdate{Objects: big, Complete: gypsumyard.NewVersion(2, 40), ValidFor: time.Second, EraAge: time.Hour})
+	is.Equal(got, gypsumyard.ObjectUpdate{Objects: big, Complete: gypsumyard.NewVersion(2, 40), ValidFor: time.Second, EraAge: time.Hour, Proven: true})
 	is.Equal(lists.after, gypsumyard.NewVersion(1, 4))
 	st, err := peers.ProbeInstance(t.Context(), b, "db", "i")
 	is.NoErr(err)
--- a/peers.go
+++ b/peers.go
@@ -70,6 +70,11 @@
 	ValidFor time.Duration
 	// EraAge is for how long the era of Complete has been known.
 	EraAge time.Duration
+	// Proven indicates that the other host may take the copy of the desired state
+	// for proven since ProofAge before it asked: a read of the store that was sent
+	// no earlier has confirmed the copy.
+	Proven   bool
+	ProofAge time.Duration
 }
 
 // An Owner executes requests for the databases that this host owns, and serves
