linecaller: sessions identify their customer by a key

Cause: whoever reached a host was served on every route. Change: the second field of START is a key, of which the session keeps the hash. Each statement checks it against the desired state and, with strict revocation, the age of that state's proof. Unknown: DENIED, rollback and end of the session; unproven: BUSY; open routes serve both anonymously. A transaction keeps the customer it began for.

--- a/internal/line/payload.go
+++ b/internal/line/payload.go
@@ -34,7 +34,11 @@
 // Marshal encodes the payload. The fields of a session with a key come last: hosts that
 // do not know them ignore what follows the others.
 func (p *Payload) Marshal() []byte {
-	out := make([]byte, 0, 64+len(p.ID)+len(p.Text)+len(p.Prepared.Shape))
+	size := 64 + len(p.ID) + len(p.Text) + len(p.Prepared.Shape)
+	if !p.Key.IsZero() {
+		size += len(p.Key) + len(p.KeyHolder) + binary.MaxVarintLen64
+	}
+	out := make([]byte, 0, size)
 	for _, n := range []int64{int64(p.RoutePriority), int64(p.Objective)} {
 		out = binary.AppendVarint(out, n)
 	}
--- a/internal/linecaller/execute.go
+++ b/internal/linecaller/execute.go
@@ -21,35 +21,38 @@
 }
 
 // execute sends a statement to the owner of the database group and buffers the
-// response.
-func (ss *session) execute(id, text string, st line.Statement) {
+// response. It fails with errDenied if the session must end.
+func (ss *session) execute(id, text string, st line.Statement) error {
 	route, ok := ss.tx.route, true
 	if ss.state == stateIdle {
 		route, ok = ss.route()
 	}
 	if !ok {
 		ss.fail(id, line.CodeNoDatabase, ss.database)
-		return
+		return nil
 	}
 	r, code := ss.buildRequest(id, text, st, route)
 	if code != "" {
 		ss.fail(id, code, st.Name)
-		return
+		return nil
 	}
 	outLen := len(ss.out)
 	res, err := ss.server.executor.Execute(ss.server.ctx, r, responseBuffer{ss})
 	if err != nil {
 		ss.out = ss.out[:outLen]
-		ss.answerFailure(r, id, st, err)
-		return
+		return ss.answerFailure(r, id, st, err)
 	}
 	ss.applyResult(r, res)
+	return nil
 }
 
 // buildRequest returns the request for a statement, or an error code if the
 // statement cannot be executed.
 func (ss *session) buildRequest(id, text string, st line.Statement, route gypsumyard.Route) (r *gypsumyard.Request, code line.Code) {
 	payload := line.Payload{Consistency: route.Consistency, RoutePriority: route.Priority, ID: id, Text: text, Objective: route.Objective}
+	if ss.customer != "" {
+		payload.KeyHolder, payload.Key, payload.StateNumber = ss.customer, ss.key, ss.desired.Number
+	}
 	verb := st.Verb
 	if verb == line.Execute {
 		p, ok := ss.prepared[st.Name]
@@ -117,14 +120,19 @@
 	}
 }
 
-// answerFailure sends an error for a statement that no instance has answered.
-func (ss *session) answerFailure(r *gypsumyard.Request, id string, st line.Statement, err error) {
+// answerFailure sends an error for a statement that no instance has answered. It fails
+// with errDenied if the session must end.
+func (ss *session) answerFailure(r *gypsumyard.Request, id string, st line.Statement, err error) error {
 	class := gypsumyard.ClassOf(err)
 	mayHaveRun := class == gypsumyard.ClassUnknown
 	var e *gypsumyard.Error
 	text := err.Error()
-	if errors.As(err, &e) && e.RetryAfter > 0 {
+	switch {
+	case errors.As(err, &e) && e.RetryAfter > 0:
 		text += ", retry after " + e.RetryAfter.Round(time.Millisecond).String()
+	case class == gypsumyard.ClassAuth:
+		ss.deny(id, verdictRejectedByOwner)
+		return errDenied
 	}
 	inTransaction := ss.state == stateTransaction
 	code := ss.errorCode(r, st, mayHaveRun, inTransaction)
@@ -134,6 +142,7 @@
 		ss.setState(stateIdle)
 	}
 	ss.fail(id, code, text)
+	return nil
 }
 
 // errorCode returns the error code for a failed statement. In a transaction
--- a/internal/linecaller/metrics.go
+++ b/internal/linecaller/metrics.go
@@ -13,6 +13,10 @@
 	panics          tally.Counter
 	latency         tally.Timer
 	failures        map[line.Code]tally.Counter
+	// denials counts the sessions and statements that their key does not allow, and
+	// denialsNotLogged those of them without a log line.
+	denials          map[verdict]tally.Counter
+	denialsNotLogged tally.Counter
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -24,10 +28,16 @@
 		panics:          s.Counter("caller_panics"),
 		latency:         s.Timer("caller_statement_latency"),
 		failures:        map[line.Code]tally.Counter{},
+		denials:         map[verdict]tally.Counter{},
+
+		denialsNotLogged: s.Counter("caller_denials_not_logged"),
+	}
+	for _, v := range []verdict{verdictUnknown, verdictUnproven, verdictRejectedByOwner} {
+		m.denials[v] = s.Tagged(map[string]string{"reason": string(v)}).Counter("caller_denials")
 	}
 	for _, c := range []line.Code{
 		line.CodeBusy, line.CodeAborted, line.CodeLagging, line.CodeReadOnly, line.CodeWrongNode, line.CodeTooMany, line.CodeUnknown,
-		line.CodeFailed, line.CodeTimeout, line.CodeInDoubt, line.CodeNoDatabase, line.CodeMalformed,
+		line.CodeFailed, line.CodeTimeout, line.CodeInDoubt, line.CodeNoDatabase, line.CodeMalformed, line.CodeDenied,
 	} {
 		m.failures[c] = s.Tagged(map[string]string{"code": string(c)}).Counter("caller_statements_failed")
 	}
@@ -40,3 +50,10 @@
 		n.Inc(1)
 	}
 }
+
+// countDenial counts a session or statement that its key does not allow.
+func (m *metrics) countDenial(v verdict) {
+	if n, ok := m.denials[v]; ok {
+		n.Inc(1)
+	}
+}
--- a/internal/linecaller/server.go
+++ b/internal/linecaller/server.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -43,9 +44,10 @@
 	log         logrus.FieldLogger
 	metrics     *metrics
 	maxSessions int
+	keys        keyChecker
+	denialLog   *rate.Limiter
 
 	executor gypsumyard.Executor
-	desired  gypsumyard.DesiredStateSource
 	lists    gypsumyard.Lists
 	self     string
 
@@ -81,6 +83,10 @@
 // WithMaxSessions limits the number of open sessions. The default is 2048.
 func WithMaxSessions(n int) Option { return func(s *Server) { s.maxSessions = n } }
 
+// WithRevokeTimeout sets how old the proof of the desired state may be by which a key is
+// accepted. Zero, the default, accepts keys whatever the age of the desired state.
+func WithRevokeTimeout(d time.Duration) Option { return func(s *Server) { s.keys.timeout = d } }
+
 // New returns a service that listens on addr when started.
 func New(addr netip.AddrPort, options ...Option) *Server {
 	s := &Server{
@@ -89,6 +95,7 @@
 		log:         logrus.StandardLogger(),
 		metrics:     newMetrics(tally.NoopScope),
 		maxSessions: 2048,
+		denialLog:   newDenialLog(),
 		done:        make(chan struct{}),
 		sessions:    map[*session]bool{},
 	}
@@ -134,9 +141,14 @@
 	if s.lists, err = kernel.Lookup[gypsumyard.Lists](k, "lists"); err != nil {
 		return err
 	}
-	if s.desired, err = kernel.Lookup[gypsumyard.DesiredStateSource](k, "lists"); err != nil {
+	if s.keys.desired, err = kernel.Lookup[gypsumyard.DesiredStateSource](k, "lists"); err != nil {
 		return err
 	}
+	if s.keys.timeout > 0 {
+		if s.keys.prover, err = kernel.Lookup[gypsumyard.DesiredStateProver](k, "lists"); err != nil {
+			return err
+		}
+	}
 	members, err := kernel.Lookup[gypsumyard.Membership](k, "members")
 	if err != nil {
 		return err
--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -41,6 +41,13 @@
 	log      logrus.FieldLogger
 	id       gypsumyard.SessionID
 	database string
+	// key is the hash of the key that the caller sent, or zero. The key itself is not
+	// kept.
+	key gypsumyard.KeyHash
+	// desired and customer are the desired state when the last message was read, and
+	// the customer that holds the key by it, or empty.
+	desired  *gypsumyard.DesiredState
+	customer string
 
 	settings []gypsumyard.Setting
 	prepared map[string]line.Prepared
@@ -66,6 +73,8 @@
 type transaction struct {
 	route    gypsumyard.Route
 	readOnly bool
+	// customer is the one for which the transaction was opened, or empty.
+	customer string
 	// handle and owner are empty until the first statement has opened the
 	// transaction on an instance.
 	handle string
@@ -121,7 +130,7 @@
 // caller that broke the protocol gets an error message.
 func (ss *session) reportEnd(err error) {
 	switch {
-	case errors.Is(err, io.EOF), errors.Is(err, errTerminated), errors.Is(err, errDraining):
+	case errors.Is(err, io.EOF), errors.Is(err, errTerminated), errors.Is(err, errDraining), errors.Is(err, errDenied):
 		return
 	case errors.Is(err, line.ErrMalformed):
 		ss.out = line.Append(ss.out[:0], line.WordError, string(line.CodeMalformed), err.Error())
@@ -150,14 +159,22 @@
 		return false
 	}
 	ss.database = f[0]
+	if len(f) > 1 && f[1] != "" {
+		ss.key = gypsumyard.HashKey(f[1])
+	}
 	if !ss.awaitDesiredState() {
 		ss.refuse(line.CodeBusy, "desired state is not known yet")
 		return false
 	}
+	v := ss.identify(ss.server.clock.Now())
 	if _, ok := ss.route(); !ok {
 		ss.refuse(line.CodeNoDatabase, ss.database)
 		return false
 	}
+	if v != verdictAccepted {
+		ss.refuseKey(v)
+		return false
+	}
 	ss.out = line.Append(ss.out[:0], line.WordReady, "I", "-")
 	return ss.flush() == nil
 }
@@ -182,14 +199,13 @@
 	return false
 }
 
-// route returns the route of the session's database in the current desired
-// state.
+// route returns the route of the session's database in the desired state when the
+// message was read.
 func (ss *session) route() (gypsumyard.Route, bool) {
-	d := ss.server.desired.Desired()
-	if d == nil {
+	if ss.desired == nil {
 		return gypsumyard.Route{}, false
 	}
-	r, ok := d.Routes[ss.database]
+	r, ok := ss.desired.Routes[ss.database]
 	return r, ok
 }
 
@@ -201,6 +217,18 @@
 	_ = ss.flush() // The session ends anyway.
 }
 
+// refuseKey sends the error with which a session fails to start because of its key.
+func (ss *session) refuseKey(v verdict) {
+	code, text := line.CodeDenied, deniedText
+	if v == verdictUnproven {
+		code, text = line.CodeBusy, unprovenText
+	}
+	ss.server.metrics.countFailure(code)
+	ss.server.logDenial(ss, "", v, code)
+	ss.out = line.Append(ss.out[:0], line.WordError, string(code), text)
+	_ = ss.flush() // The session ends anyway.
+}
+
 // readMessage waits for the next message. It fails with errDraining if the host
 // is draining and the session should be closed.
 func (ss *session) readMessage() (line.Message, error) {
@@ -282,24 +310,27 @@
 	}
 	began := ss.server.clock.Now()
 	ss.out = ss.out[:0]
-	ss.statement(f[0], f[1])
+	ok, err := ss.admitKey(f[0], f[1], began)
+	if ok {
+		err = ss.statement(f[0], f[1])
+	}
 	ss.out = line.Append(ss.out, line.WordReady, string(ss.state), line.FormatPosition(ss.position))
-	err := ss.flush()
+	err = errors.Join(err, ss.flush())
 	ss.server.metrics.latency.Record(ss.server.clock.Since(began))
 	return err
 }
 
 // statement executes one statement and buffers its response without the final
-// READY message.
-func (ss *session) statement(id, text string) {
+// READY message. It fails with errDenied if the session must end.
+func (ss *session) statement(id, text string) error {
 	st, err := line.Parse(text)
 	if err != nil {
 		ss.fail(id, line.CodeMalformed, err.Error())
-		return
+		return nil
 	}
 	if ss.state == stateFailed && st.Verb != line.Rollback && st.Verb != line.Commit {
 		ss.fail(id, line.CodeMalformed, "the transaction has failed")
-		return
+		return nil
 	}
 	switch st.Verb {
 	case line.Begin:
@@ -307,7 +338,7 @@
 	case line.Rollback:
 		ss.rollback(id)
 	case line.Commit:
-		ss.commit(id, text)
+		return ss.commit(id, text)
 	case line.Set:
 		ss.set(id, st)
 	case line.Prepare:
@@ -315,8 +346,9 @@
 	case line.Deallocate:
 		ss.deallocate(id, st)
 	default:
-		ss.execute(id, text, st)
+		return ss.execute(id, text, st)
 	}
+	return nil
 }
 
 // completeLocally answers a statement that succeeded without being sent to an
@@ -329,16 +361,24 @@
 // fail answers a statement with an error. An open transaction is rolled back
 // and becomes a failed one, in which only COMMIT and ROLLBACK are accepted.
 func (ss *session) fail(id string, code line.Code, text string) {
+	fields := logrus.Fields{"request": id, "route": ss.database, "code": code, "reason": text}
+	if d := ss.desired; d != nil {
+		fields["desired"], fields["database"] = d.Number, d.Routes[ss.database].Group
+	}
+	if ss.customer != "" {
+		fields["customer"] = ss.customer
+	}
+	ss.log.WithFields(fields).Info("statement refused")
+	ss.failQuietly(code, text)
+}
+
+// failQuietly is fail without a log line.
+func (ss *session) failQuietly(code line.Code, text string) {
 	if ss.state == stateTransaction {
 		ss.abandon()
 		ss.setState(stateFailed)
 	}
 	ss.server.metrics.countFailure(code)
-	fields := logrus.Fields{"request": id, "route": ss.database, "code": code, "reason": text}
-	if d := ss.server.desired.Desired(); d != nil {
-		fields["desired"], fields["database"] = d.Number, d.Routes[ss.database].Group
-	}
-	ss.log.WithFields(fields).Info("statement refused")
 	ss.out = line.Append(ss.out, line.WordError, string(code), text)
 }
 
@@ -352,7 +392,7 @@
 		ss.fail(id, line.CodeNoDatabase, ss.database)
 		return
 	}
-	ss.tx = transaction{route: r, readOnly: st.ReadOnly}
+	ss.tx = transaction{route: r, readOnly: st.ReadOnly, customer: ss.customer}
 	ss.setState(stateTransaction)
 	ss.completeLocally()
 }
@@ -367,7 +407,7 @@
 	ss.completeLocally()
 }
 
-func (ss *session) commit(id, text string) {
+func (ss *session) commit(id, text string) error {
 	switch ss.state {
 	case stateIdle:
 		ss.fail(id, line.CodeMalformed, "no transaction is open")
@@ -376,8 +416,9 @@
 		ss.setState(stateIdle)
 		ss.fail(id, line.CodeAborted, "the transaction has failed and is rolled back")
 	default:
-		ss.execute(id, text, line.Statement{Verb: line.Commit})
+		return ss.execute(id, text, line.Statement{Verb: line.Commit})
 	}
+	return nil
 }
 
 // setState changes the state of the session. It also updates inTransaction,
--- a/internal/linecaller/session_test.go
+++ b/internal/linecaller/session_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,12 +66,29 @@
 	kerneltest.Stub
 	gypsumyard.Lists
 	desired *gypsumyard.DesiredState
-	ready   chan struct{}
+	// replaced is in force instead of desired once it is set, and proven is since when
+	// either is proven.
+	replaced atomic.Pointer[gypsumyard.DesiredState]
+	proven   atomic.Pointer[time.Time]
+	ready    chan struct{}
 }
 
-func (l *lists) Ready() <-chan struct{}            { return l.ready }
-func (l *lists) Desired() *gypsumyard.DesiredState { return l.desired }
-func (l *lists) Changes() <-chan struct{}          { return nil }
+func (l *lists) Ready() <-chan struct{}   { return l.ready }
+func (l *lists) Changes() <-chan struct{} { return nil }
+
+func (l *lists) Desired() *gypsumyard.DesiredState {
+	if d := l.replaced.Load(); d != nil {
+		return d
+	}
+	return l.desired
+}
+
+func (l *lists) ProvenAt() (at time.Time) {
+	if t := l.proven.Load(); t != nil {
+		at = *t
+	}
+	return at
+}
 
 type members struct {
 	kerneltest.Stub
@@ -80,7 +98,7 @@
 func (members) Self() gypsumyard.Host { return gypsumyard.Host{Name: "host-1"} }
 
 type fixture struct {
-	*testing.T
+	testing.TB
 	server   *Server
 	executor *executor
 	lists    *lists
@@ -99,7 +117,7 @@
 	return "COMPLETE 7.1f\r\n", res, nil
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB, options ...Option) *fixture {
 	t.Helper()
 	d := &gypsumyard.DesiredState{Routes: map[string]gypsumyard.Route{
 		"orders": {
@@ -111,14 +129,14 @@
 		},
 	}}
 	f := &fixture{
-		T:        t,
+		TB:       t,
 		executor: &executor{Stub: kerneltest.New("dispatch"), reply: ok},
 		lists:    &lists{Stub: kerneltest.New("lists"), desired: d, ready: make(chan struct{})},
 	}
 	close(f.lists.ready)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f.server = New(netip.MustParseAddrPort("127.0.0.1:0"), WithLogger(log))
+	f.server = New(netip.MustParseAddrPort("127.0.0.1:0"), append([]Option{WithLogger(log)}, options...)...)
 	k, err := kernel.New(f.executor, f.lists, members{Stub: kerneltest.New("members")}, f.server)
 	if err != nil {
 		t.Fatal(err)
@@ -136,7 +154,7 @@
 
 // A caller is a client connection of a test.
 type caller struct {
-	t    *testing.T
+	t    testing.TB
 	conn net.Conn
 	in   *bufio.Reader
 }
@@ -148,7 +166,7 @@
 		f.Fatal(err)
 	}
 	f.Cleanup(func() { _ = n.Close() })
-	c := &caller{f.T, n, bufio.NewReader(n)}
+	c := &caller{f.TB, n, bufio.NewReader(n)}
 	c.send(start)
 	return c
 }
