lineowner: reject requests whose key was withdrawn

Cause: a host whose desired state is behind sends requests of keys that the owner knows to be withdrawn.

--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -55,6 +55,9 @@
 		return gypsumyard.Result{}, gypsumyard.Errorf(gypsumyard.ClassProtocol, "%w", err)
 	}
 	j := &job{Request: r, Payload: payload, arrived: g.clock.Now(), excluded: map[string]bool{}}
+	if err := g.checkKey(j); err != nil {
+		return gypsumyard.Result{}, err
+	}
 	g.classifyUrgency(j)
 	ctx, cancel := g.requestContext(ctx, r)
 	defer cancel()
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -84,7 +84,11 @@
 	changed chan struct{}
 }
 
-func (l *fakeLists) Desired() *gypsumyard.DesiredState { return l.desired }
+func (l *fakeLists) Desired() *gypsumyard.DesiredState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.desired
+}
 
 func (l *fakeLists) Instances(string) []gypsumyard.ListedInstance {
 	l.mu.Lock()
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -14,6 +14,8 @@
 	writes       tally.Counter
 	elections    tally.Counter
 	promotions   tally.Counter
+	// keysRejected counts the requests whose key was withdrawn or moved.
+	keysRejected tally.Counter
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -25,6 +27,7 @@
 		writes:       s.Counter("owner_writes"),
 		elections:    s.Counter("owner_elections"),
 		promotions:   s.Counter("owner_promotions"),
+		keysRejected: s.Counter("owner_keys_rejected"),
 	}
 }
 
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 )
 
 // Name is the name of the service in the kernel.
@@ -46,6 +47,7 @@
 	self          string
 	failureDomain string
 	lastHandle    atomic.Uint64
+	keyLog        *rate.Limiter
 	ctx           context.Context
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup
@@ -90,6 +92,7 @@
 		replicaSets: &replicaSetStore{store: relayed},
 		eras:        era.NewTracker(),
 		promotions:  promotions,
+		keyLog:      newKeyLog(),
 		done:        make(chan struct{}),
 		groups:      map[string]*group{},
 	}
