linehost: strict revocation of keys

Cause: the settings for strict revocation had no effect. Change: the time limit reaches the catalog and the callers' side; without proof of a desired state with customers the host reports itself not ready.

--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -109,7 +109,7 @@
 	names := catalog.ObjectNames{Desired: platform.DesiredStateObject, Instances: platform.InstancePrefix, Hosts: hostPrefix}
 	h.registry = catalog.NewRegistry(store(gypsumyard.ReasonRegistration), client.For(gypsumyard.ReasonHosts), hostPrefix, s.Host, eras, h.logger("registry"))
 	h.lists = catalog.New(store, platform.Decoder{}, names, s.Host.Region, catalog.WithClock(h.clock), catalog.WithLogger(h.logger("lists")),
-		catalog.WithEras(eras), catalog.WithApplyTimeout(s.ApplyTimeout))
+		catalog.WithEras(eras), catalog.WithApplyTimeout(s.ApplyTimeout), catalog.WithRevokeTimeout(s.RevokeTimeout))
 	peers := peer.New(s.Host, peerSecret(s), peer.WithClock(h.clock), peer.WithLogger(h.logger("peer")), peer.WithMetrics(h.scope))
 	h.members = member.New(s.Host, member.WithClock(h.clock), member.WithLogger(h.logger("members")), member.WithMetrics(h.scope),
 		member.WithSeeds(s.Seeds...))
@@ -118,7 +118,8 @@
 		lineowner.WithDrainTimeout(s.DrainTimeout))
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.logger("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = linecaller.New(s.CallerAddr, linecaller.WithClock(h.clock), linecaller.WithLogger(h.logger("caller")),
-		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
+		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession),
+		linecaller.WithRevokeTimeout(s.RevokeTimeout))
 	h.readiness = newReadiness(s.ReadinessAddr, h.ready, h.logger("readiness"))
 	// The services are started in this order. The calls of the registry and the
 	// lists to the store, which may be slow, overlap with the start of the
@@ -152,7 +153,7 @@
 	default:
 		return false
 	}
-	return h.lists.Current()
+	return h.lists.Current() && h.lists.KeysProven()
 }
 
 // Run starts the host, serves until ctx is done, and then drains and stops it.
