soak, emulate: customers, and a key that is withdrawn during the faults

Cause: nothing checked under faults that withdrawn keys are refused in time. The key of one client is withdrawn during the faults; nothing that it sends later than the limit after the store's acknowledgement may be served or take effect.

--- a/internal/emulate/lineclient/session.go
+++ b/internal/emulate/lineclient/session.go
@@ -26,7 +26,12 @@
 
 // Dial starts a session for the route. The session's name is the prefix of the
 // IDs of its statements, so it must be unique for them to be unique.
-func Dial(to netip.AddrPort, route, name string) (s *Session, err error) {
+func Dial(to netip.AddrPort, route, name string) (*Session, error) {
+	return DialWithKey(to, route, name, name)
+}
+
+// DialWithKey is Dial for a caller that identifies itself by a key.
+func DialWithKey(to netip.AddrPort, route, name, key string) (s *Session, err error) {
 	n, err := net.DialTimeout("tcp", to.String(), startTimeout)
 	if err != nil {
 		return nil, fmt.Errorf("lineclient: %w", err)
@@ -41,7 +46,7 @@
 	if err := n.SetDeadline(time.Now().Add(startTimeout)); err != nil {
 		return nil, err
 	}
-	if _, err := fmt.Fprintf(n, "START %s %s\r\n", route, name); err != nil {
+	if _, err := fmt.Fprintf(n, "START %s %s\r\n", route, key); err != nil {
 		return nil, err
 	}
 	l, err := s.in.ReadString('\n')
@@ -95,7 +100,7 @@
 // effect.
 func NotRun(code string) bool {
 	switch code {
-	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY":
+	case "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY", "DENIED":
 		return true
 	}
 	return false
--- a/internal/emulate/objects/entries.go
+++ b/internal/emulate/objects/entries.go
@@ -18,6 +18,8 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	// Tenants are the customers. Nil means that callers have no keys.
+	Tenants *[]Tenant `json:"tenants,omitempty"`
 }
 
 // The kinds of routes, which are their consistency levels.
@@ -38,6 +40,17 @@
 	Priority        int    `json:"priority"`
 	Service         string `json:"service"`
 	MaxStalenessMs  int64  `json:"maxStalenessMs"`
+	AllowAnonymous  bool   `json:"allowAnonymous,omitempty"`
+}
+
+// A Tenant is a customer. RatePerS and Burst count operations; a rate of zero means no
+// limit.
+type Tenant struct {
+	Name     string   `json:"name"`
+	APIKeys  []string `json:"apiKeys"`
+	Priority int      `json:"priority"`
+	RatePerS float64  `json:"ratePerS,omitempty"`
+	Burst    float64  `json:"burst,omitempty"`
 }
 
 // A Service is a database group.
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -30,6 +30,10 @@
 	acknowledgements map[string][]acknowledgement
 	served           map[string]int
 	violations       []string
+	// revokedAt is, by client, when the state without its key was acknowledged, and
+	// late holds the writes that were sent too long after that.
+	revokedAt map[string]time.Time
+	late      map[string]bool
 }
 
 type acknowledgement struct {
@@ -38,7 +42,8 @@
 }
 
 func newHistory() *history {
-	return &history{writes: map[string]outcome{}, acknowledgements: map[string][]acknowledgement{}, served: map[string]int{}}
+	return &history{writes: map[string]outcome{}, acknowledgements: map[string][]acknowledgement{}, served: map[string]int{},
+		revokedAt: map[string]time.Time{}, late: map[string]bool{}}
 }
 
 func (h *history) recordWrite(item string, number int, data string, o outcome) {
@@ -139,7 +144,7 @@
 	h := c.hosts[c.random.IntN(len(c.hosts))]
 	route := []string{routePrimary, routeBounded, routeSession}[c.random.IntN(3)]
 	c.sessions++
-	l, err := lineclient.Dial(h.callers, route, fmt.Sprintf("%s-%d", c.name, c.sessions))
+	l, err := lineclient.DialWithKey(h.callers, route, fmt.Sprintf("%s-%d", c.name, c.sessions), keyOf(c.name))
 	return &session{client: c, Session: l, route: route}, err
 }
 
@@ -157,9 +162,12 @@
 
 func (s *session) data() string {
 	s.number++
-	return fmt.Sprintf("%s=%d", s.item, s.number)
+	return s.lastData()
 }
 
+// lastData returns what the client has written last.
+func (s *session) lastData() string { return fmt.Sprintf("%s=%d", s.item, s.number) }
+
 // recordOutcome records the outcome of a write and reports whether it succeeded.
 func (s *session) recordOutcome(data string, r lineclient.Reply, ok bool) bool {
 	o := unknown
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -43,6 +43,9 @@
 	// writing serializes the operator's writes and the instances' rewriting.
 	writing sync.Mutex
 	desired objects.DesiredState
+	// withdrawn indicates that the key of revokedClient is withdrawn.
+	withdrawn bool
+	history   *history
 
 	mu        sync.Mutex
 	instances map[string]*proxy
@@ -68,11 +71,11 @@
 }
 
 // newCluster starts the hosts. With eras the store reports its era.
-func newCluster(t *testing.T, hosts int, isolated, eras bool) *cluster {
+func newCluster(t *testing.T, h *history, hosts int, isolated, eras bool) *cluster {
 	t.Helper()
 	// Isolated hosts are in different regions and do not know each other, so
 	// that each of them owns the group.
-	cl := &cluster{t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, lost: map[string]bool{}, generations: map[uint64]string{}}
+	cl := &cluster{t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, lost: map[string]bool{}, generations: map[uint64]string{}, history: h}
 	if eras {
 		cl.store.SetEra(1)
 	}
@@ -126,6 +129,7 @@
 		"nodeName=" + h.name, "zone=zone-" + h.name, "region=" + region,
 		"listenAddresses.controlPlane=" + ports[0].String(), "listenAddresses.frontend=" + ports[1].String(),
 		"listenAddresses.readiness=" + ports[2].String(), "seedNodes=" + strings.Join(seeds[:min(3, len(seeds))], ","),
+		"bounds.strictRevocation=true", "bounds.revokeTimeoutMs=" + fmt.Sprint(revokeTimeout.Milliseconds()),
 		"limits.memoryMb=284", "limits.fileDescriptors=4200", "bounds.gracePeriodS=" + fmt.Sprint(int(gracePeriod.Seconds())),
 		"platform.address=" + p.addr().String(), "cloudApi.address=" + p.addr().String(),
 	}, "\n")
@@ -231,10 +235,20 @@
 		},
 		Services: []objects.Service{{Name: groupName, ConnectionLimit: 40, SyncReplicas: 1}},
 		Limits:   objects.Limits{TransactionIdleMs: 3000},
+		Tenants:  tenants(cl.withdrawn),
 	}
+	cl.writeDesired(false)
+}
+
+// writeDesired writes the desired state, which the store may have lost by a restore. The
+// caller must hold cl.writing.
+func (cl *cluster) writeDesired(restored bool) {
 	if err := objects.SetDesiredState(cl.t.Context(), cl.store, cl.desired); err != nil {
 		cl.t.Error(err)
 	}
+	if cl.withdrawn {
+		cl.history.noteRevoked(restored)
+	}
 }
 
 // promote carries out a promotion order and checks that its generation is not
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/gypsumyard/gypsumyard/internal/emulate/objects"
 )
 
 const (
@@ -37,9 +35,7 @@
 func (cl *cluster) rewrite() {
 	cl.writing.Lock()
 	defer cl.writing.Unlock()
-	if err := objects.SetDesiredState(cl.t.Context(), cl.store, cl.desired); err != nil {
-		cl.t.Error(err)
-	}
+	cl.writeDesired(true)
 	for _, i := range cl.group.Instances() {
 		if !cl.isLost(i.ID()) {
 			cl.putEntry(i)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -108,16 +108,17 @@
 // soak injects the faults of the seed, and restores the store the given number of
 // times meanwhile.
 func soak(t *testing.T, seed uint64, restores int) {
-	cl := newCluster(t, hosts, seed%isolatedEvery == 0, restores > 0)
 	h := newHistory()
+	cl := newCluster(t, h, hosts, seed%isolatedEvery == 0, restores > 0)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for n := range clients {
-		c := &client{name: fmt.Sprintf("c%d", n), history: h, random: rand.New(rand.NewPCG(seed, uint64(n)+1)), hosts: cl.hosts}
+		c := &client{name: clientName(n), history: h, random: rand.New(rand.NewPCG(seed, uint64(n)+1)), hosts: cl.hosts}
 		wg.Go(func() { c.run(stop) })
 	}
 	waitServed(t, h, startTimeout)
 	wg.Go(func() { cl.restoreStore(rand.New(rand.NewPCG(seed, 1<<32)), restores) })
+	wg.Go(func() { cl.withdrawKey(rand.New(rand.NewPCG(seed, 1<<33))) })
 	cl.injectFaults(rand.New(rand.NewPCG(seed, 0)))
 	waitServed(t, h, recoveryTimeout)
 	close(stop)
@@ -128,6 +129,8 @@
 	}
 }
 
+func clientName(n int) string { return fmt.Sprintf("c%d", n) }
+
 // waitServed waits until each route has served a few more operations.
 func waitServed(t *testing.T, h *history, within time.Duration) {
 	t.Helper()
@@ -247,6 +250,8 @@
 			cl.t.Errorf("%s was %s but is missing", data, o)
 		case n == 1 && o == refused:
 			cl.t.Errorf("%s took effect although it was %s", data, o)
+		case n == 1 && h.late[data]:
+			cl.t.Errorf("%s took effect although its key was withdrawn", data)
 		}
 	}
 	cl.t.Logf("writes by outcome: %v; generations used for promotions: %d", counts, len(cl.generations))
