emulate/linegroup: check the user of each statement

Cause: no test could see that a statement of one customer ran on the connection of another. Change: executions hold the user name of their session, and CheckUsers fails a test at the first statement that runs in a session of another user than it should.

--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -26,6 +26,8 @@
 	// Position is the instance's applied position just before the statement
 	// takes effect.
 	Position gypsumyard.Position
+	// User is the user name with which the session was started.
+	User string
 }
 
 // A Group is an emulated database group.
@@ -41,6 +43,8 @@
 	instances      []*Instance
 	executions     []Execution
 	acknowledged   []gypsumyard.Position
+	// checkUser, if set, is called for each execution, see CheckUsers.
+	checkUser func(Execution)
 	// changed is broadcast when the state of an instance changes, such as its log
 	// or its fence.
 	changed    *sync.Cond
@@ -251,6 +255,19 @@
 	return append([]Execution(nil), g.executions...)
 }
 
+// CheckUsers calls fail, such as the Errorf of a test, for each further execution in a
+// session of another user than userOf returns for the ID of the statement. It does not
+// check statements for which that is empty.
+func (g *Group) CheckUsers(userOf func(id string) string, fail func(format string, args ...any)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.checkUser = func(e Execution) {
+		if user := userOf(e.ID); user != "" && user != e.User {
+			fail("statement %s of user %s ran at %s in a session of user %s", e.ID, user, e.Instance, e.User)
+		}
+	}
+}
+
 // Acknowledged returns the positions of all acknowledged commits.
 func (g *Group) Acknowledged() []gypsumyard.Position {
 	g.mu.Lock()
--- a/internal/emulate/linegroup/session.go
+++ b/internal/emulate/linegroup/session.go
@@ -24,7 +24,9 @@
 	messages chan line.Message
 	ended    chan struct{}
 	// served is closed when the session has ended.
-	served   chan struct{}
+	served chan struct{}
+	// user is the user name in the START message.
+	user     string
 	state    byte
 	readOnly bool
 	term     gypsumyard.Term
@@ -74,6 +76,7 @@
 		_, _ = s.net.Write(line.Append(nil, line.WordError, code, s.instance.id))
 		return
 	}
+	s.user = m.Fields(3)[1]
 	if !s.write(line.Append(nil, line.WordReady, "I", s.position())) {
 		return
 	}
@@ -239,7 +242,11 @@
 	dropped, mayWrite := false, false
 	i.update(func() {
 		mayWrite = i.role == gypsumyard.RolePrimary && (s.state == 'I' || s.readOnly || i.term == s.term)
-		i.group.executions = append(i.group.executions, Execution{i.id, id, text, i.positionAt(i.applied)})
+		e := Execution{i.id, id, text, i.positionAt(i.applied), s.user}
+		i.group.executions = append(i.group.executions, e)
+		if i.group.checkUser != nil {
+			i.group.checkUser(e)
+		}
 		if dropped = i.dropResponses > 0; dropped {
 			i.dropResponses--
 		}
