lineowner: connections belong to customers

Cause: instances are told the customer at START, but the pool opened all connections as the host. Only with customers.

--- a/internal/lineowner/conn.go
+++ b/internal/lineowner/conn.go
@@ -58,6 +58,8 @@
 	// dirty indicates that the session settings on the connection are unknown.
 	dirty    bool
 	lastUsed time.Time
+	// customer is the customer that the connection serves, or empty for none.
+	customer string
 	// epoch is the pool's epoch when the connection was opened.
 	epoch int
 }
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -44,6 +44,9 @@
 	urgent, avoidsPrimary bool
 	// excluded holds the instances that are not to be tried again.
 	excluded map[string]bool
+	// reserved is the instance at which the transaction that the request is to open
+	// has been counted, or nil.
+	reserved *instance
 	// attempts counts how often the statement was sent.
 	attempts int
 }
@@ -129,17 +132,40 @@
 // connection to it. It holds no slot while it waits for a connection: the open
 // transactions that hold the connections need the slots to end.
 func (g *group) acquire(ctx context.Context, j *job) (u *slotUse, p placement, err error) {
+	var reserved *reservation
+	defer func() {
+		reserved.release()
+		if err != nil && j.reserved != nil {
+			g.mu.Lock()
+			g.releaseRoom(j)
+			g.mu.Unlock()
+		}
+	}()
 	for {
 		p, err = g.place(ctx, j)
 		if err != nil {
 			return nil, p, err
 		}
+		if room, err := g.awaitTransactionRoom(ctx, j, &p); err != nil {
+			return nil, p, err
+		} else if !room {
+			continue
+		}
+		if !reserved.restrict(&p) {
+			reserved.release()
+			reserved = nil
+		}
 		u, err = g.admit(ctx, j, p.targets)
 		if err != nil {
 			return nil, p, err
 		}
 		var freed <-chan struct{}
-		u.conn, freed, err = u.instance.pool.get(ctx, j.Settings)
+		if reserved != nil {
+			u.conn, err = reserved.use(ctx)
+			reserved = nil
+		} else {
+			u.conn, freed, err = u.instance.pool.get(ctx, j.KeyHolder, j.Settings)
+		}
 		if err == nil {
 			return u, p, nil
 		}
@@ -152,7 +178,8 @@
 			j.excluded[u.instance.id] = true
 			continue
 		}
-		if err := u.instance.pool.awaitFree(ctx, freed); err != nil {
+		reserved, err = u.instance.pool.awaitFree(ctx, j.KeyHolder, freed)
+		if err != nil {
 			return nil, p, err
 		}
 	}
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -70,9 +70,11 @@
 	// maxStaleness is the longest staleness that a route of the group accepts.
 	maxStaleness           time.Duration
 	idleTransactionTimeout time.Duration
-	samples                []sample
-	lastPrimary            *instance
-	lastPrimaryTerm        gypsumyard.Term
+	// keyed indicates that the deployment has customers.
+	keyed           bool
+	samples         []sample
+	lastPrimary     *instance
+	lastPrimaryTerm gypsumyard.Term
 	// electing indicates that a candidate has been chosen and its promotion is in
 	// progress.
 	electing bool
@@ -80,8 +82,11 @@
 	drainingPrimary bool
 	commits         commitGate
 	transactions    map[string]*transaction
-	inFlight        int
-	lastRequest     time.Time
+	// transactionWaits counts the requests by customer that wait because the customer
+	// has too many open transactions.
+	transactionWaits map[string]int
+	inFlight         int
+	lastRequest      time.Time
 	// changed is closed and replaced when something that requests wait for may
 	// have changed.
 	changed chan struct{}
@@ -117,6 +122,8 @@
 		changed:      make(chan struct{}),
 		lastRequest:  s.clock.Now(),
 		evidenceAt:   s.clock.Now(),
+
+		transactionWaits: map[string]int{},
 	}
 	g.ownedCtx, g.cancelOwned = context.WithCancelCause(ctx)
 	g.update()
@@ -137,12 +144,12 @@
 	if s, ok := d.Groups[g.name]; ok {
 		g.settings = s
 	}
-	g.idleTransactionTimeout = d.TransactionIdle
+	g.idleTransactionTimeout, g.keyed = d.TransactionIdle, d.Keyed
 	g.topPriority = topPriority(d, g.name)
 	g.longRunThreshold = longRunThreshold(d, g.name, g.topPriority)
 	g.maxStaleness = longestStaleness(d, g.name)
 	first := len(g.instances) == 0
-	g.updateInstances(listed)
+	g.updateInstances(d, listed)
 	if first {
 		g.recallStarts()
 	}
@@ -190,7 +197,7 @@
 // updateInstances replaces the listed instances. An entry with another start time or
 // address is a new instance. Instances that are no longer listed depart. The caller
 // must hold g.mu.
-func (g *group) updateInstances(listed []gypsumyard.ListedInstance) {
+func (g *group) updateInstances(d *gypsumyard.DesiredState, listed []gypsumyard.ListedInstance) {
 	old := g.instances
 	g.instances = nil
 	for _, l := range listed {
@@ -207,10 +214,12 @@
 		}
 		i.listed, i.departure = l, nil
 		delete(g.forgotten, i.asReplica())
-		i.pool.setLimit(max(g.settings.Connections-reservedConnections, 2))
+		i.pool.setLimits(max(g.settings.Connections-reservedConnections, 2), g.transactionLimit())
+		i.pool.setCustomers(d)
 		g.instances = append(g.instances, i)
 	}
 	for _, i := range old {
+		i.pool.setCustomers(d)
 		g.depart(i)
 	}
 }
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -14,6 +14,12 @@
 	writes       tally.Counter
 	elections    tally.Counter
 	promotions   tally.Counter
+	// Connections to instances: opened or tried, closed for another customer or a
+	// lower limit, and requests that had to wait for one.
+	connectionsOpened  tally.Counter
+	connectionsEvicted tally.Counter
+	connectionWaits    tally.Counter
+	transactionWaits   tally.Counter
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -25,6 +31,11 @@
 		writes:       s.Counter("owner_writes"),
 		elections:    s.Counter("owner_elections"),
 		promotions:   s.Counter("owner_promotions"),
+
+		connectionsOpened:  s.Counter("owner_connections_opened"),
+		connectionsEvicted: s.Counter("owner_connections_evicted"),
+		connectionWaits:    s.Counter("owner_connection_waits"),
+		transactionWaits:   s.Counter("owner_transaction_waits"),
 	}
 }
 
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -79,6 +79,7 @@
 		}
 		t := gypsumyard.Target{Instance: i.id, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
 		t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+		t.Cost += i.pool.openCost(j.KeyHolder)
 		if i.listed.FailureDomain != g.service.failureDomain {
 			t.Cost += domainCost
 		}
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +19,12 @@
 	idleCheckInterval = 500 * time.Millisecond
 	// rollbackTimeout bounds the rollback of an abandoned transaction.
 	rollbackTimeout = time.Second
+	// maxTransactionWaits is how many requests of one customer wait because it has too
+	// many open transactions. Further ones are rejected.
+	maxTransactionWaits = 32
+	// transactionRetryAfter is the delay after which a caller that was rejected for
+	// them may retry.
+	transactionRetryAfter = 500 * time.Millisecond
 )
 
 // A transaction keeps a connection to an instance between its statements.
@@ -41,11 +49,16 @@
 var (
 	errNoTransaction       = gypsumyard.Errorf(gypsumyard.ClassNotRun, "the transaction has ended")
 	errTooManyTransactions = gypsumyard.Errorf(gypsumyard.ClassLoad, "too many transactions are open on the instance")
+	// errCustomerTransactions rejects a request whose customer has too many open
+	// transactions and too many requests that wait for one of them to end.
+	errCustomerTransactions = &gypsumyard.Error{
+		Class: gypsumyard.ClassLoad, Message: "the customer has too many open transactions", RetryAfter: transactionRetryAfter,
+	}
 )
 
 // beginTransaction opens a transaction and runs its first statement.
 func (g *group) beginTransaction(ctx context.Context, j *job, u *slotUse, p placement, sink gypsumyard.ResponseSink) (res gypsumyard.Result, retry bool, err error) {
-	if !g.reserveTransaction(u.instance) {
+	if !g.reserveTransaction(j, u.instance) {
 		u.instance.pool.put(u.conn)
 		j.excluded[u.instance.id] = true
 		return res, true, errTooManyTransactions
@@ -53,7 +66,7 @@
 	keep := false
 	defer func() {
 		if !keep {
-			g.releaseTransaction(u.instance)
+			g.releaseTransaction(u.instance, j.KeyHolder)
 		}
 	}()
 	readOnly := j.Class == gypsumyard.StatementBeginRead
@@ -127,26 +140,134 @@
 // commits reports whether the statement commits a transaction.
 func (j *job) commits() bool { return j.Text == string(line.Commit) }
 
-// reserveTransaction counts a new transaction on the instance. It reports false
-// if there are too many.
-func (g *group) reserveTransaction(i *instance) bool {
+// transactionLimit returns how many transactions may be open on an instance. The
+// caller must hold g.mu.
+func (g *group) transactionLimit() int {
+	return max(g.settings.Connections-reservedConnections-reservedForStatements, 1)
+}
+
+// reserveTransaction counts a new transaction on the instance, unless the request has
+// done so while it waited for room. It reports false if there are too many.
+func (g *group) reserveTransaction(j *job, i *instance) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	limit := max(g.settings.Connections-reservedConnections-reservedForStatements, 1)
-	if i.openTransactions >= limit {
+	if j.reserved == i {
+		j.reserved = nil
+		return true
+	}
+	g.releaseRoom(j)
+	if i.openTransactions >= g.transactionLimit() || !i.pool.beginTransaction(j.KeyHolder) {
 		return false
 	}
 	i.openTransactions++
 	return true
 }
 
-func (g *group) releaseTransaction(i *instance) {
+func (g *group) releaseTransaction(i *instance, customer string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	i.openTransactions--
+	i.pool.endTransaction(customer)
+	g.broadcast()
+}
+
+// awaitTransactionRoom restricts the placement of a request that opens a transaction
+// to the instances at which its customer may open one. If it is a single one, the
+// transaction is counted there, so that of many waiting requests only as many go on as
+// there is room for. If there is none, it waits until there may be one and reports
+// false. A customer with too many waiting requests is rejected at once.
+func (g *group) awaitTransactionRoom(ctx context.Context, j *job, p *placement) (ok bool, err error) {
+	if !opensTransaction(j.Class) {
+		return true, nil
+	}
+	g.mu.Lock()
+	if !g.keyed {
+		g.mu.Unlock()
+		return true, nil
+	}
+	waits, ok := g.transactionWaits[j.KeyHolder], g.reserveRoom(j, p)
+	if !ok && waits < maxTransactionWaits {
+		g.transactionWaits[j.KeyHolder]++
+		defer g.endTransactionWait(j.KeyHolder)
+	}
+	primary := g.claimedPrimary()
+	g.mu.Unlock()
+	switch {
+	case ok:
+		return true, nil
+	case waits >= maxTransactionWaits:
+		return false, errCustomerTransactions
+	}
+	g.metrics.transactionWaits.Inc(1)
+	// Unlike await, this needs no poll: transactions end here.
+	for {
+		g.mu.Lock()
+		ready, changed := len(g.targetsWithRoom(j, p)) > 0 || g.claimedPrimary() != primary, g.changed
+		g.mu.Unlock()
+		if ready {
+			return false, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false, fmt.Errorf("wait for a transaction of the customer to end: %w", context.Cause(ctx))
+		}
+	}
+}
+
+// targetsWithRoom returns the targets at which the customer may open a transaction,
+// and those that are gone. The caller must hold g.mu.
+func (g *group) targetsWithRoom(j *job, p *placement) (targets []gypsumyard.Target) {
+	for _, t := range p.targets {
+		i := g.instanceByID(t.Instance)
+		if i == nil || !i.usable() || i == j.reserved || i.pool.mayBegin(j.KeyHolder) {
+			targets = append(targets, t)
+		}
+	}
+	return targets
+}
+
+// reserveRoom restricts the placement to targets with room, and counts the transaction
+// if that is a single one. It reports whether there is room. The caller must hold g.mu.
+func (g *group) reserveRoom(j *job, p *placement) bool {
+	targets := g.targetsWithRoom(j, p)
+	if n := slices.IndexFunc(targets, func(t gypsumyard.Target) bool { return j.reserved != nil && t.Instance == j.reserved.id }); n >= 0 {
+		p.targets = targets[n : n+1]
+		return true
+	}
+	g.releaseRoom(j)
+	if len(targets) == 0 {
+		return false
+	}
+	p.targets = targets
+	if i := g.instanceByID(targets[0].Instance); len(targets) == 1 && i != nil && i.pool.beginTransaction(j.KeyHolder) {
+		i.openTransactions++
+		j.reserved = i
+	}
+	return true
+}
+
+// releaseRoom gives back the room for a transaction that the request has not opened.
+// The caller must hold g.mu.
+func (g *group) releaseRoom(j *job) {
+	if j.reserved == nil {
+		return
+	}
+	j.reserved.openTransactions--
+	j.reserved.pool.endTransaction(j.KeyHolder)
+	j.reserved = nil
 	g.broadcast()
 }
 
+func (g *group) endTransactionWait(customer string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.transactionWaits[customer]--
+	if g.transactionWaits[customer] == 0 {
+		delete(g.transactionWaits, customer)
+	}
+}
+
 func (g *group) registerTransaction(t *transaction) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -245,6 +366,7 @@
 	delete(g.transactions, t.handle)
 	t.ended = true
 	t.instance.openTransactions--
+	t.instance.pool.endTransaction(t.conn.customer)
 	g.broadcast()
 	g.mu.Unlock()
 	if broken {
