lineowner: a queue for each route and customer

Cause: all customers of a route shared one queue, so the backlog of one delayed and displaced the others. Change: the admission queue's customer is the route and the customer; anonymous sessions keep the route's.

--- a/internal/lineowner/customers_test.go
+++ b/internal/lineowner/customers_test.go
@@ -249,3 +249,13 @@
 		return idle == p.share.OpenConnections()
 	})
 }
+
+// Guards against one queue for the customers of a route, and against another queue than
+// before for anonymous sessions.
+func TestQueueOfCustomer(t *testing.T) {
+	is := is.New(t)
+	j := &job{Request: &gypsumyard.Request{Customer: "readings"}}
+	is.Equal(j.queue(), "readings")
+	j.KeyHolder = "customer-1"
+	is.Equal(j.queue(), "readings customer-1")
+}
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -29,7 +29,8 @@
 	// request may spend in the queue. Its execution and the other statements of
 	// the operation need the rest.
 	queueBudgetDivisor = 2
-	// maxQueue is the largest number of requests of one route that wait for a slot.
+	// maxQueue is the largest number of requests of one route, and of one customer
+	// there, that wait for a slot.
 	maxQueue = 1000
 )
 
@@ -210,7 +211,7 @@
 func (g *group) admit(ctx context.Context, j *job, targets []gypsumyard.Target) (u *slotUse, err error) {
 	mean, long := g.runTimes.Expected(j.runTimeKey())
 	r := gypsumyard.SlotRequest{
-		Customer:      j.Customer,
+		Customer:      j.queue(),
 		Plan:          gypsumyard.Plan{Name: "route", Share: share(mean), Limit: 1, Priority: true, MaxQueue: maxQueue},
 		Priority:      j.urgent,
 		Long:          long,
@@ -239,6 +240,16 @@
 	return u, nil
 }
 
+// queue returns the name under which the request is queued: its route, together with
+// its customer, so that the backlog of a customer delays only itself. A blank is in
+// neither of the two.
+func (j *job) queue() string {
+	if j.KeyHolder == "" {
+		return j.Customer
+	}
+	return j.Customer + " " + j.KeyHolder
+}
+
 // latestStart returns when the request has spent its share of the latency
 // objective in the queue, after which it will probably miss the objective. It
 // returns zero if the route has no objective.
