--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -29,7 +29,8 @@
 	// request may spend in the queue. Its execution and the other statements of
 	// the operation need the rest.
 	queueBudgetDivisor = 2
-	// maxQueue is the largest number of requests of one route that wait for a slot.
+	// maxQueue is the largest number of requests of one route, and of one customer
+	// there, that wait for a slot.
 	maxQueue = 1000
 )
 
@@ -44,6 +45,9 @@
 	urgent, avoidsPrimary bool
 	// excluded holds the instances that are not to be tried again.
 	excluded map[string]bool
+	// reserved is the instance at which the transaction that the request is to open
+	// has been counted, or nil.
+	reserved *instance
 	// attempts counts how often the statement was sent.
 	attempts int
 }
@@ -132,17 +136,40 @@
 // connection to it. It holds no slot while it waits for a connection: the open
 // transactions that hold the connections need the slots to end.
 func (g *group) acquire(ctx context.Context, j *job) (u *slotUse, p placement, err error) {
+	var reserved *reservation
+	defer func() {
+		reserved.release()
+		if err != nil && j.reserved != nil {
+			g.mu.Lock()
+			g.releaseRoom(j)
+			g.mu.Unlock()
+		}
+	}()
 	for {
 		p, err = g.place(ctx, j)
 		if err != nil {
 			return nil, p, err
 		}
+		if room, err := g.awaitTransactionRoom(ctx, j, &p); err != nil {
+			return nil, p, err
+		} else if !room {
+			continue
+		}
+		if !reserved.restrict(&p) {
+			reserved.release()
+			reserved = nil
+		}
 		u, err = g.admit(ctx, j, p.targets)
 		if err != nil {
 			return nil, p, err
 		}
 		var freed <-chan struct{}
-		u.conn, freed, err = u.instance.pool.get(ctx, j.Settings)
+		if reserved != nil {
+			u.conn, err = reserved.use(ctx)
+			reserved = nil
+		} else {
+			u.conn, freed, err = u.instance.pool.get(ctx, j.KeyHolder, j.Settings)
+		}
 		if err == nil {
 			return u, p, nil
 		}
@@ -155,7 +182,8 @@
 			j.excluded[u.instance.id] = true
 			continue
 		}
-		if err := u.instance.pool.awaitFree(ctx, freed); err != nil {
+		reserved, err = u.instance.pool.awaitFree(ctx, j.KeyHolder, freed)
+		if err != nil {
 			return nil, p, err
 		}
 	}
@@ -186,7 +214,7 @@
 func (g *group) admit(ctx context.Context, j *job, targets []gypsumyard.Target) (u *slotUse, err error) {
 	mean, long := g.runTimes.Expected(j.runTimeKey())
 	r := gypsumyard.SlotRequest{
-		Customer:      j.Customer,
+		Customer:      j.queue(),
 		Plan:          gypsumyard.Plan{Name: "route", Share: share(mean), Limit: 1, Priority: true, MaxQueue: maxQueue},
 		Priority:      j.urgent,
 		Long:          long,
@@ -215,6 +243,16 @@
 	return u, nil
 }
 
+// queue returns the name under which the request is queued: its route, together with
+// its customer, so that the backlog of a customer delays only itself. A blank is in
+// neither of the two.
+func (j *job) queue() string {
+	if j.KeyHolder == "" {
+		return j.Customer
+	}
+	return j.Customer + " " + j.KeyHolder
+}
+
 // latestStart returns when the request has spent its share of the latency
 // objective in the queue, after which it will probably miss the objective. It
 // returns zero if the route has no objective.
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -16,6 +16,12 @@
 	promotions   tally.Counter
 	// keysRejected counts the requests whose key was withdrawn or moved.
 	keysRejected tally.Counter
+	// Connections to instances: opened or tried, closed for another customer or a
+	// lower limit, and requests that had to wait for one.
+	connectionsOpened  tally.Counter
+	connectionsEvicted tally.Counter
+	connectionWaits    tally.Counter
+	transactionWaits   tally.Counter
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -28,6 +34,11 @@
 		elections:    s.Counter("owner_elections"),
 		promotions:   s.Counter("owner_promotions"),
 		keysRejected: s.Counter("owner_keys_rejected"),
+
+		connectionsOpened:  s.Counter("owner_connections_opened"),
+		connectionsEvicted: s.Counter("owner_connections_evicted"),
+		connectionWaits:    s.Counter("owner_connection_waits"),
+		transactionWaits:   s.Counter("owner_transaction_waits"),
 	}
 }
 
