member: hosts with more capacity own more databases

Cause: owners were chosen whatever a host's capacity was. Change: weighted rendezvous order by the square of the capacity, which hosts state in their entry and membership updates. Where all capacities are equal, or one is unknown, the order is as before.

--- a/host.go
+++ b/host.go
@@ -28,6 +28,9 @@
 	Region        string         `json:"region"`
 	FailureDomain string         `json:"failure-domain"`
 	State         HostState      `json:"state"`
+	// Millicores is how many thousandths of a processor core the host may use. Zero
+	// means that it is not known.
+	Millicores int `json:"millicores,omitempty"`
 }
 
 // A HostLister reads the platform's list of hosts. The list may be out of date.
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 
@@ -15,30 +16,86 @@
 	hash uint64
 }
 
-// topCandidate returns the candidate with the highest weight for the key. The
-// candidates are ordered by name, which breaks ties between equal weights.
+// maxMillicores bounds the capacity of a host in the ranking, so that one host's claim
+// cannot take all databases.
+const maxMillicores = 1 << 20
+
+// A ranking orders candidates for a key by weighted rendezvous hashing.
+type ranking struct {
+	key uint64
+	// weighted indicates that hosts with more capacity rank higher.
+	weighted bool
+}
+
+// newRanking returns the order of the candidates for the key. The hosts' capacities count
+// if all are known and they differ. All hosts of a region then compute the same order,
+// also while hosts of an earlier version, which state no capacity, are among them.
+func newRanking(candidates []candidate, key string) ranking {
+	r := ranking{key: rendezvous.HashKey(key)}
+	for _, c := range candidates {
+		if c.host.Millicores <= 0 {
+			return ranking{key: r.key}
+		}
+		r.weighted = r.weighted || c.host.Millicores != candidates[0].host.Millicores
+	}
+	return r
+}
+
+// compare orders a before b if a ranks higher.
+func (r ranking) compare(a, b candidate) int {
+	if !r.weighted {
+		return cmp.Compare(rendezvous.Weight(b.hash, r.key), rendezvous.Weight(a.hash, r.key))
+	}
+	return cmp.Compare(r.score(b), r.score(a))
+}
+
+// score returns the weighted rendezvous score of a candidate. The weight is the square of
+// the capacity: the load of one database cannot be divided, so a share in proportion to
+// the capacity would still give databases to hosts that are too small for them.
+func (r ranking) score(c candidate) float64 {
+	return weight(c) / -math.Log(r.uniform(c))
+}
+
+// scoreBound returns what the score does not exceed. It needs no logarithm and rules
+// out most candidates of a large region.
+func (r ranking) scoreBound(c candidate) float64 {
+	return weight(c) / (1 - r.uniform(c))
+}
+
+func weight(c candidate) float64 { return float64(c.host.Millicores) * float64(c.host.Millicores) }
+
+// uniform returns the candidate's hash for the key as a number between 0 and 1.
+func (r ranking) uniform(c candidate) float64 {
+	const buckets = 1 << 52
+	return (float64(rendezvous.Weight(c.hash, r.key)>>12) + 0.5) / buckets
+}
+
+// topCandidate returns the candidate that ranks highest for the key. The candidates are
+// ordered by name, which breaks ties.
 func topCandidate(candidates []candidate, key string) (gypsumyard.Host, bool) {
 	if len(candidates) == 0 {
 		return gypsumyard.Host{}, false
 	}
-	k := rendezvous.HashKey(key)
-	best, bestWeight := 0, uint64(0)
-	for i := range candidates {
-		if w := rendezvous.Weight(candidates[i].hash, k); i == 0 || w > bestWeight {
-			best, bestWeight = i, w
+	r := newRanking(candidates, key)
+	if !r.weighted {
+		return slices.MinFunc(candidates, r.compare).host, true
+	}
+	best, bestScore := 0, 0.0
+	for i, c := range candidates {
+		if r.scoreBound(c) <= bestScore {
+			continue
+		}
+		if s := r.score(c); s > bestScore {
+			best, bestScore = i, s
 		}
 	}
 	return candidates[best].host, true
 }
 
-// topCandidates returns the n candidates with the highest weights for the key,
-// highest first.
+// topCandidates returns the n candidates that rank highest for the key, highest first.
 func topCandidates(candidates []candidate, key string, n int) []candidate {
-	k := rendezvous.HashKey(key)
 	sorted := slices.Clone(candidates)
-	slices.SortStableFunc(sorted, func(a, b candidate) int {
-		return cmp.Compare(rendezvous.Weight(b.hash, k), rendezvous.Weight(a.hash, k))
-	})
+	slices.SortStableFunc(sorted, newRanking(candidates, key).compare)
 	return sorted[:min(n, len(sorted))]
 }
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -94,6 +94,7 @@
 		Incarnation:   r.incarnation,
 		State:         r.state,
 		Leaving:       r.leaving,
+		Millicores:    uint32(r.host.Millicores),
 	}
 }
 
@@ -110,7 +111,9 @@
 	if addr.UnmarshalBinary(u.Address) != nil || !addr.IsValid() {
 		return h, false
 	}
-	return gypsumyard.Host{Name: u.Name, Addr: addr, Region: u.Region, FailureDomain: u.FailureDomain}, true
+	return gypsumyard.Host{
+		Name: u.Name, Addr: addr, Region: u.Region, FailureDomain: u.FailureDomain, Millicores: int(min(u.Millicores, maxMillicores)),
+	}, true
 }
 
 // merge applies an update if it is newer than the record. Within one incarnation
