--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -131,6 +131,8 @@
 		{"plan", write, []string{"a"}, []error{fail(gypsumyard.ClassPlan), nil}, "", "a", gypsumyard.ClassPlan},
 		{"unknown read, then refused", read, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), fail(gypsumyard.ClassLoad)}, "", "aa", gypsumyard.ClassUnknown},
 		{"unknown read, then no owner", read, []string{"a", ""}, []error{fail(gypsumyard.ClassUnknown)}, "", "a", gypsumyard.ClassUnknown},
+		{"key withdrawn before the retry", write, []string{"a", "b"}, []error{fail(gypsumyard.ClassNotRun), fail(gypsumyard.ClassAuth), nil}, "", "ab", gypsumyard.ClassAuth},
+		{"unknown read, then key withdrawn", read, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), fail(gypsumyard.ClassAuth), nil}, "", "aa", gypsumyard.ClassUnknown},
 		{"late owner", write, []string{"", "", "a"}, []error{nil}, "", "a", ""},
 		{"no owner", write, []string{""}, []error{nil}, "", "", gypsumyard.ClassNotRun},
 		{"holder gone", goneTx, []string{"a"}, []error{nil}, "", "", gypsumyard.ClassNotRun},
--- a/internal/linecaller/keys_test.go
+++ b/internal/linecaller/keys_test.go
@@ -360,6 +360,32 @@
 	}
 }
 
+// Pattern: a key is withdrawn while a statement of it waits at the owner and another one is
+// queued behind it on the session.
+//
+// Guards against the second one, which is read after the withdrawal, and against an answer
+// of the first that is lost.
+func TestKeyWithdrawnInQueue(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.set(7, map[string]string{testKey: "mill"})
+	waits, proceed := make(chan struct{}), make(chan struct{})
+	f.executor.reply = func(r *gypsumyard.Request, p line.Payload) (string, gypsumyard.Result, error) {
+		close(waits)
+		<-proceed
+		return ok(r, p)
+	}
+	c := f.dial("START orders " + testKey)
+	c.expect("READY")
+	c.send("QUERY a1 WRITE a 1\r\nQUERY a2 WRITE a 2")
+	<-waits
+	f.set(8, nil)
+	close(proceed)
+	c.expect("COMPLETE", "READY I", "ERROR DENIED", "READY I")
+	c.expectEnd()
+	is.Equal(f.sent(), 1)
+}
+
 // logBuffer collects log lines.
 type logBuffer struct {
 	mu sync.Mutex
--- a/internal/peer/compat_test.go
+++ b/internal/peer/compat_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"math"
 	"testing"
 	"time"
@@ -61,3 +62,19 @@
 	is.NoErr(err)
 	is.Equal(sent, []byte{0x20, 1}) // As from a host that does not know the field.
 }
+
+// Guards against an owner's rejection of a key that is taken for something else, or for
+// final, after the hop between hosts.
+func TestRejectedKeyBetweenHosts(t *testing.T) {
+	is := is.New(t)
+	for _, after := range []time.Duration{0, time.Second} {
+		sent := &gypsumyard.Error{Class: gypsumyard.ClassAuth, Message: "no such key", RetryAfter: after}
+		b, err := proto.Marshal(encodeError(sent))
+		is.NoErr(err)
+		var p peerpb.Error
+		is.NoErr(proto.Unmarshal(b, &p))
+		var got *gypsumyard.Error
+		is.True(errors.As(decodeError(&p), &got))
+		is.Equal(got, sent)
+	}
+}
