--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -252,10 +252,12 @@
 		c.log.WithField("version", o.Version).WithError(err).Warn("cannot decode desired state, ignoring it")
 		return
 	}
+	fields := logrus.Fields{"version": o.Version, "number": d.Number, "routes": len(d.Routes), "groups": len(d.Groups)}
+	if d.Keyed {
+		fields["customers"], fields["keys"], fields["keys-withdrawn"] = len(d.Customers), len(d.Keys), withdrawnKeys(c.desired, d)
+	}
 	c.desired = d
-	c.log.WithFields(logrus.Fields{
-		"version": o.Version, "number": d.Number, "routes": len(d.Routes), "groups": len(d.Groups),
-	}).Info("desired state in force")
+	c.log.WithFields(fields).Info("desired state in force")
 }
 
 func (c *objectCache) logInstance(n *cachedObject) {
--- a/internal/catalog/proof.go
+++ b/internal/catalog/proof.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -61,6 +62,36 @@
 	return !s.isStrict() || ok && age <= s.revokeTimeout
 }
 
+// logProof logs when the keys can no longer be relied on, or can be again.
+func (s *Service) logProof() {
+	unproven := !s.KeysProven()
+	if unproven == s.unproven {
+		return
+	}
+	s.unproven = unproven
+	if !unproven {
+		s.log.Info("keys are proven again")
+		return
+	}
+	age, known := s.proofAge()
+	s.log.WithFields(logrus.Fields{"proof-age": age.String(), "known": known, "limit": s.revokeTimeout.String()}).
+		Warn("keys are not proven, sessions with keys are refused")
+}
+
+// withdrawnKeys returns how many keys of the old desired state, which may be nil, the new
+// one does not have, or has for another customer.
+func withdrawnKeys(old, d *gypsumyard.DesiredState) (n int) {
+	if old == nil {
+		return 0
+	}
+	for key, customer := range old.Keys {
+		if d.Keys[key] != customer {
+			n++
+		}
+	}
+	return n
+}
+
 // isStrict reports whether the age of the proof matters: withdrawn keys must not be
 // accepted after a time, and there are keys.
 func (s *Service) isStrict() bool {
--- a/internal/catalog/proof_test.go
+++ b/internal/catalog/proof_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/matryer/is"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 )
 
 // testRevokeTimeout is the time within which a withdrawn key must not be accepted.
@@ -252,3 +253,30 @@
 		is.True(!b.KeysProven())
 	})
 }
+
+// Guards against a withdrawal, or the loss of the proof, that operators can't see, and
+// against lines that repeat.
+func TestProofIsLogged(t *testing.T) {
+	is := is.New(t)
+	log, hook := logtest.NewNullLogger()
+	store := memstore.New()
+	put(t, store, names.Desired, "1")
+	c := clock.NewFake(time.Unix(1000, 0))
+	s := newStrict(t, store, WithClock(c), WithLogger(log))
+	is.NoErr(s.list(names.desiredPrefix()))
+	for _, wait := range []time.Duration{0, testRevokeTimeout + 1, 1} {
+		c.Advance(wait)
+		s.logProof()
+	}
+	is.Equal(hook.LastEntry().Message, "keys are not proven, sessions with keys are refused")
+	n := len(hook.Entries)
+	is.NoErr(s.list(names.desiredPrefix()))
+	s.logProof()
+	s.logProof()
+	is.Equal(hook.LastEntry().Message, "keys are proven again")
+	is.Equal(len(hook.Entries), n+1)
+
+	old := &gypsumyard.DesiredState{Keys: map[gypsumyard.KeyHash]string{{1}: "x", {2}: "x", {3}: "y"}}
+	is.Equal(withdrawnKeys(nil, old), 0)
+	is.Equal(withdrawnKeys(old, &gypsumyard.DesiredState{Keys: map[gypsumyard.KeyHash]string{{1}: "x", {2}: "y", {4}: "z"}}), 2)
+}
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -56,6 +56,8 @@
 	// revokeTimeout is how soon a withdrawn key must not be accepted, or zero if that
 	// is not strict.
 	revokeTimeout time.Duration
+	// unproven indicates that the loss of the proof was logged. Only expireLoop uses it.
+	unproven bool
 }
 
 var (
@@ -146,6 +148,7 @@
 func (s *Service) expireLoop() {
 	for s.clock.Sleep(s.stopping, expireInterval) == nil {
 		s.expireRemoved()
+		s.logProof()
 	}
 }
 
