--- a/internal/lineowner/customers_test.go
+++ b/internal/lineowner/customers_test.go
@@ -157,6 +157,38 @@
 	is.Equal(g.claimedPrimary().openTransactions, 3)
 }
 
+// Guards against requests that fail, or wait for long, while another host uses a part of
+// the connections to an instance, so that the instance refuses some of this host's.
+func TestInstanceRefusesConnections(t *testing.T) {
+	is := is.New(t)
+	names := customerNames(30)
+	f, h := keyedFixture(t, 2, 14, names)
+	h.lists.mu.Lock()
+	d := *h.lists.desired
+	d.Groups = map[string]gypsumyard.Group{groupName: {Name: groupName, Connections: 30, SyncReplicas: 1}}
+	h.lists.desired = &d
+	h.lists.mu.Unlock()
+	h.lists.change()
+	for range 3 {
+		for _, c := range names {
+			_, _, err := f.runConcurrently(h, statement{customer: c, text: "READ a", class: gypsumyard.StatementRead, timeout: time.Second})
+			is.NoErr(err)
+		}
+	}
+	lines := 0
+	for _, e := range h.logHook.AllEntries() {
+		if strings.HasPrefix(e.Message, "instance refuses connections") {
+			lines++
+		}
+	}
+	is.True(lines > 0)
+	is.True(lines < 5)
+	p := primaryPool(h)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	is.True(p.share.OpenConnections() <= 14)
+}
+
 // Guards against connections of a customer that is no longer in the desired state.
 func TestConnectionsOfRemovedCustomerClose(t *testing.T) {
 	is := is.New(t)
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -91,7 +91,7 @@
 	i := &instance{
 		id:            l.ID,
 		listed:        l,
-		pool:          newPool(l, g.service.self, g.clock, g.metrics),
+		pool:          newPool(l, g.service.self, g.clock, g.log, g.metrics),
 		control:       controlConn{instance: l, user: g.service.self},
 		pollRequested: make(chan struct{}, 1),
 		cancel:        cancel,
--- a/internal/lineowner/pool.go
+++ b/internal/lineowner/pool.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/connshare"
 	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -32,6 +33,7 @@
 	// user is the user name of connections that belong to no customer.
 	user    string
 	clock   gypsumyard.Clock
+	log     logrus.FieldLogger
 	metrics *metrics
 
 	mu sync.Mutex
@@ -51,9 +53,9 @@
 	freed chan struct{}
 }
 
-func newPool(i gypsumyard.ListedInstance, user string, clock gypsumyard.Clock, m *metrics) *pool {
+func newPool(i gypsumyard.ListedInstance, user string, clock gypsumyard.Clock, log logrus.FieldLogger, m *metrics) *pool {
 	return &pool{
-		instance: i, user: user, clock: clock, metrics: m,
+		instance: i, user: user, clock: clock, log: log.WithField("instance", i.ID), metrics: m,
 		idle: map[string][]*conn{}, share: connshare.New(clock), freed: make(chan struct{}),
 	}
 }
@@ -177,8 +179,13 @@
 		p.share.Pause()
 		return
 	}
+	before := p.share.Limit()
 	p.share.Lower()
 	p.evictSurplus()
+	if limit := p.share.Limit(); limit < before {
+		p.log.WithFields(logrus.Fields{"limit": limit, "before": before, "open": p.share.OpenConnections()}).
+			Warn("instance refuses connections, this host uses fewer for a while")
+	}
 }
 
 // put returns a connection that is outside a transaction.
@@ -284,6 +291,9 @@
 	defer p.unlock()
 	p.keyed, p.customers = d.Keyed, d.Customers
 	p.closeIdle(func(customer string) bool { return !p.serves(customer) })
+	if n := len(p.closing); n > 0 {
+		p.log.WithFields(logrus.Fields{"connections": n, "desired": d.Number}).Info("closing connections of removed customers")
+	}
 }
 
 func (p *pool) close() {
--- a/internal/lineowner/scarceconns_test.go
+++ b/internal/lineowner/scarceconns_test.go
@@ -72,7 +72,7 @@
 	g.ctx, g.cancel = context.WithCancelCause(context.Background())
 	g.ownedCtx, g.cancelOwned = context.WithCancelCause(g.ctx)
 	listed := gypsumyard.ListedInstance{ID: "i-1", Slots: 3}
-	i := &instance{id: listed.ID, listed: listed, pool: newPool(listed, "host-1", clk, newMetrics(tally.NoopScope)), statusKnown: true, reachable: true}
+	i := &instance{id: listed.ID, listed: listed, pool: newPool(listed, "host-1", clk, log, newMetrics(tally.NoopScope)), statusKnown: true, reachable: true}
 	i.status = status{role: gypsumyard.RolePrimary, term: 1}
 	i.sampledAt, g.evidenceAt = clk.Now(), clk.Now()
 	i.reachableCtx, i.cancelReachable = context.WithCancelCause(g.ctx)
