quota: divide a customer's rate limit among the owners of the groups

Cause: rate limits of customers are checked nowhere, and no host sees all operations of one. Change: the owner of each group has a share with a token bucket for each active customer; a share that is short asks others. Tokens that were moved take up capacity of the giver until they expire, so the buckets of all shares together never hold more than the sum of their capacities.

--- a/customer.go
+++ b/customer.go
@@ -32,3 +32,19 @@
 	name, ok = d.Keys[h]
 	return name, ok
 }
+
+// QuotaTokens is a number of operations of a customer's rate limit.
+type QuotaTokens struct {
+	Customer string
+	Tokens   float64
+}
+
+// A QuotaRequest asks the owner of a database for operations of customers' rate limits
+// that it does not need.
+type QuotaRequest struct {
+	// Database is the one whose owner is asked.
+	Database string
+	// AskingDatabase is the one for which the operations are.
+	AskingDatabase string
+	Wanted         []QuotaTokens
+}
--- /dev/null
+++ b/internal/quota/model_test.go
@@ -0,0 +1,233 @@
+package quota
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+)
+
+// step is the time between two actions of the model.
+const step = 10 * time.Millisecond
+
+// A model runs the shares of all groups on one clock, with a network between them.
+type model struct {
+	terms  Terms
+	limit  Limit
+	clock  *clock.Fake
+	began  time.Time
+	random *rand.Rand
+	groups int
+	hosts  []*modelHost
+	events eventQueue
+	// delay returns how long a message takes between two hosts, or false if it is lost.
+	delay func(from, to *modelHost) (time.Duration, bool)
+	// ownerOf returns the owner of a group in the view of a host.
+	ownerOf func(view *modelHost, g int) *modelHost
+	// sent holds the times at which operations were sent.
+	sent     []time.Duration
+	rejected int
+	asked    int
+}
+
+// A modelHost is one host.
+type modelHost struct {
+	index  int
+	shares map[int]*Share
+	// resumes is when the host runs again.
+	resumes time.Time
+	askedAt map[[2]int]time.Time
+	// asking holds the groups for which an answer is awaited.
+	asking map[int]bool
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+var testTerms = Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// newModel returns a model in which host i of n owns the groups g with g % n == i.
+func newModel(seed uint64, l Limit, groups, hosts int) *model {
+	m := &model{
+		terms: testTerms, limit: l, clock: clock.NewFake(time.Unix(1e9, 0)), groups: groups,
+		random: rand.New(rand.NewPCG(seed, 1)),
+		delay:  func(_, _ *modelHost) (time.Duration, bool) { return 2 * time.Millisecond, true },
+	}
+	m.began = m.clock.Now()
+	m.ownerOf = func(_ *modelHost, g int) *modelHost { return m.hosts[g%hosts] }
+	for i := range hosts {
+		m.hosts = append(m.hosts, &modelHost{index: i, shares: map[int]*Share{}, askedAt: map[[2]int]time.Time{}, asking: map[int]bool{}})
+	}
+	for g := range groups {
+		m.own(m.hosts[g%hosts], g)
+	}
+	return m
+}
+
+// own makes the host an owner of the group.
+func (m *model) own(h *modelHost, g int) {
+	s := NewShare(m.terms, m.clock)
+	s.Configure(m.groups, 1)
+	h.shares[g] = s
+}
+
+func (m *model) at(d time.Duration, run func()) {
+	heap.Push(&m.events, event{at: m.clock.Now().Add(d), run: run})
+}
+
+func (m *model) running(h *modelHost) bool { return !m.clock.Now().Before(h.resumes) }
+
+// advance runs the model for one step.
+func (m *model) advance() {
+	end := m.clock.Now().Add(step)
+	for len(m.events) > 0 && !m.events[0].at.After(end) {
+		e := heap.Pop(&m.events).(event)
+		m.clock.Advance(e.at.Sub(m.clock.Now()))
+		e.run()
+	}
+	m.clock.Advance(end.Sub(m.clock.Now()))
+	if m.clock.Since(m.began)%(50*time.Millisecond) != 0 {
+		return
+	}
+	for _, h := range m.hosts {
+		for g := range m.groups {
+			if s := h.shares[g]; s != nil && m.running(h) {
+				s.Tick()
+				if !h.asking[g] {
+					m.ask(h, g, s, m.random.IntN(m.groups), 0)
+				}
+			}
+		}
+	}
+}
+
+// ask asks the owners of the other groups, one after the other from the first one on,
+// until the share lacks no token. It goes on with the owner after n others.
+func (m *model) ask(h *modelHost, g int, s *Share, first, n int) {
+	h.asking[g] = false
+	for ; n < m.groups; n++ {
+		target := (first + n) % m.groups
+		now := m.clock.Now()
+		pair := [2]int{g, target}
+		to := m.ownerOf(h, target)
+		if target == g || h.shares[g] != s || now.Sub(h.askedAt[pair]) < AskInterval {
+			continue
+		}
+		wanted := s.Shortages()
+		if len(wanted) == 0 {
+			return
+		}
+		h.askedAt[pair] = now
+		m.asked++
+		h.asking[g] = true
+		answered := false
+		next := func() {
+			if !answered {
+				answered = true
+				m.ask(h, g, s, first, n+1)
+			}
+		}
+		m.send(h, to, func() {
+			giver := to.shares[target]
+			if giver == nil {
+				return
+			}
+			granted := giver.Give(wanted, func(string) (Limit, bool) { return m.limit, true })
+			m.send(to, h, func() {
+				if h.shares[g] == s {
+					s.Receive(wanted, granted, now, m.groups-1)
+				}
+				next()
+			})
+		})
+		m.at(Lifetime, next)
+		return
+	}
+}
+
+// send delivers a message unless it is lost. A suspended host receives it later.
+func (m *model) send(from, to *modelHost, run func()) {
+	d, ok := m.delay(from, to)
+	if !ok {
+		return
+	}
+	m.at(d, func() {
+		if m.running(to) {
+			run()
+			return
+		}
+		heap.Push(&m.events, event{at: to.resumes, run: run})
+	})
+}
+
+// operate lets one operation arrive at the group. It waits in a queue for the given time.
+func (m *model) operate(g int, queue time.Duration) {
+	var owners []*modelHost
+	for _, h := range m.hosts {
+		if h.shares[g] != nil && m.running(h) {
+			owners = append(owners, h)
+		}
+	}
+	if len(owners) == 0 {
+		m.rejected++
+		return
+	}
+	h := owners[m.random.IntN(len(owners))]
+	c, _ := h.shares[g].Take("c", m.limit)
+	if c == nil {
+		m.rejected++
+		return
+	}
+	end := func() {
+		switch _, ok := c.Send(); {
+		case !ok, m.random.IntN(20) == 0 && queue > 0:
+			c.Unsend()
+			c.Refund()
+			m.rejected++
+		default:
+			m.sent = append(m.sent, m.clock.Since(m.began))
+		}
+	}
+	if queue == 0 {
+		end()
+		return
+	}
+	m.at(queue, func() {
+		if m.running(h) {
+			end()
+			return
+		}
+		heap.Push(&m.events, event{at: h.resumes, run: end})
+	})
+}
+
+// worst returns the largest number of operations in one window.
+func (m *model) worst() (most int) {
+	for first, last := 0, 0; last < len(m.sent); last++ {
+		for m.sent[last]-m.sent[first] >= m.terms.Window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+func tokensFor(customer string, n float64) []gypsumyard.QuotaTokens {
+	return []gypsumyard.QuotaTokens{{Customer: customer, Tokens: n}}
+}
--- /dev/null
+++ b/internal/quota/share.go
@@ -0,0 +1,386 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+)
+
+const (
+	// maxPause is the time without a call of Tick after which the host may have been
+	// suspended, and another one may have become the owner of the group.
+	maxPause = time.Second
+	// pauseDelay is how long after a pause the buckets are not refilled: the host first
+	// has to learn whether another one owns the group.
+	pauseDelay = time.Second
+	// takeoverDelay is how long those of a new owner are not refilled, as its predecessor
+	// may learn of the change later.
+	takeoverDelay = 200 * time.Millisecond
+	// riseDelay is how long hosts must be reached again before the fraction of the limits
+	// rises, since the group may still have another owner on their side.
+	riseDelay = time.Second
+	// sweepInterval is the time between two searches for buckets to drop.
+	sweepInterval = time.Second
+	// demandWindow is the time constant of the estimate of a customer's demand.
+	demandWindow = 300 * time.Millisecond
+	// longDemandWindow is that of the estimate by which a single token is kept.
+	longDemandWindow = 2 * time.Second
+	// idleDemand is the demand in operations a second below which a customer is idle.
+	idleDemand = 0.01
+	// firstTokens is what a new owner starts with at most: its predecessor may have
+	// spent the rest.
+	firstTokens = 1
+	// exchangeDelay is the least time after which a caller is told to retry while other
+	// owners may still have tokens.
+	exchangeDelay = 250 * time.Millisecond
+	// tolerance absorbs rounding errors of sums of tokens.
+	tolerance = 1e-9
+)
+
+// A Share is the part of all customers' limits that belongs to one group. Its methods
+// may be called concurrently.
+type Share struct {
+	terms Terms
+	clock gypsumyard.Clock
+
+	mu       sync.Mutex
+	groups   int
+	fraction float64
+	// highest is the fraction that will be in force at risesAt. It is zero if the fraction
+	// is not about to rise.
+	highest float64
+	risesAt time.Time
+	buckets map[string]*bucket
+	// started is when the refill of the buckets began. Those without a record had at most
+	// firstTokens then.
+	started  time.Time
+	tickedAt time.Time
+	sweptAt  time.Time
+}
+
+// A bucket holds one customer's tokens at one share.
+type bucket struct {
+	limit Limit
+	part  part
+	// tokens is the content at the given time.
+	tokens float64
+	at     time.Time
+	// reserved is the part of the tokens of charges whose operations were not sent yet.
+	// They take up capacity, so that a long queue does not raise the sum later.
+	reserved float64
+	// given holds the tokens that other shares may still have as parcels. They take up
+	// capacity as well, so that the sum over all shares is never above that of the
+	// capacities.
+	given []parcel
+	// received holds tokens of other shares for which the bucket has no room.
+	received []parcel
+	// demand and longDemand are estimates over a short and a long time, in operations a
+	// second, at the time of at.
+	demand, longDemand float64
+	lastTake           time.Time
+	rejectedAt         time.Time
+	// fruitless counts the answers in a row that granted nothing.
+	fruitless   int
+	pausedUntil time.Time
+}
+
+// A parcel is a number of tokens that were moved between shares. Until it expires, they
+// take up capacity of the giver.
+type parcel struct {
+	tokens  float64
+	expires time.Time
+}
+
+// NewShare returns the share of a group that this host has begun to own.
+func NewShare(t Terms, c gypsumyard.Clock) *Share {
+	now := c.Now()
+	return &Share{
+		terms: t, clock: c, groups: 1, fraction: 1, buckets: map[string]*bucket{},
+		started: now.Add(takeoverDelay), tickedAt: now, sweptAt: now,
+	}
+}
+
+// Configure sets among how many groups the limits are divided, and the fraction of them
+// that belongs to the hosts which this one reaches. It must be called before the first
+// use, and again at each change. A higher fraction takes effect after riseDelay.
+func (s *Share) Configure(groups int, fraction float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	switch {
+	case fraction <= s.fraction:
+		s.highest = 0
+	case s.highest == 0:
+		s.highest, s.risesAt = fraction, now.Add(riseDelay)
+		fraction = s.fraction
+	default:
+		s.highest = fraction
+		fraction = s.fraction
+	}
+	s.divide(groups, fraction, now)
+}
+
+// divide applies a number of groups and a fraction. The caller must hold s.mu.
+func (s *Share) divide(groups int, fraction float64, now time.Time) {
+	if groups == s.groups && fraction == s.fraction {
+		return
+	}
+	rises := fraction*float64(s.groups) > s.fraction*float64(groups)
+	for _, b := range s.buckets {
+		b.refill(now)
+	}
+	s.groups, s.fraction = groups, fraction
+	for _, b := range s.buckets {
+		b.part = s.terms.partOf(b.limit, groups, fraction)
+		b.refill(now)
+	}
+	if rises && now.After(s.started) {
+		s.started = now // A bucket without a record is not full by the larger capacity.
+	}
+}
+
+// Restart resets the buckets: this host owns the group again after another one may
+// have.
+func (s *Share) Restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restart(s.now(), takeoverDelay)
+}
+
+// restart is Restart with a delay of the refill. The caller must hold s.mu.
+func (s *Share) restart(now time.Time, delay time.Duration) {
+	s.started = now.Add(delay)
+	for _, b := range s.buckets {
+		b.refill(now)
+		b.tokens = min(b.tokens, max(firstTokens-b.reserved, 0))
+		b.received = nil
+		b.at = s.started
+	}
+}
+
+// Tick must be called several times a second while this host runs. It drops buckets that
+// are not needed.
+func (s *Share) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.tickedAt = now
+	if now.Sub(s.sweptAt) < sweepInterval {
+		return
+	}
+	s.sweptAt = now
+	for name, b := range s.buckets {
+		b.refill(now)
+		if b.disposable() && b.tokens >= s.unrecorded(b.part, now)-tolerance {
+			delete(s.buckets, name)
+		}
+	}
+}
+
+// disposable reports whether the bucket records nothing but its tokens.
+func (b *bucket) disposable() bool {
+	return b.reserved <= tolerance && len(b.given)+len(b.received) == 0 && b.longDemand < idleDemand
+}
+
+// Buckets returns the number of customers with a record.
+func (s *Share) Buckets() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.buckets)
+}
+
+// now returns the time. It restarts the buckets after a pause of the host, and applies a
+// fraction that is due. The caller must hold s.mu.
+func (s *Share) now() time.Time {
+	now := s.clock.Now()
+	if now.Sub(s.tickedAt) > maxPause {
+		s.tickedAt = now
+		s.restart(now, pauseDelay)
+	}
+	if s.highest > 0 && !now.Before(s.risesAt) {
+		fraction := s.highest
+		s.highest = 0
+		s.divide(s.groups, fraction, now)
+	}
+	return now
+}
+
+// unrecorded returns the content of a bucket without a record.
+func (s *Share) unrecorded(p part, now time.Time) float64 {
+	return min(p.capacity, firstTokens+p.rate*max(now.Sub(s.started), 0).Seconds())
+}
+
+// bucket returns the customer's bucket as of now. The caller must hold s.mu.
+func (s *Share) bucket(customer string, l Limit, now time.Time) *bucket {
+	b := s.buckets[customer]
+	if b == nil {
+		p := s.terms.partOf(l, s.groups, s.fraction)
+		b = &bucket{limit: l, part: p, tokens: s.unrecorded(p, now), at: later(now, s.started)}
+		s.buckets[customer] = b
+		return b
+	}
+	b.refill(now)
+	if b.limit != l {
+		b.limit, b.part = l, s.terms.partOf(l, s.groups, s.fraction)
+		b.refill(now)
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// refill brings the bucket up to the given time.
+func (b *bucket) refill(now time.Time) {
+	passed := max(now.Sub(b.at), 0).Seconds()
+	b.at = later(now, b.at)
+	b.demand *= math.Exp(-passed / demandWindow.Seconds())
+	b.longDemand *= math.Exp(-passed / longDemandWindow.Seconds())
+	b.given, b.received = unexpired(b.given, now), unexpired(b.received, now)
+	room := b.part.capacity - b.reserved - sum(b.given)
+	b.tokens = max(min(b.tokens+b.part.rate*passed, room), 0)
+	for i := range b.received {
+		n := max(min(b.received[i].tokens, room-b.tokens), 0)
+		b.received[i].tokens -= n
+		b.tokens += n
+	}
+}
+
+// unexpired returns the parcels that are neither empty nor expired.
+func unexpired(list []parcel, now time.Time) []parcel {
+	return slices.DeleteFunc(list, func(p parcel) bool { return p.tokens <= tolerance || !now.Before(p.expires) })
+}
+
+func sum(list []parcel) (tokens float64) {
+	for _, p := range list {
+		tokens += p.tokens
+	}
+	return tokens
+}
+
+// available returns how many tokens can be spent now.
+func (b *bucket) available() float64 { return b.tokens + sum(b.received) }
+
+// spend takes n tokens, received ones first. The caller has checked that they are
+// available.
+func (b *bucket) spend(n float64) (own float64, received []parcel) {
+	for i := range b.received {
+		p := &b.received[i]
+		k := min(p.tokens, n)
+		if k > 0 {
+			received = append(received, parcel{tokens: k, expires: p.expires})
+		}
+		p.tokens -= k
+		n -= k
+	}
+	b.tokens -= n
+	return n, received
+}
+
+// A Charge is the token of one operation.
+type Charge struct {
+	share    *Share
+	customer string
+	limit    Limit
+	own      float64
+	received []parcel
+	sent     bool
+}
+
+// Take charges one operation. If the customer is over its limit, it returns no charge
+// and the time until the bucket has refilled.
+func (s *Share) Take(customer string, l Limit) (c *Charge, retryAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	b := s.bucket(customer, l, now)
+	b.lastTake = now
+	b.longDemand += 1 / longDemandWindow.Seconds()
+	b.demand = min(b.demand+1/demandWindow.Seconds(), max(l.Rate, 1/demandWindow.Seconds()))
+	if b.available() < 1-tolerance {
+		b.rejectedAt = now
+		return nil, s.retryAfter(b, now)
+	}
+	c = &Charge{share: s, customer: customer, limit: l}
+	c.own, c.received = b.spend(1)
+	b.reserved += c.own
+	return c, 0
+}
+
+// retryAfter returns the time until the bucket has refilled, or less while other owners
+// may have tokens.
+func (s *Share) retryAfter(b *bucket, now time.Time) time.Duration {
+	d := time.Hour
+	if b.part.rate > 0 {
+		d = seconds((1 - b.available()) / b.part.rate)
+	}
+	if s.groups > 1 && now.After(b.pausedUntil) {
+		d = min(d, exchangeDelay)
+	}
+	return max(d, time.Millisecond)
+}
+
+// Send records that the operation is about to be sent to an instance. It reports false if
+// the charge has expired in a queue and the customer is now over its limit.
+func (c *Charge) Send() (retryAfter time.Duration, ok bool) {
+	s := c.share
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.sent {
+		return 0, true
+	}
+	now := s.now()
+	b := s.bucket(c.customer, c.limit, now)
+	missing := 0.0
+	for _, p := range c.received {
+		if !now.Before(p.expires) {
+			missing += p.tokens
+		}
+	}
+	if missing > b.available()+tolerance {
+		return s.retryAfter(b, now), false
+	}
+	if missing > 0 {
+		own, received := b.spend(missing)
+		b.reserved += own
+		c.own += own
+		c.received = append(unexpired(c.received, now), received...)
+	}
+	c.sent = true
+	b.reserved = max(b.reserved-c.own, 0)
+	return 0, true
+}
+
+// Unsend records that nothing was sent after all, and that the operation is tried again.
+func (c *Charge) Unsend() {
+	s := c.share
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.sent {
+		c.sent = false
+		s.bucket(c.customer, c.limit, s.now()).reserved += c.own
+	}
+}
+
+// Refund returns the token of an operation of which nothing was sent. The charge must not
+// be used any more.
+func (c *Charge) Refund() {
+	s := c.share
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	b := s.bucket(c.customer, c.limit, now)
+	if !c.sent {
+		b.reserved = max(b.reserved-c.own, 0)
+	}
+	b.tokens += c.own
+	b.received = append(b.received, c.received...)
+	b.refill(now)
+}
--- a/peers.go
+++ b/peers.go
@@ -24,6 +24,9 @@
 	// through a host that may reach the store when this one does not. Its errors are
 	// those of [Store].
 	RelayClaim(ctx context.Context, via Host, c ClaimCall) (Object, error)
+	// RequestQuota asks a host, as the owner of a database, for operations of customers'
+	// rate limits. It returns those granted, which the host has given up.
+	RequestQuota(ctx context.Context, from Host, q QuotaRequest) ([]QuotaTokens, error)
 	// AssignDatabase notifies a host of a temporary owner of a database.
 	AssignDatabase(ctx context.Context, to Host, a Assignment) error
 }
