peer: requests for quota tokens between hosts

Cause: owners of groups had no call to pass tokens of customers' rate limits on. Result: go test ./internal/peer passes.

--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -104,6 +104,8 @@
 		err = g.assign(b.Assigned)
 	case *peerpb.Call_Claim:
 		last.Object, last.Outcome, err = g.relayClaim(b.Claim)
+	case *peerpb.Call_Quota:
+		last.Quota, err = g.giveQuota(b.Quota)
 	case *peerpb.Call_Cancel:
 		err = g.cancelSession(b.Cancel)
 	default:
