quota: divide a small limit among few groups

Cause: with 16 or more groups the parts of a small customer's limit were below one operation: of one operation a second over 32 groups nothing was served. Change: a limit is divided among all groups only if each part then holds an operation; else among some groups that follow from the customer's name. The others ask these.

--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +18,8 @@
 	Lifetime = 150 * time.Millisecond
 	// AskInterval is the least time between two questions to one owner.
 	AskInterval = 250 * time.Millisecond
+	// MaxAsked is how many owners are asked in a row.
+	MaxAsked = 16
 	// pause is how long a customer's tokens are not asked for after all owners have
 	// granted none.
 	pause = time.Second
@@ -56,9 +59,48 @@
 	return wanted[:min(len(wanted), maxBatch)]
 }
 
+// Targets returns the indexes of the groups whose shares have parts of the limits of the
+// customers, in random order and without this one.
+func (s *Share) Targets(wanted []gypsumyard.QuotaTokens) (indexes []int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range wanted {
+		b := s.buckets[w.Customer]
+		if b == nil {
+			continue
+		}
+		n, first := s.terms.homes(b.limit, s.place.groups), firstHome(w.Customer, s.place.groups)
+		for k := range n {
+			if i := (first + k) % s.place.groups; i != s.place.index {
+				indexes = append(indexes, i)
+			}
+		}
+		if n >= s.place.groups {
+			break // All groups are in the list.
+		}
+	}
+	slices.Sort(indexes)
+	indexes = slices.Compact(indexes)
+	rand.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
+	return indexes
+}
+
+// At returns those of the wanted tokens of which the share of the group with the index may
+// have some.
+func (s *Share) At(index int, wanted []gypsumyard.QuotaTokens) (list []gypsumyard.QuotaTokens) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range wanted {
+		if b := s.buckets[w.Customer]; b != nil && isHome(w.Customer, index, s.terms.homes(b.limit, s.place.groups), s.place.groups) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // shortage returns how many tokens the customer lacks for the time that moved tokens last.
 func (b *bucket) shortage(now time.Time) float64 {
-	if now.Before(b.pausedUntil) {
+	if b.part.others == 0 || now.Before(b.pausedUntil) {
 		return 0
 	}
 	reserve := min(b.demand*reserveFor.Seconds(), b.part.capacity*reserveFraction)
@@ -111,8 +153,8 @@
 }
 
 // Receive adds the answer to a question that was sent at the given time. It returns the
-// number of tokens that can be spent. owners is the number of owners that can be asked.
-func (s *Share) Receive(wanted, granted []gypsumyard.QuotaTokens, asked time.Time, owners int) (tokens float64) {
+// number of tokens that can be spent.
+func (s *Share) Receive(wanted, granted []gypsumyard.QuotaTokens, asked time.Time) (tokens float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -125,7 +167,7 @@
 		n := grantOf(granted, w)
 		if n <= 0 {
 			b.fruitless++
-			if b.fruitless >= owners {
+			if b.fruitless >= min(b.part.others, MaxAsked) {
 				b.fruitless, b.pausedUntil = 0, now.Add(pause)
 			}
 			continue
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -83,7 +83,7 @@
 // own makes the host an owner of the group.
 func (m *model) own(h *modelHost, g int) {
 	s := NewShare(m.terms, m.clock)
-	s.Configure(m.groups, 1)
+	s.Configure(g, m.groups, 1)
 	h.shares[g] = s
 }
 
@@ -110,28 +110,26 @@
 			if s := h.shares[g]; s != nil && m.running(h) {
 				s.Tick()
 				if !h.asking[g] {
-					m.ask(h, g, s, m.random.IntN(m.groups), 0)
+					m.ask(h, g, s, s.Targets(s.Shortages()))
 				}
 			}
 		}
 	}
 }
 
-// ask asks the owners of the other groups, one after the other from the first one on,
-// until the share lacks no token. It goes on with the owner after n others.
-func (m *model) ask(h *modelHost, g int, s *Share, first, n int) {
+// ask asks the owners of the groups, one after the other, until the share lacks no token.
+func (m *model) ask(h *modelHost, g int, s *Share, targets []int) {
 	h.asking[g] = false
-	for ; n < m.groups; n++ {
-		target := (first + n) % m.groups
+	for n, target := range targets[:min(len(targets), MaxAsked)] {
 		now := m.clock.Now()
 		pair := [2]int{g, target}
 		to := m.ownerOf(h, target)
-		if target == g || h.shares[g] != s || now.Sub(h.askedAt[pair]) < AskInterval {
+		if h.shares[g] != s || now.Sub(h.askedAt[pair]) < AskInterval {
 			continue
 		}
-		wanted := s.Shortages()
+		wanted := s.At(target, s.Shortages())
 		if len(wanted) == 0 {
-			return
+			continue
 		}
 		h.askedAt[pair] = now
 		m.asked++
@@ -140,7 +138,7 @@
 		next := func() {
 			if !answered {
 				answered = true
-				m.ask(h, g, s, first, n+1)
+				m.ask(h, g, s, targets[n+1:])
 			}
 		}
 		m.send(h, to, func() {
@@ -151,7 +149,7 @@
 			granted := giver.Give(wanted, func(string) (Limit, bool) { return m.limit, true })
 			m.send(to, h, func() {
 				if h.shares[g] == s {
-					s.Receive(wanted, granted, now, m.groups-1)
+					s.Receive(wanted, granted, now)
 				}
 				next()
 			})
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -42,7 +42,7 @@
 	r := m.random
 	m.limit = Limit{Rate: []float64{1, 10, 100, 400}[r.IntN(4)]}
 	m.limit.Burst = m.limit.Rate * r.Float64() * 2
-	hosts, groups := 1+r.IntN(5), []int{1, 2, 3, 5, 8}[r.IntN(5)]
+	hosts, groups := 1+r.IntN(5), []int{1, 2, 3, 5, 8, 24}[r.IntN(6)]
 	n := newModel(seed, m.limit, groups, hosts)
 	n.random = r
 	s := &schedule{model: n, cut: make([]int, hosts), down: make([]bool, hosts), assigned: map[int]*modelHost{}}
@@ -97,9 +97,9 @@
 		switch {
 		case owns && h.shares[g] == nil:
 			h.shares[g] = NewShare(s.terms, s.clock)
-			h.shares[g].Configure(s.groups, fraction)
+			h.shares[g].Configure(g, s.groups, fraction)
 		case owns:
-			h.shares[g].Configure(s.groups, fraction)
+			h.shares[g].Configure(g, s.groups, fraction)
 		default:
 			delete(h.shares, g)
 		}
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -33,9 +33,9 @@
 	// firstTokens is what a new owner starts with at most: its predecessor may have
 	// spent the rest.
 	firstTokens = 1
-	// exchangeDelay is the least time after which a caller is told to retry while other
-	// owners may still have tokens.
-	exchangeDelay = 250 * time.Millisecond
+	// exchangeDelay is after what time a caller is told to retry while other owners may
+	// still have tokens. They arrive within it, and last for longer.
+	exchangeDelay = 100 * time.Millisecond
 	// tolerance absorbs rounding errors of sums of tokens.
 	tolerance = 1e-9
 )
@@ -46,9 +46,8 @@
 	terms Terms
 	clock gypsumyard.Clock
 
-	mu       sync.Mutex
-	groups   int
-	fraction float64
+	mu    sync.Mutex
+	place place
 	// highest is the fraction that will be in force at risesAt. It is zero if the fraction
 	// is not about to rise.
 	highest float64
@@ -98,43 +97,44 @@
 func NewShare(t Terms, c gypsumyard.Clock) *Share {
 	now := c.Now()
 	return &Share{
-		terms: t, clock: c, groups: 1, fraction: 1, buckets: map[string]*bucket{},
+		terms: t, clock: c, place: place{groups: 1, fraction: 1}, buckets: map[string]*bucket{},
 		started: now.Add(takeoverDelay), tickedAt: now, sweptAt: now,
 	}
 }
 
-// Configure sets among how many groups the limits are divided, and the fraction of them
-// that belongs to the hosts which this one reaches. It must be called before the first
-// use, and again at each change. A higher fraction takes effect after riseDelay.
-func (s *Share) Configure(groups int, fraction float64) {
+// Configure sets the number of groups, the index of this one in the order of their names,
+// and the fraction of the limits that belongs to the hosts which this one reaches. It must
+// be called before the first use, and again at each change. A higher fraction takes effect
+// after riseDelay.
+func (s *Share) Configure(index, groups int, fraction float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	switch {
-	case fraction <= s.fraction:
+	case fraction <= s.place.fraction:
 		s.highest = 0
 	case s.highest == 0:
 		s.highest, s.risesAt = fraction, now.Add(riseDelay)
-		fraction = s.fraction
+		fraction = s.place.fraction
 	default:
 		s.highest = fraction
-		fraction = s.fraction
+		fraction = s.place.fraction
 	}
-	s.divide(groups, fraction, now)
+	s.move(place{index: index, groups: groups, fraction: fraction}, now)
 }
 
-// divide applies a number of groups and a fraction. The caller must hold s.mu.
-func (s *Share) divide(groups int, fraction float64, now time.Time) {
-	if groups == s.groups && fraction == s.fraction {
+// move applies another place. The caller must hold s.mu.
+func (s *Share) move(to place, now time.Time) {
+	if to == s.place {
 		return
 	}
-	rises := fraction*float64(s.groups) > s.fraction*float64(groups)
+	rises := to.groups != s.place.groups || to.index != s.place.index || to.fraction > s.place.fraction
 	for _, b := range s.buckets {
 		b.refill(now)
 	}
-	s.groups, s.fraction = groups, fraction
-	for _, b := range s.buckets {
-		b.part = s.terms.partOf(b.limit, groups, fraction)
+	s.place = to
+	for name, b := range s.buckets {
+		b.part = s.terms.partOf(name, b.limit, to)
 		b.refill(now)
 	}
 	if rises && now.After(s.started) {
@@ -201,9 +201,9 @@
 		s.restart(now, pauseDelay)
 	}
 	if s.highest > 0 && !now.Before(s.risesAt) {
-		fraction := s.highest
-		s.highest = 0
-		s.divide(s.groups, fraction, now)
+		to := s.place
+		to.fraction, s.highest = s.highest, 0
+		s.move(to, now)
 	}
 	return now
 }
@@ -217,14 +217,14 @@
 func (s *Share) bucket(customer string, l Limit, now time.Time) *bucket {
 	b := s.buckets[customer]
 	if b == nil {
-		p := s.terms.partOf(l, s.groups, s.fraction)
+		p := s.terms.partOf(customer, l, s.place)
 		b = &bucket{limit: l, part: p, tokens: s.unrecorded(p, now), at: later(now, s.started)}
 		s.buckets[customer] = b
 		return b
 	}
 	b.refill(now)
 	if b.limit != l {
-		b.limit, b.part = l, s.terms.partOf(l, s.groups, s.fraction)
+		b.limit, b.part = l, s.terms.partOf(customer, l, s.place)
 		b.refill(now)
 	}
 	return b
@@ -321,7 +321,7 @@
 	if b.part.rate > 0 {
 		d = seconds((1 - b.available()) / b.part.rate)
 	}
-	if s.groups > 1 && now.After(b.pausedUntil) {
+	if b.part.others > 0 && now.After(b.pausedUntil) {
 		d = min(d, exchangeDelay)
 	}
 	return max(d, time.Millisecond)
--- a/internal/quota/share_test.go
+++ b/internal/quota/share_test.go
@@ -15,9 +15,9 @@
 // that lets time pass while the hosts run.
 func newShares(n int) (shares []*Share, pass func(time.Duration)) {
 	c := clock.NewFake(time.Unix(1e9, 0))
-	for range n {
+	for i := range n {
 		s := NewShare(testTerms, c)
-		s.Configure(n, 1)
+		s.Configure(i, n, 1)
 		shares = append(shares, s)
 	}
 	pass = func(d time.Duration) {
@@ -52,7 +52,7 @@
 	is := is.New(t)
 	l := Limit{Rate: 100, Burst: 100}
 	shares, pass := newShares(8)
-	capacities := 8 * testTerms.partOf(l, 8, 1).capacity
+	capacities := 8 * testTerms.partOf("c", l, place{groups: 8, fraction: 1}).capacity
 	for range 50 {
 		var deliver []func()
 		for n, asker := range shares {
@@ -61,7 +61,7 @@
 			wanted := tokensFor("c", 1000)
 			for k := 1; k < len(shares); k++ {
 				granted := shares[(n+k)%len(shares)].Give(wanted, always(l))
-				deliver = append(deliver, func() { asker.Receive(wanted, granted, asked, 7) })
+				deliver = append(deliver, func() { asker.Receive(wanted, granted, asked) })
 			}
 		}
 		pass(Lifetime - step)
@@ -116,7 +116,7 @@
 	granted := b.Give(wanted, always(l))
 	is.Equal(granted, wanted)
 	pass(50 * time.Millisecond)
-	is.Equal(a.Receive(wanted, granted, asked, 1), 3.0)
+	is.Equal(a.Receive(wanted, granted, asked), 3.0)
 	c, _ := a.Take("c", l)
 	is.True(c != nil)
 	pass(time.Second)
@@ -127,7 +127,7 @@
 	asked = a.clock.Now()
 	granted = b.Give(wanted, always(l))
 	pass(Lifetime)
-	is.Equal(a.Receive(wanted, granted, asked, 1), 0.0) // It comes too late.
+	is.Equal(a.Receive(wanted, granted, asked), 0.0) // It comes too late.
 }
 
 // Guards against refunds that are lost, and against refunds that raise the sum.
@@ -231,11 +231,11 @@
 	l := Limit{Rate: 100, Burst: 100}
 	shares, pass := newShares(1)
 	s := shares[0]
-	s.Configure(1, 0.25)
+	s.Configure(0, 1, 0.25)
 	is.Equal(takeAll(s, l), 25)
 	pass(time.Second)
 	is.Equal(takeAll(s, l), 25)
-	s.Configure(1, 1)
+	s.Configure(0, 1, 1)
 	pass(riseDelay - step)
 	is.Equal(takeAll(s, l), 24)
 	pass(10 * time.Second)
@@ -249,9 +249,9 @@
 	l := Limit{Rate: 10, Burst: 100}
 	shares, pass := newShares(1)
 	s := shares[0]
-	s.Configure(1, 0.1)
+	s.Configure(0, 1, 0.1)
 	pass(time.Minute)
-	s.Configure(1, 1)
+	s.Configure(0, 1, 1)
 	pass(riseDelay + step)
 	is.Equal(takeAll(s, l), 1)
 }
@@ -285,15 +285,15 @@
 	known := func(customer string) (Limit, bool) { return l, customer == "c" }
 	for _, n := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
 		is.Equal(len(b.Give(tokensFor("c", n), known)), 0)
-		is.Equal(a.Receive(tokensFor("c", 1), tokensFor("c", n), a.clock.Now(), 1), 0.0)
+		is.Equal(a.Receive(tokensFor("c", 1), tokensFor("c", n), a.clock.Now()), 0.0)
 	}
 	is.Equal(len(b.Give(tokensFor("unknown", 1), known)), 0)
 	is.Equal(b.Buckets(), 0)
 	granted := b.Give(tokensFor("c", math.Inf(1)), known)
 	is.True(granted[0].Tokens <= 10)
 	a.Take("c", l)
-	is.Equal(a.Receive(tokensFor("c", 1), tokensFor("c", math.Inf(1)), a.clock.Now(), 1), 1.0)
-	is.Equal(a.Receive([]gypsumyard.QuotaTokens{}, tokensFor("c", 5), a.clock.Now(), 1), 0.0)
+	is.Equal(a.Receive(tokensFor("c", 1), tokensFor("c", math.Inf(1)), a.clock.Now()), 1.0)
+	is.Equal(a.Receive([]gypsumyard.QuotaTokens{}, tokensFor("c", 5), a.clock.Now()), 0.0)
 }
 
 // Guards against owners that keep asking when nobody has tokens.
@@ -306,7 +306,7 @@
 	wanted := s.Shortages()
 	is.Equal(len(wanted), 1)
 	for range 2 {
-		s.Receive(wanted, nil, s.clock.Now(), 2)
+		s.Receive(wanted, nil, s.clock.Now())
 	}
 	is.Equal(len(s.Shortages()), 0)
 	pass(pause - 2*step)
--- a/internal/quota/terms.go
+++ b/internal/quota/terms.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"hash/fnv"
 	"math"
 	"time"
 )
@@ -45,22 +46,55 @@
 	// rate is the refill in tokens a second, capacity the number of tokens at which it
 	// stops.
 	rate, capacity float64
+	// others is how many other shares have a part.
+	others int
 }
 
-// partOf returns the part of a limit for one of n groups, at an owner that reaches the
-// given fraction of the hosts.
-func (t Terms) partOf(l Limit, groups int, fraction float64) part {
-	n := float64(max(groups, 1))
+// A place is the place of a share among those of all groups.
+type place struct {
+	// index is that of the group in the order of the names of all groups.
+	index, groups int
+	// fraction is that of the limits which belongs to the hosts that the owner reaches.
+	fraction float64
+}
+
+// partOf returns the part of a customer's limit for a place.
+func (t Terms) partOf(customer string, l Limit, at place) part {
 	burst := max(l.Burst, 1)
 	transfer := transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
-	p := part{rate: l.Rate * fraction / n, capacity: (burst + transfer) * fraction / n}
-	p.capacity = max(p.capacity, min(wholeOperation, 2*t.Slack/slackParts/n))
-	if groups <= 1 {
-		p.capacity = burst * fraction // There is nobody to transfer to.
+	if at.groups <= 1 {
+		// There is nobody to transfer to.
+		return part{rate: l.Rate * at.fraction, capacity: burst * at.fraction}
+	}
+	n := t.homes(l, at.groups)
+	if !isHome(customer, at.index, n, at.groups) {
+		return part{others: n}
 	}
+	p := part{rate: l.Rate * at.fraction / float64(n), capacity: (burst + transfer) * at.fraction / float64(n), others: n - 1}
+	p.capacity = max(p.capacity, min(wholeOperation, 2*t.Slack/slackParts/float64(n)))
 	return p
 }
 
+// homes returns among how many groups the limit is divided: all, unless their buckets
+// would be too small for one operation.
+func (t Terms) homes(l Limit, groups int) int {
+	transfer := transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
+	most := max(max(l.Burst, 1)+transfer, 2*t.Slack/slackParts) / wholeOperation
+	return int(min(max(most, 1), float64(groups)))
+}
+
+// isHome reports whether the group with the index is one of the n homes of the customer.
+func isHome(customer string, index, n, groups int) bool {
+	return n >= groups || (index+groups-firstHome(customer, groups))%groups < n
+}
+
+// firstHome returns the index of the customer's first home. The others follow it.
+func firstHome(customer string, groups int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(customer)) // It never fails.
+	return int(h.Sum32() % uint32(groups))
+}
+
 // seconds returns a duration of up to an hour.
 func seconds(s float64) time.Duration {
 	return time.Duration(math.Min(s, 3600) * float64(time.Second))
