--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -10,6 +10,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/gypsumyard/gypsumyard/internal/quota"
 	"github.com/sirupsen/logrus"
 )
 
@@ -46,6 +47,10 @@
 	excluded map[string]bool
 	// attempts counts how often the statement was sent.
 	attempts int
+	// charge is the token of the customer's limit. It is nil if there is no limit.
+	charge *quota.Charge
+	// sent indicates that a byte of the operation may have reached an instance.
+	sent bool
 }
 
 // execute runs one request.
@@ -61,6 +66,10 @@
 	if r.Transaction != "" {
 		return g.continueTransaction(ctx, j, sink)
 	}
+	if err := g.charge(j); err != nil {
+		return gypsumyard.Result{}, err
+	}
+	defer g.settleCharge(j)
 	waitCtx, release := g.ownershipContext(ctx)
 	defer release()
 	for {
@@ -116,6 +125,11 @@
 		return res, waitCtx.Err() == nil && errors.Is(err, errNoConnection), notRun(err)
 	}
 	defer u.release()
+	if err := g.confirmCharge(j); err != nil {
+		u.instance.pool.put(u.conn)
+		return res, false, err
+	}
+	defer j.withdrawCharge()
 	if opensTransaction(j.Class) {
 		return g.beginTransaction(ctx, j, u, p, sink)
 	}
@@ -286,6 +300,7 @@
 	}
 	j.attempts++
 	a, sent, err = u.conn.run(ctx, exchange{setup: setup, id: j.ID, text: prefix + text})
+	j.sent = j.sent || sent
 	if err != nil {
 		u.instance.requestPoll() // It may be down.
 		return a, sent, err
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -98,6 +98,7 @@
 	peerViews  peerViews
 	// election is the state of failure detection and elections.
 	election election
+	quota    groupQuota
 }
 
 func newGroup(s *Service, name string) *group {
@@ -141,6 +142,7 @@
 	g.topPriority = topPriority(d, g.name)
 	g.longRunThreshold = longRunThreshold(d, g.name, g.topPriority)
 	g.maxStaleness = longestStaleness(d, g.name)
+	g.updateQuota(d)
 	first := len(g.instances) == 0
 	g.updateInstances(listed)
 	if first {
@@ -295,6 +297,7 @@
 	if g.ownedCtx.Err() != nil && g.ctx.Err() == nil {
 		g.log.Info("ownership regained")
 		g.ownedCtx, g.cancelOwned = context.WithCancelCause(g.ctx)
+		g.restartQuota()
 	}
 }
 
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -33,6 +33,8 @@
 	staleness time.Duration
 	// drainTimeout is how soon a leaving instance must get no more work, or zero.
 	drainTimeout time.Duration
+	// customers are those of the desired state.
+	customers map[string]gypsumyard.CallerCustomer
 }
 
 // A hostFixture is one host with its fake dependencies.
@@ -157,6 +159,8 @@
 	probe func(host, instance string) (gypsumyard.InstanceStatus, error)
 	// relay makes the calls for claims through another host. Nil reaches none.
 	relay func(ctx context.Context, host string, c gypsumyard.ClaimCall) (gypsumyard.Object, error)
+	// quota makes the requests for quota tokens. Nil reaches no host.
+	quota func(host string, q gypsumyard.QuotaRequest) ([]gypsumyard.QuotaTokens, error)
 }
 
 func (p *fakePeers) ProbeInstance(_ context.Context, via gypsumyard.Host, _, instance string) (gypsumyard.InstanceStatus, error) {
@@ -173,6 +177,13 @@
 	return p.relay(ctx, via.Name, c)
 }
 
+func (p *fakePeers) RequestQuota(_ context.Context, from gypsumyard.Host, q gypsumyard.QuotaRequest) ([]gypsumyard.QuotaTokens, error) {
+	if p.quota == nil {
+		return nil, gypsumyard.ErrUnavailable
+	}
+	return p.quota(from.Name, q)
+}
+
 func (p *fakePeers) AssignDatabase(context.Context, gypsumyard.Host, gypsumyard.Assignment) error {
 	return nil
 }
@@ -212,11 +223,22 @@
 	}
 }
 
+// keysOf returns keys of the customers: each has its name as key.
+func keysOf(customers map[string]gypsumyard.CallerCustomer) map[gypsumyard.KeyHash]string {
+	keys := map[gypsumyard.KeyHash]string{}
+	for name := range customers {
+		keys[gypsumyard.HashKey(name)] = name
+	}
+	return keys
+}
+
 func (f *fixture) startHost(name string, listed func() []gypsumyard.ListedInstance, peers *fakePeers, others []string) *hostFixture {
 	f.t.Helper()
 	d := &gypsumyard.DesiredState{
 		Groups: map[string]gypsumyard.Group{groupName: {Name: groupName, Connections: 30, SyncReplicas: 1}},
 		Routes: map[string]gypsumyard.Route{"readings": {Group: groupName, MaxStaleness: f.staleness}},
+
+		Keyed: f.customers != nil, Customers: f.customers, Keys: keysOf(f.customers),
 	}
 	h := &hostFixture{
 		lists:    &fakeLists{Stub: kerneltest.New("lists"), desired: d, listed: listed, changed: make(chan struct{})},
@@ -266,6 +288,8 @@
 	prepared    line.Prepared
 	tx          gypsumyard.Result
 	timeout     time.Duration
+	// customer holds the session's key, if there is one.
+	customer string
 }
 
 // run sends a statement to the host and returns the encoded answer.
@@ -279,6 +303,9 @@
 		s.timeout = 3 * time.Second
 	}
 	b := line.Payload{Consistency: s.consistency, ID: id, Text: s.text, Prepared: s.prepared}
+	if s.customer != "" {
+		b.KeyHolder, b.Key = s.customer, gypsumyard.HashKey(s.customer)
+	}
 	r := &gypsumyard.Request{
 		Session: "s1", Customer: "route", Database: groupName, Class: s.class, Messages: b.Marshal(),
 		MaxStaleness: s.staleness, Position: s.position, Settings: s.settings,
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -14,6 +14,7 @@
 	writes       tally.Counter
 	elections    tally.Counter
 	promotions   tally.Counter
+	quota        *quotaMetrics
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -25,6 +26,7 @@
 		writes:       s.Counter("owner_writes"),
 		elections:    s.Counter("owner_elections"),
 		promotions:   s.Counter("owner_promotions"),
+		quota:        newQuotaMetrics(s),
 	}
 }
 
--- /dev/null
+++ b/internal/lineowner/quota.go
@@ -0,0 +1,430 @@
+package lineowner
+
+import (
+	"context"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/quota"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// quotaTick is the time between two searches for customers that lack tokens.
+	quotaTick = 50 * time.Millisecond
+	// unsupportedDelay is how long an owner is not asked that does not support quotas.
+	unsupportedDelay = 10 * time.Second
+	// rejectionLogInterval and transferLogInterval are the least times between two such
+	// log lines of one group.
+	rejectionLogInterval = 200 * time.Millisecond
+	transferLogInterval  = 10 * time.Second
+	// maxLoggedLimits is how many changed limits of one desired state are logged.
+	maxLoggedLimits = 20
+	// lostRetention is how long a host that was lost counts: if it is not dead but out of
+	// reach, it may still spend its fraction of the limits.
+	lostRetention = 10 * time.Minute
+)
+
+// defaultQuotaTerms hold unless WithQuota sets others.
+var defaultQuotaTerms = quota.Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+
+// WithQuota sets how the rate limits of customers are checked: in any window a customer
+// may run (rate x window + burst) x (1 + overage) + slack operations. A window of zero
+// keeps the default.
+func WithQuota(window time.Duration, overage, slack float64) Option {
+	return func(s *Service) {
+		if window > 0 {
+			s.quota.terms = quota.Terms{Window: window, Overage: overage, Slack: slack}
+		}
+	}
+}
+
+// quotas is the part of the service that rate limits of customers need.
+type quotas struct {
+	terms quota.Terms
+	reach hostReach
+	order groupOrder
+}
+
+// A groupOrder caches the names of the groups of a desired state, in order.
+type groupOrder struct {
+	mu    sync.Mutex
+	of    *gypsumyard.DesiredState
+	names []string
+}
+
+func (o *groupOrder) groups(d *gypsumyard.DesiredState) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.of != d {
+		o.of, o.names = d, slices.Sorted(maps.Keys(d.Groups))
+	}
+	return o.names
+}
+
+// A groupQuota is a group's share of the rate limits.
+type groupQuota struct {
+	// share is nil while the desired state has no customers. The group's mutex guards it.
+	share *quota.Share
+	// asking is set while other owners are asked. Its holder uses askAfter, which holds
+	// when each owner may be asked again, by group.
+	asking   atomic.Bool
+	askAfter map[string]time.Time
+
+	rejections, transfers logSampler
+}
+
+// A logSampler limits how often a line is logged.
+type logSampler struct {
+	mu      sync.Mutex
+	last    time.Time
+	omitted int
+}
+
+// sample reports whether a line may be logged, and how many were left out before it.
+func (l *logSampler) sample(now time.Time, interval time.Duration) (omitted int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.last) < interval {
+		l.omitted++
+		return 0, false
+	}
+	omitted = l.omitted
+	l.last, l.omitted = now, 0
+	return omitted, true
+}
+
+// limitOf returns the rate limit of a customer, or false if there is none.
+func limitOf(d *gypsumyard.DesiredState, customer string) (quota.Limit, bool) {
+	if d == nil || customer == "" {
+		return quota.Limit{}, false
+	}
+	c, ok := d.Customers[customer]
+	return quota.Limit{Rate: c.Rate, Burst: c.Burst}, ok && c.Rate > 0
+}
+
+// updateQuota applies the number of groups and the fraction of the hosts that this one
+// reaches. The caller must hold g.mu.
+func (g *group) updateQuota(d *gypsumyard.DesiredState) {
+	if len(d.Customers) == 0 {
+		g.quota.share = nil
+		return
+	}
+	if g.quota.share == nil {
+		g.quota.share = quota.NewShare(g.service.quota.terms, g.clock)
+	}
+	names := g.service.quota.order.groups(d)
+	if index, ok := slices.BinarySearch(names, g.name); ok {
+		g.quota.share.Configure(index, len(names), g.service.quota.reach.current())
+	}
+}
+
+// restartQuota resets the group's share when its ownership is regained. The caller must
+// hold g.mu.
+func (g *group) restartQuota() {
+	if g.quota.share != nil {
+		g.quota.share.Restart()
+	}
+}
+
+func (g *group) quotaShare() *quota.Share {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quota.share
+}
+
+// charge charges an operation to the customer of its session. It fails if the customer is
+// over its limit.
+func (g *group) charge(j *job) error {
+	if j.KeyHolder == "" {
+		return nil
+	}
+	l, ok := limitOf(g.service.lists.Desired(), j.KeyHolder)
+	share := g.quotaShare()
+	if !ok || share == nil {
+		return nil
+	}
+	c, wait := share.Take(j.KeyHolder, l)
+	if c == nil {
+		return g.overLimit(j, l, wait)
+	}
+	j.charge = c
+	return nil
+}
+
+// overLimit returns the error for an operation over the limit.
+func (g *group) overLimit(j *job, l quota.Limit, wait time.Duration) error {
+	g.metrics.quota.rejected(j.KeyHolder)
+	if omitted, ok := g.quota.rejections.sample(g.clock.Now(), rejectionLogInterval); ok {
+		g.log.WithFields(g.fields(j)).WithFields(logrus.Fields{
+			"customer": j.KeyHolder, "rate": l.Rate, "burst": l.Burst, "retry-after": wait.String(), "omitted": omitted,
+		}).Info("operation is over the customer's limit")
+	}
+	err := gypsumyard.Errorf(gypsumyard.ClassPlan, "customer %s is over its limit of %g operations a second, burst %g", j.KeyHolder, l.Rate, l.Burst)
+	err.RetryAfter, err.NoRetry = wait, true
+	return err
+}
+
+// confirmCharge must be called just before an operation is sent. It fails if the charge
+// has expired while the operation was queued, and the customer is over its limit now.
+func (g *group) confirmCharge(j *job) error {
+	if j.charge == nil {
+		return nil
+	}
+	wait, ok := j.charge.Send()
+	if ok {
+		return nil
+	}
+	l, _ := limitOf(g.service.lists.Desired(), j.KeyHolder)
+	return g.overLimit(j, l, wait)
+}
+
+// withdrawCharge must be called after an attempt.
+func (j *job) withdrawCharge() {
+	if j.charge != nil && !j.sent {
+		j.charge.Unsend()
+	}
+}
+
+// settleCharge refunds the charge of an operation of which nothing was sent.
+func (g *group) settleCharge(j *job) {
+	if j.charge != nil && !j.sent {
+		j.charge.Refund()
+		g.metrics.quota.refunds.Inc(1)
+	}
+}
+
+// GiveQuota gives tokens to the owner of another group. Other hosts call it through the
+// service "peer".
+func (s *Service) GiveQuota(q gypsumyard.QuotaRequest) ([]gypsumyard.QuotaTokens, error) {
+	s.mu.Lock()
+	g := s.groups[q.Database]
+	if !s.started || s.stopping || q.Database == q.AskingDatabase || g == nil || !s.owns(q.Database) {
+		s.mu.Unlock()
+		return nil, errNotOwner
+	}
+	s.mu.Unlock()
+	g.mu.Lock()
+	share, owned := g.quota.share, g.ownedCtx.Err() == nil
+	g.mu.Unlock()
+	if share == nil || !owned {
+		return nil, errNotOwner
+	}
+	d := s.lists.Desired()
+	granted := share.Give(q.Wanted, func(customer string) (quota.Limit, bool) { return limitOf(d, customer) })
+	if n := g.metrics.quota.given.count(granted); n > 0 {
+		g.logTransfer("tokens given to another owner", q.AskingDatabase, granted, n)
+	}
+	return granted, nil
+}
+
+// logTransfer logs that tokens were moved, sampled.
+func (g *group) logTransfer(message, other string, moved []gypsumyard.QuotaTokens, tokens float64) {
+	if omitted, ok := g.quota.transfers.sample(g.clock.Now(), transferLogInterval); ok {
+		g.log.WithFields(logrus.Fields{
+			"other": other, "customers": len(moved), "customer": moved[0].Customer, "tokens": tokens, "omitted": omitted,
+		}).Info(message)
+	}
+}
+
+// exchangeQuotas lets the groups that this host owns ask others for tokens, as long as the
+// desired state has customers.
+func (s *Service) exchangeQuotas() {
+	var inForce *gypsumyard.DesiredState
+	for s.ctx.Err() == nil {
+		changed := s.lists.Changes()
+		d := s.lists.Desired()
+		if d != inForce {
+			s.logLimits(inForce, d)
+			inForce = d
+		}
+		if d == nil || len(d.Customers) == 0 {
+			select {
+			case <-changed:
+			case <-s.ctx.Done():
+			}
+			continue
+		}
+		s.mu.Lock()
+		groups := make([]*group, 0, len(s.groups))
+		for _, g := range s.groups {
+			groups = append(groups, g)
+		}
+		s.mu.Unlock()
+		for _, g := range groups {
+			g.tickQuota(d)
+		}
+		if s.clock.Sleep(s.ctx, quotaTick) != nil {
+			return
+		}
+	}
+}
+
+// logLimits logs the limits that have changed, up to maxLoggedLimits.
+func (s *Service) logLimits(before, now *gypsumyard.DesiredState) {
+	if before == nil || now == nil {
+		return
+	}
+	changed := 0
+	for name, c := range now.Customers {
+		old, ok := before.Customers[name]
+		if !ok || old.Rate == c.Rate && old.Burst == c.Burst {
+			continue
+		}
+		if changed++; changed <= maxLoggedLimits {
+			s.log.WithFields(logrus.Fields{
+				"customer": name, "rate": c.Rate, "burst": c.Burst, "rate-before": old.Rate, "burst-before": old.Burst, "number": now.Number,
+			}).Info("limit of a customer has changed")
+		}
+	}
+	if changed > maxLoggedLimits {
+		s.log.WithFields(logrus.Fields{"changed": changed, "number": now.Number}).Info("limits of more customers have changed")
+	}
+}
+
+// tickQuota starts asking other owners if customers lack tokens.
+func (g *group) tickQuota(d *gypsumyard.DesiredState) {
+	g.mu.Lock()
+	share, owned := g.quota.share, g.ownedCtx.Err() == nil
+	g.mu.Unlock()
+	if share == nil {
+		return
+	}
+	share.Tick()
+	if !owned || len(share.Shortages()) == 0 || !g.quota.asking.CompareAndSwap(false, true) {
+		return
+	}
+	g.service.wg.Go(func() {
+		defer g.quota.asking.Store(false)
+		g.askOwners(share, d)
+	})
+}
+
+// askOwners asks the owners of the other groups, one after the other, until no customer
+// lacks tokens.
+func (g *group) askOwners(share *quota.Share, d *gypsumyard.DesiredState) {
+	names := g.service.quota.order.groups(d)
+	if g.quota.askAfter == nil {
+		g.quota.askAfter = map[string]time.Time{}
+	}
+	targets := share.Targets(share.Shortages())
+	for _, index := range targets[:min(len(targets), quota.MaxAsked)] {
+		if index >= len(names) || g.ownedCtxErr() != nil {
+			return // The groups have changed.
+		}
+		other, at := names[index], g.clock.Now()
+		if at.Before(g.quota.askAfter[other]) {
+			continue
+		}
+		wanted := share.At(index, share.Shortages())
+		if len(wanted) == 0 {
+			continue
+		}
+		g.quota.askAfter[other] = at.Add(quota.AskInterval)
+		granted, err := g.requestQuota(other, wanted)
+		if gypsumyard.ClassOf(err) == gypsumyard.ClassNotSupported && err != nil {
+			g.quota.askAfter[other] = at.Add(unsupportedDelay)
+		}
+		g.metrics.quota.question(granted, err)
+		if tokens := share.Receive(wanted, granted, at); tokens > 0 {
+			g.metrics.quota.received.add(tokens)
+			g.logTransfer("tokens received from another owner", other, granted, tokens)
+		}
+		if err != nil {
+			g.log.WithField("other", other).WithError(err).Debug("owner gave no answer to a request for tokens")
+		}
+	}
+}
+
+func (g *group) ownedCtxErr() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ownedCtx.Err()
+}
+
+// requestQuota asks the owner of another group.
+func (g *group) requestQuota(other string, wanted []gypsumyard.QuotaTokens) ([]gypsumyard.QuotaTokens, error) {
+	s := g.service
+	q := gypsumyard.QuotaRequest{Database: other, AskingDatabase: g.name, Wanted: wanted}
+	h, ok := s.members.Owner(other)
+	switch {
+	case !ok:
+		return nil, errNotOwner
+	case h.Name == s.self:
+		return s.GiveQuota(q)
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, quota.Lifetime)
+	defer cancel()
+	return s.peers.RequestQuota(ctx, h, q)
+}
+
+// A hostReach tracks the fraction of the hosts that this one reaches. Two hosts that do
+// not reach each other may both own a group. Each side then has the fraction of the limits
+// that corresponds to its hosts, so that the sum over both sides stays within them.
+type hostReach struct {
+	mu     sync.Mutex
+	states map[string]gypsumyard.HostState
+	lost   map[string]time.Time
+	value  float64
+}
+
+// current returns the fraction as of the last update.
+func (r *hostReach) current() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.value == 0 {
+		return 1
+	}
+	return r.value
+}
+
+// update applies the membership. A host that vanishes without having announced that it
+// leaves is lost.
+func (r *hostReach) update(self string, hosts []gypsumyard.Host, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.states
+	r.states = map[string]gypsumyard.HostState{self: gypsumyard.HostLive}
+	if r.lost == nil {
+		r.lost = map[string]time.Time{}
+	}
+	present := 1
+	for _, h := range hosts {
+		r.states[h.Name] = h.State
+		switch {
+		case h.State == gypsumyard.HostSuspect:
+			r.lost[h.Name] = now
+		case h.Name != self:
+			present++
+			delete(r.lost, h.Name)
+		}
+	}
+	for name, state := range before {
+		if _, ok := r.states[name]; !ok && state != gypsumyard.HostLeaving {
+			r.lost[name] = now
+		}
+	}
+	for name, at := range r.lost {
+		if now.Sub(at) > lostRetention || name == self {
+			delete(r.lost, name)
+		}
+	}
+	r.value = float64(present) / float64(present+len(r.lost))
+}
+
+// updateReach applies the membership to the fraction of the limits of this host.
+func (s *Service) updateReach(d *gypsumyard.DesiredState) {
+	if len(d.Customers) == 0 {
+		return
+	}
+	before := s.quota.reach.current()
+	s.quota.reach.update(s.self, s.members.Hosts(), s.clock.Now())
+	if now := s.quota.reach.current(); math.Abs(now-before) > 0.01 {
+		s.log.WithFields(logrus.Fields{"fraction": now, "before": before}).Info("fraction of the customers' limits has changed with the hosts in reach")
+	}
+}
--- /dev/null
+++ b/internal/lineowner/quota_test.go
@@ -0,0 +1,517 @@
+package lineowner
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
+	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/gypsumyard/gypsumyard/internal/quota"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+)
+
+// newLimitedFixture returns a host with a customer "small" that may run four operations at
+// once, and one of which the fewest are refilled.
+func newLimitedFixture(t *testing.T, options ...linegroup.Option) (*fixture, *hostFixture) {
+	f := newFixture(t, 3, options...)
+	f.customers = map[string]gypsumyard.CallerCustomer{
+		"small":     {Name: "small", Rate: 0.05, Burst: 4},
+		"unlimited": {Name: "unlimited"},
+	}
+	h := f.addHost("host-1", nil)
+	f.fillBucket(h, "small")
+	return f, h
+}
+
+// fillBucket fills the customer's bucket, which takes long at its rate.
+func (f *fixture) fillBucket(h *hostFixture, customer string) {
+	f.t.Helper()
+	full := quota.Limit{Rate: 1e6, Burst: f.customers[customer].Burst}
+	f.eventually("a full bucket", func() bool {
+		h.mu.Lock()
+		g := h.groups[groupName]
+		h.mu.Unlock()
+		if g == nil {
+			return false
+		}
+		var list []*quota.Charge
+		for range int(full.Burst) {
+			if c, _ := g.quotaShare().Take(customer, full); c != nil {
+				list = append(list, c)
+			}
+		}
+		for _, c := range list {
+			c.Refund()
+		}
+		return len(list) == int(full.Burst)
+	})
+}
+
+// Guards against operations that are charged twice or not at all, a rejection that takes
+// a connection or invites a retry between hosts, and limits for callers without one.
+func TestOperationsAreChargedOnce(t *testing.T) {
+	is := is.New(t)
+	f, h := newLimitedFixture(t)
+	read := statement{text: "READ rug-1", class: gypsumyard.StatementRead, customer: "small"}
+	_, _, err := f.run(h, read)
+	is.NoErr(err)
+	_, _, err = f.run(h, statement{text: "WRITE rug-1 blue", class: gypsumyard.StatementWrite, customer: "small"})
+	is.NoErr(err)
+	_, tx, err := f.run(h, statement{text: "WRITE rug-1 red", class: gypsumyard.StatementBegin, customer: "small"})
+	is.NoErr(err)
+	for range 5 {
+		_, tx, err = f.run(h, statement{text: "READ rug-1", class: gypsumyard.StatementRead, customer: "small", tx: tx})
+		is.NoErr(err)
+	}
+	_, _, err = f.run(h, read)
+	is.NoErr(err)
+
+	ran := len(f.group.Executions())
+	_, _, err = f.run(h, read)
+	var e *gypsumyard.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Class, gypsumyard.ClassPlan)
+	is.True(e.NoRetry)
+	is.True(e.RetryAfter > 10*time.Second && e.RetryAfter <= 20*time.Second) // 20 s at the rate.
+	is.True(strings.Contains(e.Message, "small"))
+	is.Equal(len(f.group.Executions()), ran)
+
+	_, _, err = f.run(h, statement{text: "COMMIT", class: gypsumyard.StatementCommit, customer: "small", tx: tx})
+	is.NoErr(err)
+	for _, customer := range []string{"unlimited", ""} {
+		_, _, err = f.run(h, statement{text: "READ rug-1", class: gypsumyard.StatementRead, customer: customer})
+		is.NoErr(err)
+	}
+	logged := slices.ContainsFunc(h.logHook.AllEntries(), func(x *logrus.Entry) bool {
+		return x.Message == "operation is over the customer's limit" && x.Data["customer"] == "small"
+	})
+	is.True(logged)
+}
+
+// Guards against an operation that loses its token although no instance got anything of
+// it.
+func TestUnsentOperationIsRefunded(t *testing.T) {
+	is := is.New(t)
+	f, h := newLimitedFixture(t)
+	for _, i := range f.group.Instances() {
+		i.Crash()
+	}
+	for range 6 {
+		_, _, err := f.run(h, statement{text: "READ rug-1", class: gypsumyard.StatementRead, customer: "small", timeout: 200 * time.Millisecond})
+		is.True(err != nil)
+		is.True(gypsumyard.ClassOf(err) != gypsumyard.ClassPlan)
+	}
+}
+
+// Guards against an operation that is charged again when it is retried.
+func TestRetriedOperationIsChargedOnce(t *testing.T) {
+	is := is.New(t)
+	f, h := newLimitedFixture(t)
+	read := statement{
+		text: "READ rug-1", class: gypsumyard.StatementRead, customer: "small", consistency: gypsumyard.ConsistencyBounded, staleness: time.Second,
+	}
+	ran := len(f.group.Executions())
+	for range 4 {
+		for _, i := range f.group.Instances() {
+			if i != f.group.Primary() {
+				i.DropResponses(1)
+			}
+		}
+		_, _, err := f.run(h, read)
+		is.NoErr(err)
+	}
+	t.Logf("%d executions", len(f.group.Executions())-ran)
+	is.True(len(f.group.Executions()) > ran+4)
+	_, _, err := f.run(h, read)
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassPlan)
+}
+
+// Guards against a host that gives tokens of a group which it does not own, and against a
+// group that has its old tokens when it is owned again.
+func TestOnlyOwnerGivesTokens(t *testing.T) {
+	is := is.New(t)
+	f, h := newLimitedFixture(t)
+	q := gypsumyard.QuotaRequest{Database: groupName, AskingDatabase: "another", Wanted: []gypsumyard.QuotaTokens{{Customer: "small", Tokens: 1}}}
+	f.eventually("tokens that the owner does not need", func() bool {
+		granted, err := h.GiveQuota(q)
+		is.NoErr(err)
+		return len(granted) == 1 && granted[0] == q.Wanted[0]
+	})
+	_, err := h.GiveQuota(gypsumyard.QuotaRequest{Database: "unknown", AskingDatabase: groupName, Wanted: q.Wanted})
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotOwner)
+	h.members.Assign(gypsumyard.Assignment{Host: "host-2"})
+	_, err = h.GiveQuota(q)
+	is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotOwner)
+	time.Sleep(50 * time.Millisecond)
+	h.members.Assign(gypsumyard.Assignment{Host: "host-1"})
+	f.eventually("ownership", func() bool { _, err = h.GiveQuota(q); return err == nil })
+	sum := 0.0
+	for range 10 {
+		granted, err := h.GiveQuota(q)
+		is.NoErr(err)
+		for _, g := range granted {
+			sum += g.Tokens
+		}
+	}
+	is.True(sum <= 1)
+}
+
+// Guards against hosts that are counted as lost although they left, or that are forgotten
+// while they may still own groups.
+func TestHostReach(t *testing.T) {
+	is := is.New(t)
+	host := func(name string, s gypsumyard.HostState) gypsumyard.Host {
+		return gypsumyard.Host{Name: name, State: s}
+	}
+	var r hostReach
+	now := time.Unix(1e9, 0)
+	is.Equal(r.current(), 1.0)
+	live := []gypsumyard.Host{host("a", "live"), host("b", "live"), host("c", "live"), host("d", "live")}
+	r.update("a", live, now)
+	is.Equal(r.current(), 1.0)
+	r.update("a", append(live[:3:3], host("d", "suspect")), now)
+	is.Equal(r.current(), 0.75)
+	r.update("a", live[:3], now)
+	is.Equal(r.current(), 0.75)
+	r.update("a", append(live[:2:2], host("c", "leaving")), now)
+	r.update("a", live[:2], now)
+	is.Equal(r.current(), 2.0/3)
+	r.update("a", live[:2], now.Add(lostRetention/2))
+	is.Equal(r.current(), 2.0/3)
+	r.update("a", append(live[:2:2], live[3]), now.Add(lostRetention/2))
+	is.Equal(r.current(), 1.0)
+	r.update("a", live[:1], now.Add(lostRetention))
+	is.Equal(r.current(), 1.0/3)
+	r.update("a", live[:1], now.Add(3*lostRetention))
+	is.Equal(r.current(), 1.0)
+}
+
+// A quotaSystem is several hosts in front of several emulated groups.
+type quotaSystem struct {
+	t      *testing.T
+	groups map[string]*linegroup.Group
+	names  []string
+	hosts  []*quotaHost
+	began  time.Time
+
+	mu sync.Mutex
+	// cut holds the hosts that reach no other host.
+	cut map[string]bool
+	// sent holds when instances began to run operations.
+	sent     []time.Duration
+	rejected int
+	served   map[string]int
+}
+
+type quotaHost struct {
+	*Service
+	system  *quotaSystem
+	members *quotaMembers
+}
+
+// quotaMembers is a membership with an owner for each group.
+type quotaMembers struct {
+	*fakeMembers
+	owners map[string]string
+}
+
+func (m *quotaMembers) Owner(group string) (gypsumyard.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return gypsumyard.Host{Name: m.owners[group]}, true
+}
+
+func (m *quotaMembers) Hosts() []gypsumyard.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.hosts)
+}
+
+// change sets the owners and the hosts in this view.
+func (m *quotaMembers) change(owners map[string]string, hosts ...gypsumyard.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.owners, m.hosts = owners, hosts
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// quotaLists lists the instances of several groups.
+type quotaLists struct {
+	*fakeLists
+	system *quotaSystem
+}
+
+func (l *quotaLists) Instances(group string) []gypsumyard.ListedInstance {
+	return l.system.groups[group].Listed()
+}
+
+// quotaPeers passes requests for tokens to the other hosts.
+type quotaPeers struct {
+	*fakePeers
+	system *quotaSystem
+	self   string
+}
+
+func (p *quotaPeers) RequestQuota(_ context.Context, from gypsumyard.Host, q gypsumyard.QuotaRequest) ([]gypsumyard.QuotaTokens, error) {
+	p.system.mu.Lock()
+	cut := p.system.cut[p.self] != p.system.cut[from.Name]
+	p.system.mu.Unlock()
+	if cut {
+		return nil, gypsumyard.ErrUnavailable
+	}
+	for _, h := range p.system.hosts {
+		if h.self == from.Name {
+			return h.GiveQuota(q)
+		}
+	}
+	return nil, gypsumyard.ErrNotFound
+}
+
+func liveHosts(names ...string) (list []gypsumyard.Host) {
+	for _, n := range names {
+		list = append(list, gypsumyard.Host{Name: n, State: gypsumyard.HostLive})
+	}
+	return list
+}
+
+// quotaWindow is the window of the tests with several hosts.
+const quotaWindow = 2 * time.Second
+
+// newQuotaSystem starts three hosts, of which the first owns groups g0 and g3, the second
+// g1, and the third g2.
+func newQuotaSystem(t *testing.T, c gypsumyard.CallerCustomer) *quotaSystem {
+	s := &quotaSystem{t: t, groups: map[string]*linegroup.Group{}, cut: map[string]bool{}, served: map[string]int{}, began: time.Now()}
+	desired := &gypsumyard.DesiredState{
+		Keyed: true, Groups: map[string]gypsumyard.Group{}, Customers: map[string]gypsumyard.CallerCustomer{c.Name: c},
+	}
+	desired.Keys = keysOf(desired.Customers)
+	for n := range 4 {
+		name := fmt.Sprintf("g%d", n)
+		g, err := linegroup.New(name, 3, linegroup.WithServiceTimeFunc(s.record))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(g.Close)
+		s.names, s.groups[name] = append(s.names, name), g
+		desired.Groups[name] = gypsumyard.Group{Name: name, Connections: 30, SyncReplicas: 1}
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		s.addHost(name, desired)
+	}
+	for _, h := range s.hosts {
+		h.members.change(s.allOwners(), liveHosts("a", "b", "c")...)
+	}
+	return s
+}
+
+func (s *quotaSystem) allOwners() map[string]string {
+	return map[string]string{"g0": "a", "g1": "b", "g2": "c", "g3": "a"}
+}
+
+func (s *quotaSystem) addHost(name string, desired *gypsumyard.DesiredState) {
+	lists := &quotaLists{&fakeLists{Stub: kerneltest.New("lists"), desired: desired, changed: make(chan struct{})}, s}
+	members := &quotaMembers{fakeMembers: &fakeMembers{
+		Stub: kerneltest.New("members"), self: gypsumyard.Host{Name: name}, changed: make(chan struct{}),
+	}}
+	peers := &quotaPeers{&fakePeers{Stub: kerneltest.New("peer")}, s, name}
+	log, _ := logtest.NewNullLogger()
+	h := &quotaHost{system: s, members: members}
+	h.Service = New(memstore.New(), "claims/", &fakePromoter{}, WithClock(clock.Boot()), WithLogger(log), WithQuota(quotaWindow, 0.1, 20))
+	k, err := kernel.New(lists, members, peers, h.Service)
+	if err == nil {
+		err = k.Start(s.t.Context())
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() {
+		if err := k.Stop(context.Background()); err != nil {
+			s.t.Error(err)
+		}
+	})
+	s.hosts = append(s.hosts, h)
+}
+
+// record notes that an instance runs a statement.
+func (s *quotaSystem) record(text string) time.Duration {
+	if strings.Contains(text, "READ item") {
+		s.mu.Lock()
+		s.sent = append(s.sent, time.Since(s.began))
+		s.mu.Unlock()
+	}
+	return time.Millisecond
+}
+
+// read sends an operation of the customer through the host, which passes it to the owner
+// of the group in its view.
+func (s *quotaSystem) read(h *quotaHost, group, customer string) error {
+	b := line.Payload{
+		Consistency: gypsumyard.ConsistencyPrimary, ID: "r", Text: "READ item", KeyHolder: customer, Key: gypsumyard.HashKey(customer),
+	}
+	owner, _ := h.members.Owner(group)
+	r := &gypsumyard.Request{
+		Session: "s", Customer: "route", Database: group, Class: gypsumyard.StatementRead, Messages: b.Marshal(),
+		Deadline: h.clock.Now().Add(500 * time.Millisecond),
+	}
+	err := error(errNotOwner)
+	for _, o := range s.hosts {
+		if o.self == owner.Name {
+			_, err = o.Execute(context.Background(), r, &bytes.Buffer{})
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.served[group]++
+	case gypsumyard.ClassOf(err) == gypsumyard.ClassPlan:
+		s.rejected++
+	}
+	return err
+}
+
+// load sends operations at the given rate for each host and group until ctx is done.
+func (s *quotaSystem) load(ctx context.Context, wg *sync.WaitGroup, customer string, rate func(group string) float64) {
+	for _, h := range s.hosts {
+		for _, group := range s.names {
+			wg.Go(func() {
+				t := time.NewTicker(time.Duration(float64(time.Second) / rate(group)))
+				defer t.Stop()
+				for {
+					select {
+					case <-t.C:
+						_ = s.read(h, group, customer)
+					case <-ctx.Done():
+						return
+					}
+				}
+			})
+		}
+	}
+}
+
+// worst returns the largest number of operations that instances ran in one window.
+func (s *quotaSystem) worst() (most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slices.Sort(s.sent)
+	for first, last := 0, 0; last < len(s.sent); last++ {
+		for s.sent[last]-s.sent[first] >= quotaWindow {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// awaitServed waits until each group serves.
+func (s *quotaSystem) awaitServed() {
+	s.t.Helper()
+	for _, group := range s.names {
+		for end := time.Now().Add(8 * time.Second); s.read(s.hosts[0], group, "") != nil; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				s.t.Fatalf("%s is not served", group)
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent, s.served, s.rejected = nil, map[string]int{}, 0
+}
+
+// Pattern: a customer is over its limit at all hosts. A host is cut off from the others and
+// takes over their groups, as they take over its own; all reach the instances. Then the
+// hosts find each other again, and a group moves.
+//
+// Guards against a sum over all hosts that exceeds the bound.
+func TestLimitHoldsWhileHostIsCutOff(t *testing.T) {
+	is := is.New(t)
+	c := gypsumyard.CallerCustomer{Name: "busy", Rate: 60, Burst: 60}
+	s := newQuotaSystem(t, c)
+	s.awaitServed()
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	s.load(ctx, &wg, c.Name, func(string) float64 { return 20 })
+	time.Sleep(2500 * time.Millisecond)
+
+	s.mu.Lock()
+	s.cut["c"] = true
+	s.mu.Unlock()
+	suspect := gypsumyard.Host{Name: "c", State: gypsumyard.HostSuspect}
+	time.Sleep(500 * time.Millisecond) // The silence after which hosts are suspected.
+	for _, h := range s.hosts[:2] {
+		h.members.change(s.allOwners(), append(liveHosts("a", "b"), suspect)...)
+	}
+	s.hosts[2].members.change(s.allOwners(), append(liveHosts("c"), gypsumyard.Host{Name: "a", State: "suspect"}, gypsumyard.Host{Name: "b", State: "suspect"})...)
+	time.Sleep(200 * time.Millisecond)
+	rest := map[string]string{"g0": "a", "g1": "b", "g2": "b", "g3": "a"}
+	for _, h := range s.hosts[:2] {
+		h.members.change(rest, liveHosts("a", "b")...)
+	}
+	s.hosts[2].members.change(map[string]string{"g0": "c", "g1": "c", "g2": "c", "g3": "c"}, liveHosts("c")...)
+	time.Sleep(3 * time.Second)
+
+	s.mu.Lock()
+	s.cut["c"] = false
+	s.mu.Unlock()
+	moved := map[string]string{"g0": "b", "g1": "b", "g2": "c", "g3": "a"}
+	for _, h := range s.hosts {
+		h.members.change(moved, liveHosts("a", "b", "c")...)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	stop()
+	wg.Wait()
+	bound := quota.Terms{Window: quotaWindow, Overage: 0.1, Slack: 20}.Bound(quota.Limit{Rate: c.Rate, Burst: c.Burst})
+	took := time.Since(s.began).Seconds()
+	t.Logf("%d operations in %.1f s, at most %d in a window of %.0f, %d rejected", len(s.sent), took, s.worst(), bound, s.rejected)
+	is.True(float64(s.worst()) <= bound)
+	is.True(len(s.sent) > 300)
+	is.True(s.rejected > 100)
+}
+
+// Pattern: nearly all demand of a customer is for one of four groups, and is over the
+// limit.
+//
+// Guards against a customer that gets the part of that group only.
+func TestUnevenDemandGetsTheLimit(t *testing.T) {
+	is := is.New(t)
+	c := gypsumyard.CallerCustomer{Name: "busy", Rate: 100, Burst: 100}
+	s := newQuotaSystem(t, c)
+	s.awaitServed()
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	s.load(ctx, &wg, c.Name, func(group string) float64 { return map[string]float64{"g0": 80}[group] + 1 })
+	time.Sleep(2 * time.Second)
+	const measured = 4 * time.Second
+	count := func() (n int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.sent)
+	}
+	before, began := count(), time.Now()
+	time.Sleep(measured)
+	share := float64(count()-before) / (c.Rate * time.Since(began).Seconds())
+	stop()
+	wg.Wait()
+	bound := quota.Terms{Window: quotaWindow, Overage: 0.1, Slack: 20}.Bound(quota.Limit{Rate: c.Rate, Burst: c.Burst})
+	t.Logf("%.3f of the limit, served %v, at most %d in a window of %.0f", share, s.served, s.worst(), bound)
+	is.True(share >= 0.95)
+	is.True(share <= 1.05)
+	is.True(float64(s.worst()) <= bound)
+}
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -46,6 +46,7 @@
 	self          string
 	failureDomain string
 	lastHandle    atomic.Uint64
+	quota         quotas
 	ctx           context.Context
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup
@@ -92,6 +93,7 @@
 		promotions:  promotions,
 		done:        make(chan struct{}),
 		groups:      map[string]*group{},
+		quota:       quotas{terms: defaultQuotaTerms},
 	}
 	for _, o := range options {
 		o(s)
@@ -137,6 +139,7 @@
 	s.started = true
 	s.wg.Go(s.reconcileLoop)
 	s.wg.Go(s.resendAssignments)
+	s.wg.Go(s.exchangeQuotas)
 	return nil
 }
 
@@ -215,6 +218,7 @@
 	if s.stopping {
 		return
 	}
+	s.updateReach(d)
 	for name := range d.Groups {
 		g := s.groups[name]
 		switch {
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -63,6 +63,7 @@
 	}
 	setup, _ := u.conn.setupStatements(j.Settings, line.Prepared{})
 	a, sent, err := u.conn.run(ctx, exchange{setup: setup, id: proxyStatementID, text: begin})
+	j.sent = j.sent || sent
 	switch {
 	case err != nil:
 		u.instance.pool.discard(u.conn)
