--- a/internal/lineowner/customers_test.go
+++ b/internal/lineowner/customers_test.go
@@ -23,7 +23,7 @@
 func keyedFixture(t *testing.T, instances, connections int, customers []string, options ...linegroup.Option) (*fixture, *hostFixture) {
 	t.Helper()
 	f := newFixture(t, instances, append(options, linegroup.WithConnections(connections))...)
-	f.customers, f.connections = customers, connections
+	f.customers, f.connections = unlimited(customers...), connections
 	f.group.CheckUsers(func(id string) string {
 		if id == "parallel" {
 			return "host-1"
@@ -194,7 +194,7 @@
 	is := is.New(t)
 	f, h := keyedFixture(t, 2, 16, customerNames(2))
 	for _, c := range f.customers {
-		_, _, err := f.run(h, statement{customer: c, text: "READ a", class: gypsumyard.StatementRead})
+		_, _, err := f.run(h, statement{customer: c.Name, text: "READ a", class: gypsumyard.StatementRead})
 		is.NoErr(err)
 	}
 	h.lists.mu.Lock()
@@ -261,7 +261,7 @@
 	for n := range 20 {
 		began := time.Now()
 		_, _, err := f.runConcurrently(h, statement{
-			customer: f.customers[1+n%2], text: "READ a", class: gypsumyard.StatementRead, timeout: time.Second,
+			customer: f.customers[1+n%2].Name, text: "READ a", class: gypsumyard.StatementRead, timeout: time.Second,
 		})
 		is.NoErr(err)
 		slowest = max(slowest, time.Since(began))
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -36,7 +36,7 @@
 	// connections is how many connections an instance accepts.
 	connections int
 	// customers are the customers of the deployment, if it has any.
-	customers []string
+	customers []gypsumyard.CallerCustomer
 }
 
 // A hostFixture is one host with its fake dependencies.
@@ -165,6 +165,8 @@
 	probe func(host, instance string) (gypsumyard.InstanceStatus, error)
 	// relay makes the calls for claims through another host. Nil reaches none.
 	relay func(ctx context.Context, host string, c gypsumyard.ClaimCall) (gypsumyard.Object, error)
+	// quota makes the requests for quota tokens. Nil reaches no host.
+	quota func(host string, q gypsumyard.QuotaRequest) ([]gypsumyard.QuotaTokens, error)
 }
 
 func (p *fakePeers) ProbeInstance(_ context.Context, via gypsumyard.Host, _, instance string) (gypsumyard.InstanceStatus, error) {
@@ -181,6 +183,13 @@
 	return p.relay(ctx, via.Name, c)
 }
 
+func (p *fakePeers) RequestQuota(_ context.Context, from gypsumyard.Host, q gypsumyard.QuotaRequest) ([]gypsumyard.QuotaTokens, error) {
+	if p.quota == nil {
+		return nil, gypsumyard.ErrUnavailable
+	}
+	return p.quota(from.Name, q)
+}
+
 func (p *fakePeers) AssignDatabase(context.Context, gypsumyard.Host, gypsumyard.Assignment) error {
 	return nil
 }
@@ -265,12 +274,20 @@
 }
 
 // setCustomers adds customers to the desired state. The key of each is its name.
-func setCustomers(d *gypsumyard.DesiredState, names []string) {
-	d.Keyed, d.Customers, d.Keys = len(names) > 0, map[string]gypsumyard.CallerCustomer{}, map[gypsumyard.KeyHash]string{}
+func setCustomers(d *gypsumyard.DesiredState, list []gypsumyard.CallerCustomer) {
+	d.Keyed, d.Customers, d.Keys = len(list) > 0, map[string]gypsumyard.CallerCustomer{}, map[gypsumyard.KeyHash]string{}
+	for _, c := range list {
+		d.Customers[c.Name] = c
+		d.Keys[gypsumyard.HashKey(c.Name)] = c.Name
+	}
+}
+
+// unlimited returns customers without a rate limit.
+func unlimited(names ...string) (list []gypsumyard.CallerCustomer) {
 	for _, n := range names {
-		d.Customers[n] = gypsumyard.CallerCustomer{Name: n}
-		d.Keys[gypsumyard.HashKey(n)] = n
+		list = append(list, gypsumyard.CallerCustomer{Name: n})
 	}
+	return list
 }
 
 // A statement is what a test sends.
@@ -298,9 +315,9 @@
 	if s.timeout == 0 {
 		s.timeout = 3 * time.Second
 	}
-	b := line.Payload{Consistency: s.consistency, ID: id, Text: s.text, Prepared: s.prepared, KeyHolder: s.customer}
+	b := line.Payload{Consistency: s.consistency, ID: id, Text: s.text, Prepared: s.prepared}
 	if s.customer != "" {
-		b.Key = gypsumyard.HashKey(s.customer)
+		b.KeyHolder, b.Key = s.customer, gypsumyard.HashKey(s.customer)
 	}
 	r := &gypsumyard.Request{
 		Session: "s1", Customer: "route", Database: groupName, Class: s.class, Messages: b.Marshal(),
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -22,6 +22,7 @@
 	connectionsEvicted tally.Counter
 	connectionWaits    tally.Counter
 	transactionWaits   tally.Counter
+	quota              *quotaMetrics
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -39,6 +40,7 @@
 		connectionsEvicted: s.Counter("owner_connections_evicted"),
 		connectionWaits:    s.Counter("owner_connection_waits"),
 		transactionWaits:   s.Counter("owner_transaction_waits"),
+		quota:              newQuotaMetrics(s),
 	}
 }
 
--- a/internal/lineowner/pool_test.go
+++ b/internal/lineowner/pool_test.go
@@ -19,7 +19,7 @@
 	p = newPool(gypsumyard.ListedInstance{}, "host-1", clock.System(), log, newMetrics(tally.NoopScope))
 	p.setLimits(4, 2)
 	d := &gypsumyard.DesiredState{}
-	setCustomers(d, customers)
+	setCustomers(d, unlimited(customers...))
 	p.setCustomers(d)
 	return p, func(customer string) *conn {
 		c, mayDial, _, err := p.take(customer, nil)
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -48,6 +48,7 @@
 	failureDomain string
 	lastHandle    atomic.Uint64
 	keyLog        *rate.Limiter
+	quota         quotas
 	ctx           context.Context
 	cancel        context.CancelFunc
 	wg            sync.WaitGroup
@@ -95,6 +96,7 @@
 		keyLog:      newKeyLog(),
 		done:        make(chan struct{}),
 		groups:      map[string]*group{},
+		quota:       quotas{terms: defaultQuotaTerms},
 	}
 	for _, o := range options {
 		o(s)
@@ -140,6 +142,7 @@
 	s.started = true
 	s.wg.Go(s.reconcileLoop)
 	s.wg.Go(s.resendAssignments)
+	s.wg.Go(s.exchangeQuotas)
 	return nil
 }
 
@@ -218,6 +221,7 @@
 	if s.stopping {
 		return
 	}
+	s.updateReach(d)
 	for name := range d.Groups {
 		g := s.groups[name]
 		switch {
--- /dev/null
+++ b/internal/quota/terms.go
@@ -0,0 +1,101 @@
+package quota
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+)
+
+const (
+	// transferFraction is the fraction of the overage that enlarges the buckets, so that
+	// tokens in transfer take up no room of a customer's burst. The rest is for groups
+	// that two hosts own at once.
+	transferFraction = 0.75
+	// slackParts: a quarter of the slack enlarges the buckets as well, half of it makes
+	// room for at least one whole operation in each, and a quarter is for the first
+	// token of new owners.
+	slackParts = 4
+	// wholeOperation is the least capacity, as far as the slack allows it. With exactly one
+	// token, the refill between two operations of a small customer is lost.
+	wholeOperation = 1.25
+)
+
+// Terms describe how limits are checked: in any Window a customer may run
+// (rate x Window + burst) x (1 + Overage) + Slack operations.
+type Terms struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// A Limit is the limit of one customer on all hosts together.
+type Limit struct {
+	// Rate is in operations a second. It is positive.
+	Rate float64
+	// Burst is in operations. One below one counts as one.
+	Burst float64
+}
+
+// Bound returns how many operations may run in one window.
+func (t Terms) Bound(l Limit) float64 {
+	return (l.Rate*t.Window.Seconds()+max(l.Burst, 1))*(1+t.Overage) + t.Slack
+}
+
+// A part is one share's part of a limit.
+type part struct {
+	// rate is the refill in tokens a second, capacity the number of tokens at which it
+	// stops.
+	rate, capacity float64
+	// others is how many other shares have a part.
+	others int
+}
+
+// A place is the place of a share among those of all groups.
+type place struct {
+	// index is that of the group in the order of the names of all groups.
+	index, groups int
+	// fraction is that of the limits which belongs to the hosts that the owner reaches.
+	fraction float64
+}
+
+// partOf returns the part of a customer's limit for a place.
+func (t Terms) partOf(customer string, l Limit, at place) part {
+	burst := max(l.Burst, 1)
+	transfer := transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
+	if at.groups <= 1 {
+		// There is nobody to transfer to.
+		return part{rate: l.Rate * at.fraction, capacity: burst * at.fraction}
+	}
+	n := t.homes(l, at.groups)
+	if !isHome(customer, at.index, n, at.groups) {
+		return part{others: n}
+	}
+	p := part{rate: l.Rate * at.fraction / float64(n), capacity: (burst + transfer) * at.fraction / float64(n), others: n - 1}
+	p.capacity = max(p.capacity, min(wholeOperation, 2*t.Slack/slackParts/float64(n)))
+	return p
+}
+
+// homes returns among how many groups the limit is divided: all, unless their buckets
+// would be too small for one operation.
+func (t Terms) homes(l Limit, groups int) int {
+	transfer := transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
+	most := max(max(l.Burst, 1)+transfer, 2*t.Slack/slackParts) / wholeOperation
+	return int(min(max(most, 1), float64(groups)))
+}
+
+// isHome reports whether the group with the index is one of the n homes of the customer.
+func isHome(customer string, index, n, groups int) bool {
+	return n >= groups || (index+groups-firstHome(customer, groups))%groups < n
+}
+
+// firstHome returns the index of the customer's first home. The others follow it.
+func firstHome(customer string, groups int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(customer)) // It never fails.
+	return int(h.Sum32() % uint32(groups))
+}
+
+// seconds returns a duration of up to an hour.
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, 3600) * float64(time.Second))
+}
