planlist: record the former instances of a database in its entry

A host that starts after an edit of a database's instances cannot know which instances acknowledged before. An edit now stores the replaced lists and a version of the list, from which the terms of that version are numbered.

--- a/errors.go
+++ b/errors.go
@@ -123,4 +123,7 @@
 	// ErrNoMajority: too few instances answered to rule out the loss of an
 	// acknowledged write.
 	ErrNoMajority = errors.New("no majority of instances")
+	// ErrListOutdated: the instances have a term that belongs to a later version
+	// of the list of instances than this host has.
+	ErrListOutdated = errors.New("list of instances is outdated")
 )
--- a/internal/planlist/edit.go
+++ b/internal/planlist/edit.go
@@ -196,7 +196,11 @@
 	if p.sent == 0 {
 		p.initialEdits = d.Edits
 	}
-	d.set(p.Name, p.operation, p.Value)
+	entry, err := p.newValue(d.Entries[p.Name])
+	if err != nil {
+		return EditResult{}, err
+	}
+	d.set(p.Name, p.operation, entry)
 	value, err := d.encode()
 	if err != nil {
 		return EditResult{}, err
@@ -212,6 +216,14 @@
 	return p.result(created, d), nil
 }
 
+// newValue returns the value that replaces the old entry, nil to remove it.
+func (p *pendingEdit) newValue(old Entry) (json.RawMessage, error) {
+	if p.Kind != Databases || p.Value == nil {
+		return p.Value, nil
+	}
+	return databaseValue(old, p.Value)
+}
+
 func (p *pendingEdit) result(version gypsumyard.Version, d document) EditResult {
 	return EditResult{Object: p.object, Version: version, EntryVersion: d.Entries[p.Name].Version, Attempts: p.sent}
 }
--- a/internal/planlist/validate.go
+++ b/internal/planlist/validate.go
@@ -80,6 +80,7 @@
 		require(len(d.Instances) > 0, "instances must not be empty"),
 		require(d.Slots > 0, "slots must be above 0"),
 		require(d.Connections >= d.Slots+2, "connections must be at least slots + 2"),
+		require(d.ListVersion <= gypsumyard.MaxListVersion, "list-version must be at most %d", uint64(gypsumyard.MaxListVersion)),
 	)
 	seen := map[string]bool{}
 	for _, u := range d.Instances {
--- a/position.go
+++ b/position.go
@@ -9,8 +9,32 @@
 
 // A Term numbers the periods in which one instance is the primary of a
 // database. Terms only increase. Zero means no term.
+//
+// Each version of a database's list of instances has terms of its own, which are
+// higher than those of all versions before: a fence for a term of a later version
+// thereby excludes the hosts that have an older list.
 type Term uint64
 
+// termsPerList is the number of terms of one version of a list. Failed promotions
+// use up to about 40 terms a second, so it lasts for 290 days of them. Instances
+// store terms as 64-bit signed integers.
+const termsPerList = 1_000_000_000
+
+// MaxListVersion is the highest version of a list whose terms instances can store.
+const MaxListVersion = 1<<63/termsPerList - 1
+
+// ListVersion returns the version of the list of instances that the term belongs
+// to. It is zero for the terms of a list that was never edited.
+func (t Term) ListVersion() uint64 { return uint64(t) / termsPerList }
+
+// NextTerm returns the lowest term of the list's version that is higher than
+// highest. It reports false if there is none, because highest belongs to a later
+// version or is the last one.
+func NextTerm(highest Term, listVersion uint64) (t Term, ok bool) {
+	t = max(highest+1, Term(listVersion)*termsPerList)
+	return t, t.ListVersion() == listVersion
+}
+
 // An Offset is the index of a record in a database's log. The first record has
 // offset 1.
 type Offset uint64
