promote: fence a majority of each list of instances, in terms of the list's version

Majorities of two versions of a list need not have an instance in common. A promotion now fences a majority of each list that counts, and its term belongs to the version of the latest, so that a fence excludes hosts with older lists.

--- a/internal/promote/calls.go
+++ b/internal/promote/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,11 +58,19 @@
 	return c(ctx, i)
 }
 
+// A quorum reports whether a set of instances is enough.
+type quorum func(set []gypsumyard.Instance) bool
+
+// atLeast is the quorum of any n instances.
+func atLeast(n int) quorum {
+	return func(set []gypsumyard.Instance) bool { return len(set) >= n }
+}
+
 // broadcast sends the call to all instances at once. It returns when all have
-// answered, or the grace period after the required number of them have answered
-// without an error, or when so many have refused that this number cannot be
-// reached. It cancels the calls still in flight and waits for them to end.
-func (s *settings) broadcast(ctx context.Context, instances []gypsumyard.Instance, required int, c call) []answer {
+// answered, or the grace period after enough of them have answered without an
+// error, or when so many have refused that the others are not enough. It cancels
+// the calls still in flight and waits for them to end.
+func (s *settings) broadcast(ctx context.Context, instances []gypsumyard.Instance, enough quorum, c call) []answer {
 	ctx, cancel := context.WithCancel(ctx)
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -70,30 +79,31 @@
 	for _, i := range instances {
 		calls.Go(func() { results <- s.callWithRetry(ctx, i, c) })
 	}
-	return s.collect(instances, required, results)
+	return s.collect(instances, enough, results)
 }
 
-func (s *settings) collect(instances []gypsumyard.Instance, required int, results <-chan answer) []answer {
+func (s *settings) collect(instances []gypsumyard.Instance, enough quorum, results <-chan answer) []answer {
 	var answers []answer
 	var grace <-chan time.Time
-	succeeded, refused := 0, 0
+	var succeeded []gypsumyard.Instance
+	notRefused := slices.Clone(instances)
 	for len(answers) < len(instances) {
 		select {
 		case a := <-results:
 			answers = append(answers, a)
 			switch {
 			case a.err == nil:
-				succeeded++
+				succeeded = append(succeeded, a.instance)
 			case errors.Is(a.err, gypsumyard.ErrFenced):
-				refused++
+				notRefused = slices.DeleteFunc(notRefused, func(i gypsumyard.Instance) bool { return i == a.instance })
 			}
-			if len(instances)-refused < required {
+			if !enough(notRefused) {
 				return appendMissing(answers, instances)
 			}
 		case <-grace:
 			return appendMissing(answers, instances)
 		}
-		if succeeded >= required && grace == nil {
+		if grace == nil && enough(succeeded) {
 			timer := s.clock.NewTimer(s.gracePeriod)
 			defer timer.Stop()
 			grace = timer.C()
@@ -104,12 +114,12 @@
 
 // appendMissing adds an answer with an error for each instance without one.
 func appendMissing(answers []answer, instances []gypsumyard.Instance) []answer {
-	answered := map[string]bool{}
+	answered := map[gypsumyard.Instance]bool{}
 	for _, a := range answers {
-		answered[a.name()] = true
+		answered[a.instance] = true
 	}
 	for _, i := range instances {
-		if !answered[i.Upstream().Name] {
+		if !answered[i] {
 			answers = append(answers, answer{instance: i, err: errTimeout})
 		}
 	}
--- a/internal/promote/handover.go
+++ b/internal/promote/handover.go
@@ -78,7 +78,7 @@
 	start := p.settings.clock.Now()
 	for ctx.Err() == nil && p.settings.clock.Since(start) < p.settings.catchUpTimeout {
 		answered, found := 0, false
-		for _, a := range p.settings.broadcast(ctx, others, 1, readStatus) {
+		for _, a := range p.settings.broadcast(ctx, others, atLeast(1), readStatus) {
 			if a.err == nil {
 				answered++
 				found = found || (!p.isLeaving(a) && a.status.Contains(want))
@@ -86,7 +86,7 @@
 		}
 		// The replica that has caught up must be among the fenced instances, so the
 		// fence waits for as many as answer now, and for the leaving one.
-		p.fenceTarget = max(p.majority(), answered+1)
+		p.fenceTarget = answered + 1
 		if found {
 			return true
 		}
--- a/internal/promote/model_test.go
+++ b/internal/promote/model_test.go
@@ -27,6 +27,15 @@
 	forgetFence bool
 	// forgetLog loses the records of a replica that restarts.
 	forgetLog bool
+	// forgetFormer counts the latest list of instances only, as hosts without
+	// former lists do.
+	forgetFormer bool
+	// ignoreVersion lets hosts with an older list act in the terms of the latest
+	// one.
+	ignoreVersion bool
+	// dropEarly drops the former lists as soon as one listed instance has a log of
+	// the list's version.
+	dropEarly bool
 }
 
 type record struct {
@@ -63,26 +72,40 @@
 // never lost.
 type cluster struct {
 	mutations
-	mu      sync.Mutex
-	nodes   []*node
+	mu    sync.Mutex
+	nodes []*node
+	// lists holds the versions of the list of instances. A host may have any.
+	lists   []gypsumyard.InstanceList
 	nextID  int
 	pending []*order
 	// holders are the nodes whose status showed a record while their log was in
 	// the record's term.
 	holders    map[gypsumyard.Position]map[string]bool
-	confirmed  map[gypsumyard.Position]record
+	confirmed  map[gypsumyard.Position]confirmation
 	promoted   map[gypsumyard.Term]string
 	violations []string
 }
 
-func newCluster(size int, m mutations) *cluster {
+// A confirmation is a confirmed record with the lowest term in which it was.
+type confirmation struct {
+	record
+	by gypsumyard.Term
+}
+
+// newCluster returns a cluster of size listed nodes, and of more nodes that an edit
+// can list.
+func newCluster(size, more int, m mutations) *cluster {
 	cl := &cluster{
 		mutations: m,
 		holders:   map[gypsumyard.Position]map[string]bool{},
-		confirmed: map[gypsumyard.Position]record{},
+		confirmed: map[gypsumyard.Position]confirmation{},
 		promoted:  map[gypsumyard.Term]string{1: "n0"},
 	}
+	cl.lists = []gypsumyard.InstanceList{{}}
 	for i := range size {
+		cl.lists[0].Instances = append(cl.lists[0].Instances, gypsumyard.Upstream{Name: fmt.Sprint("n", i)})
+	}
+	for i := range size + more {
 		n := &node{name: fmt.Sprint("n", i), role: gypsumyard.RoleReplica, upstream: "n0", follows: 1, fence: 1}
 		n.log = []record{{term: 1}}
 		cl.nodes = append(cl.nodes, n)
@@ -91,6 +114,44 @@
 	return cl
 }
 
+// edit replaces one or more instances of the latest list.
+func (cl *cluster) edit(d draw) {
+	last := cl.lists[len(cl.lists)-1]
+	next := gypsumyard.InstanceList{Version: last.Version + 1}
+	first := d(len(cl.nodes), "first")
+	for i := range len(last.Instances) {
+		next.Instances = append(next.Instances, gypsumyard.Upstream{Name: cl.nodes[(first+i)%len(cl.nodes)].name})
+	}
+	cl.lists = append(cl.lists, next)
+}
+
+// majority reports whether the condition holds for a majority of the list.
+func (cl *cluster) majority(l gypsumyard.InstanceList, condition func(n *node) bool) bool {
+	n := 0
+	for _, u := range l.Instances {
+		if condition(cl.node(u.Name)) {
+			n++
+		}
+	}
+	return l.IsMajority(n)
+}
+
+// counted returns the lists that count for a host that has version v of the list:
+// it and the former ones back to the latest of which a majority has logs with a term
+// of the list's version. Only versions up to until may be that latest one.
+func (cl *cluster) counted(v int, until uint64) (lists []gypsumyard.InstanceList) {
+	for ; v >= 0; v-- {
+		l := cl.lists[v]
+		lists = append(lists, l)
+		ofVersion := func(n *node) bool { return n.term().ListVersion() >= l.Version }
+		early := cl.dropEarly && slices.ContainsFunc(l.Instances, func(u gypsumyard.Upstream) bool { return ofVersion(cl.node(u.Name)) })
+		if l.Version <= until && (early || cl.majority(l, ofVersion)) || cl.forgetFormer {
+			break
+		}
+	}
+	return lists
+}
+
 func (cl *cluster) addViolation(format string, args ...any) {
 	cl.violations = append(cl.violations, fmt.Sprintf(format, args...))
 }
@@ -144,8 +205,8 @@
 	}
 }
 
-// poll reads a node's status and confirms records that a majority holds, as an
-// owner does.
+// poll reads a node's status and confirms records that majorities hold, as owners
+// do.
 func (cl *cluster) poll(n *node) {
 	s := n.status()
 	if n.down || (s.Fence > s.Applied.Term && !cl.ignoreFence) {
@@ -160,24 +221,49 @@
 			cl.holders[p] = map[string]bool{}
 		}
 		cl.holders[p][n.name] = true
-		enough := len(cl.nodes)/2 + 1
-		if cl.earlyConfirm {
-			enough = 1
+		if cl.isConfirmed(p) {
+			cl.confirmLog(n, i)
+		}
+	}
+}
+
+// isConfirmed reports whether the record at p is confirmed for an owner that has any
+// version of the list.
+func (cl *cluster) isConfirmed(p gypsumyard.Position) bool {
+	if cl.earlyConfirm {
+		return true
+	}
+	for v := range cl.lists {
+		if !cl.ignoreVersion && p.Term.ListVersion() > cl.lists[v].Version {
+			continue
 		}
-		if len(cl.holders[p]) >= enough {
-			cl.confirm(p, r)
+		// A view in which a list is in force does not show records of earlier terms.
+		lacking := slices.ContainsFunc(cl.counted(v, p.Term.ListVersion()), func(l gypsumyard.InstanceList) bool {
+			return !cl.majority(l, func(n *node) bool { return cl.holders[p][n.name] })
+		})
+		if !lacking {
+			return true
 		}
 	}
+	return false
 }
 
-func (cl *cluster) confirm(p gypsumyard.Position, r record) {
-	if old, ok := cl.confirmed[p]; ok && old != r {
-		cl.addViolation("two records confirmed at %v", p)
+// confirmLog confirms the records up to index i of the node's log: an owner also
+// acknowledges a record of an earlier term that a later term includes.
+func (cl *cluster) confirmLog(n *node, i int) {
+	for j, r := range n.log[:i+1] {
+		p := gypsumyard.Position{Term: r.term, Offset: gypsumyard.Offset(j + 1)}
+		old, ok := cl.confirmed[p]
+		if ok && old.record != r {
+			cl.addViolation("two records confirmed at %v", p)
+		}
+		if !ok || n.log[i].term < old.by {
+			cl.confirmed[p] = confirmation{r, n.log[i].term}
+		}
 	}
-	cl.confirmed[p] = r
 }
 
-// check records a violation if the primary of a term lacks a record confirmed in
+// check records a violation if the primary of a term lacks a record confirmed by
 // that term or an earlier one, or if a term has two primaries.
 func (cl *cluster) check() {
 	for _, n := range cl.nodes {
@@ -189,7 +275,7 @@
 		}
 		cl.promoted[n.term()] = n.name
 		for p, r := range cl.confirmed {
-			if p.Term <= n.term() && (int(p.Offset) > len(n.log) || n.log[p.Offset-1] != r) {
+			if r.by <= n.term() && (int(p.Offset) > len(n.log) || n.log[p.Offset-1] != r.record) {
 				cl.addViolation("primary %s of term %d lacks the confirmed record at %v", n.name, n.term(), p)
 			}
 		}
@@ -287,12 +373,29 @@
 	return err
 }
 
-func (cl *cluster) instances(promoter int, direct bool) (list []gypsumyard.Instance) {
+// instances returns the nodes that count for a host with version v of the list, and
+// the option that has a promotion count them.
+func (cl *cluster) instances(v, promoter int, direct bool) ([]gypsumyard.Instance, Option) {
+	lists := cl.counted(v, gypsumyard.MaxListVersion)
+	var out []gypsumyard.Instance
 	for _, n := range cl.nodes {
-		list = append(list, &client{cluster: cl, promoter: promoter, node: n, direct: direct})
+		if slices.ContainsFunc(lists, func(l gypsumyard.InstanceList) bool {
+			return slices.Contains(l.Instances, gypsumyard.Upstream{Name: n.name})
+		}) {
+			out = append(out, &client{cluster: cl, promoter: promoter, node: n, direct: direct})
+		}
+	}
+	if cl.ignoreVersion {
+		lists[0].Version = cl.lists[len(cl.lists)-1].Version
 	}
 	if cl.minority {
-		return list[promoter%len(list):][:1]
+		return out[promoter%len(out):][:1], WithLists()
 	}
-	return list
+	return out, WithLists(lists...)
+}
+
+// listed returns the nodes of the first list.
+func (cl *cluster) listed() []gypsumyard.Instance {
+	instances, _ := cl.instances(0, 0, true)
+	return instances
 }
--- a/internal/promote/options.go
+++ b/internal/promote/options.go
@@ -25,6 +25,8 @@
 	newToken       func() gypsumyard.Token
 	excluded       string
 	leaving        []string
+	preferred      string
+	lists          []gypsumyard.InstanceList
 	detectTimeout  time.Duration
 	jitter         func(d time.Duration) time.Duration
 }
@@ -64,6 +66,15 @@
 // says so. Among equally advanced instances the others are preferred.
 func WithLeaving(instances ...string) Option { return func(s *settings) { s.leaving = instances } }
 
+// WithPreferred names the instance to choose among equally advanced ones that are
+// not about to leave.
+func WithPreferred(instance string) Option { return func(s *settings) { s.preferred = instance } }
+
+// WithLists sets the lists of instances that count, the one in force first: a
+// majority of each must be fenced. The term belongs to the version of the first.
+// The default is one list of version zero with all instances.
+func WithLists(lists ...gypsumyard.InstanceList) Option { return func(s *settings) { s.lists = lists } }
+
 // WithDetectTimeout sets how long a primary that no witness hears may be silent
 // before a Detector declares it dead. The default is 600 ms.
 func WithDetectTimeout(d time.Duration) Option { return func(s *settings) { s.detectTimeout = d } }
--- a/internal/promote/run.go
+++ b/internal/promote/run.go
@@ -31,8 +31,10 @@
 var errTermLost = errors.New("the term was lost")
 
 // Run promotes the most advanced of the instances to primary of a new term. If no
-// majority can be fenced, it promotes none and fails with
-// [gypsumyard.ErrNoMajority]; the error names the instances that did not answer.
+// majority of each list can be fenced, it promotes none and fails with
+// [gypsumyard.ErrNoMajority]; the error names the instances that did not answer. It
+// fails with [gypsumyard.ErrListOutdated] if an instance has a term of a later
+// version of the list: a majority of a replaced list proves nothing.
 func Run(ctx context.Context, instances []gypsumyard.Instance, options ...Option) (r Result, err error) {
 	p := newPromotion(instances, options)
 	defer func() {
@@ -52,18 +54,46 @@
 	// leaving names the instance that a planned handover replaces.
 	leaving string
 	// fenceTarget is the number of fenced instances after which the grace period
-	// starts. It is at least a majority.
+	// starts, once they are a majority.
 	fenceTarget int
 }
 
 func newPromotion(instances []gypsumyard.Instance, options []Option) *promotion {
 	s := newSettings(options)
-	p := &promotion{settings: s, instances: instances, highest: s.highestTerm}
-	p.fenceTarget = p.majority()
-	return p
+	if len(s.lists) == 0 {
+		s.lists = []gypsumyard.InstanceList{{}}
+		for _, i := range instances {
+			s.lists[0].Instances = append(s.lists[0].Instances, i.Upstream())
+		}
+	}
+	return &promotion{settings: s, instances: instances, highest: s.highestTerm}
 }
 
-func (p *promotion) majority() int { return len(p.instances)/2 + 1 }
+// isMajority reports whether the set has a majority of each list.
+func (p *promotion) isMajority(set []gypsumyard.Instance) bool {
+	for _, l := range p.settings.lists {
+		n := 0
+		for _, u := range l.Instances {
+			if slices.ContainsFunc(set, func(i gypsumyard.Instance) bool { return u.Same(i.Upstream()) }) {
+				n++
+			}
+		}
+		if !l.IsMajority(n) {
+			return false
+		}
+	}
+	return true
+}
+
+// nextTerm returns the lowest term of the list's version that no answer has shown.
+func (p *promotion) nextTerm() (gypsumyard.Term, error) {
+	version := p.settings.lists[0].Version
+	term, ok := gypsumyard.NextTerm(p.highest, version)
+	if !ok {
+		return 0, fmt.Errorf("%w: it has version %d, an instance has term %d", gypsumyard.ErrListOutdated, version, p.highest)
+	}
+	return term, nil
+}
 
 func (p *promotion) log() logrus.FieldLogger {
 	return p.settings.log.WithField("database", p.settings.database)
@@ -74,15 +104,20 @@
 // and adopts a promotion that another host has completed.
 func (p *promotion) run(ctx context.Context, runTerm func(context.Context, gypsumyard.Term) (Result, error)) (r Result, err error) {
 	if p.highest == 0 {
-		p.observe(p.settings.broadcast(ctx, p.instances, p.majority(), readStatus))
+		p.observe(p.settings.broadcast(ctx, p.instances, p.isMajority, readStatus))
 	}
+	var lost error
 	for attempt := range p.settings.attempts {
 		p.token = p.settings.newToken()
-		term := p.highest + 1
+		term, err := p.nextTerm()
+		if err != nil {
+			return r, err
+		}
 		r, err = runTerm(ctx, term)
 		if !errors.Is(err, errTermLost) {
 			return r, err
 		}
+		lost = err
 		p.highest = max(p.highest, term)
 		p.log().WithFields(logrus.Fields{"term": term, "highest": p.highest}).WithError(err).Warn("promotion failed in this term, retrying with a higher one")
 		if e := p.settings.clock.Sleep(ctx, p.retryDelay(attempt)); e != nil {
@@ -92,7 +127,7 @@
 			return r, nil
 		}
 	}
-	return r, fmt.Errorf("gave up after %d terms: %w", p.settings.attempts, err)
+	return r, fmt.Errorf("gave up after %d terms: %w", p.settings.attempts, lost)
 }
 
 // retryDelay returns the exponential backoff with jitter before the next term, so
@@ -120,9 +155,10 @@
 }
 
 // fence fences the candidates for the term and returns the answers of those that
-// accepted. It fails unless they are a majority of all instances.
+// accepted. It fails unless they are a majority of each list.
 func (p *promotion) fence(ctx context.Context, term gypsumyard.Term) (fenced []answer, err error) {
-	answers := p.settings.broadcast(ctx, p.candidates(), p.fenceTarget, func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error) {
+	enough := func(set []gypsumyard.Instance) bool { return len(set) >= p.fenceTarget && p.isMajority(set) }
+	answers := p.settings.broadcast(ctx, p.candidates(), enough, func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error) {
 		return i.Fence(ctx, term, p.token)
 	})
 	p.observe(answers)
@@ -136,7 +172,7 @@
 			fenced = append(fenced, a)
 		}
 	}
-	if len(fenced) >= p.majority() {
+	if p.isMajority(instancesOf(fenced)) {
 		p.log().WithFields(logrus.Fields{"term": term, "fenced": len(fenced), "of": len(p.instances)}).Info("majority fenced")
 		return fenced, nil
 	}
@@ -148,8 +184,16 @@
 	return nil, fmt.Errorf("fence for term %d: %w: %d of %d instances fenced; %s", term, gypsumyard.ErrNoMajority, len(fenced), len(p.instances), describeFailures(answers))
 }
 
+func instancesOf(answers []answer) (set []gypsumyard.Instance) {
+	for _, a := range answers {
+		set = append(set, a.instance)
+	}
+	return set
+}
+
 // choose returns the most advanced of the fenced instances. Among equally advanced
-// ones it prefers one that is not about to leave, and then the lowest name.
+// ones it prefers one that is not about to leave, then the preferred one, and then
+// the lowest name.
 func (p *promotion) choose(fenced []answer) answer {
 	return slices.MaxFunc(fenced, func(a, b answer) int {
 		if c := a.status.Applied.Compare(b.status.Applied); c != 0 {
@@ -161,6 +205,12 @@
 			}
 			return 1
 		}
+		if x := a.name() == p.settings.preferred; x != (b.name() == p.settings.preferred) {
+			if x {
+				return 1
+			}
+			return -1
+		}
 		return strings.Compare(b.name(), a.name())
 	})
 }
@@ -185,22 +235,22 @@
 		return r, fmt.Errorf("promote %s in term %d: %w: %w", chosen.name(), term, errTermLost, a.err)
 	}
 	r = Result{Term: term, Primary: chosen.name(), Status: a.status}
-	r.Unfollowed = p.follow(ctx, term, chosen.name())
+	r.Unfollowed = p.follow(ctx, term, chosen.instance)
 	log.WithField("unfollowed", r.Unfollowed).Info("promotion complete")
 	return r, nil
 }
 
 // follow tells the other instances to replicate from the primary, and returns the
 // names of those that did not confirm.
-func (p *promotion) follow(ctx context.Context, term gypsumyard.Term, primary string) (failed []string) {
-	others := slices.DeleteFunc(slices.Clone(p.instances), func(i gypsumyard.Instance) bool {
-		return i.Upstream().Name == primary
-	})
+func (p *promotion) follow(ctx context.Context, term gypsumyard.Term, primary gypsumyard.Instance) (failed []string) {
+	others := slices.DeleteFunc(slices.Clone(p.instances), func(i gypsumyard.Instance) bool { return i == primary })
 	// Wait only for as many followers as the primary needs to confirm writes. The
 	// grace period lets the rest confirm as well.
-	required := max(p.majority()-1, 1)
-	answers := p.settings.broadcast(ctx, others, required, func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error) {
-		return gypsumyard.InstanceStatus{}, i.Follow(ctx, term, primary)
+	enough := func(set []gypsumyard.Instance) bool {
+		return len(set) > 0 && p.isMajority(append(slices.Clone(set), primary))
+	}
+	answers := p.settings.broadcast(ctx, others, enough, func(ctx context.Context, i gypsumyard.Instance) (gypsumyard.InstanceStatus, error) {
+		return gypsumyard.InstanceStatus{}, i.Follow(ctx, term, primary.Upstream().Name)
 	})
 	for _, a := range answers {
 		if a.err != nil {
@@ -215,13 +265,13 @@
 // adopt returns the primary that another host has promoted in the meantime, if
 // there is one and a majority is fenced for its term.
 func (p *promotion) adopt(ctx context.Context) (r Result, ok bool) {
-	answers := p.settings.broadcast(ctx, p.instances, len(p.instances), readStatus)
+	answers := p.settings.broadcast(ctx, p.instances, atLeast(len(p.instances)), readStatus)
 	p.observe(answers)
 	for _, a := range answers {
 		if a.err != nil || !a.status.Writable() || a.status.Term() < p.highest || p.isLeaving(a) {
 			continue
 		}
-		if p.countFenced(answers, a.status.Term()) < p.majority() {
+		if !p.isMajority(fencedFor(answers, a.status.Term())) {
 			continue
 		}
 		p.log().WithFields(logrus.Fields{"term": a.status.Term(), "instance": a.name()}).Info("another host has promoted an instance")
@@ -230,15 +280,15 @@
 	return r, false
 }
 
-// countFenced counts the instances that are fenced for the term and for no later
+// fencedFor returns the instances that are fenced for the term and for no later
 // one.
-func (p *promotion) countFenced(answers []answer, term gypsumyard.Term) (n int) {
+func fencedFor(answers []answer, term gypsumyard.Term) (set []gypsumyard.Instance) {
 	for _, a := range answers {
 		if a.err == nil && a.status.Fence == term {
-			n++
+			set = append(set, a.instance)
 		}
 	}
-	return n
+	return set
 }
 
 func (p *promotion) observe(answers []answer) {
--- a/internal/promote/run_test.go
+++ b/internal/promote/run_test.go
@@ -22,15 +22,28 @@
 
 // explore runs two promoters, which fail over or hand over, against a cluster. In
 // an order chosen by d it interleaves them with writes, replication,
-// confirmations, crashes of promoters and nodes, and lost answers. It returns the
+// confirmations, crashes of promoters and nodes, lost answers and, if wanted, edits
+// of the list of instances, of which each promoter has any version. It returns the
 // violations that the checker found.
-func explore(t *testing.T, d draw, m mutations) []string {
-	cl := newCluster([]int{3, 3, 5}[d(3, "size")], m)
-	e := &explorer{cluster: cl, draw: d, cancel: make([]context.CancelFunc, 2)}
-	for range 60 + d(140, "steps") {
+func explore(t *testing.T, d draw, m mutations, edits bool) []string {
+	cl := newCluster([]int{3, 3, 5}[d(3, "size")], 0, m)
+	if edits {
+		cl = newCluster(3, 2, m)
+	}
+	e := &explorer{cluster: cl, draw: d, cancel: make([]context.CancelFunc, 2), fates: 8}
+	if edits {
+		// Faults are rarer: several promotions must succeed before a record can be
+		// lost by an edit.
+		e.fates = 64
+	}
+	step, steps := e.step, 60+d(140, "steps")
+	if edits {
+		step, steps = e.stepWithEdits, 100+d(200, "steps")
+	}
+	for range steps {
 		synctest.Wait()
 		cl.mu.Lock()
-		e.step()
+		step()
 		cl.check()
 		cl.mu.Unlock()
 		if len(cl.violations) > 0 {
@@ -55,6 +68,9 @@
 	cancel    []context.CancelFunc
 	promoters sync.WaitGroup
 	started   int
+	// fates is the number of fates of an order: it or its answer is lost in one
+	// of them each.
+	fates int
 }
 
 // step executes one randomly chosen event. The caller must hold the mutex of
@@ -90,6 +106,46 @@
 	}
 }
 
+// stepWithEdits executes an edit of the list of instances, or events of several nodes
+// at once, or one event. With single events only, hardly any run reaches the second
+// successful promotion that it takes to lose a record by an edit. The caller must
+// hold the mutex of the cluster.
+func (e *explorer) stepWithEdits() {
+	cl := e.cluster
+	switch e.draw(12, "step with edits") {
+	case 0:
+		if len(cl.lists) < 4 {
+			cl.edit(e.draw)
+		}
+	case 1:
+		for _, n := range cl.nodes {
+			cl.write(n)
+		}
+	case 2, 3:
+		for _, n := range cl.nodes {
+			if e.draw(2, "replicates") == 0 {
+				cl.replicate(n)
+			}
+		}
+	case 4, 5:
+		for _, n := range cl.nodes {
+			cl.poll(n)
+		}
+	case 6:
+		e.step()
+	case 7:
+		n := cl.nodes[e.draw(len(cl.nodes), "crash")]
+		n.down = !slices.ContainsFunc(cl.nodes, func(o *node) bool { return o.down })
+	default:
+		for range 6 {
+			e.deliver()
+			cl.mu.Unlock()
+			synctest.Wait()
+			cl.mu.Lock()
+		}
+	}
+}
+
 // restart starts the promoter, after a crash if it is running.
 func (e *explorer) restart(promoter int) {
 	if stop := e.cancel[promoter]; stop != nil {
@@ -99,7 +155,7 @@
 	e.cancel[promoter] = cancel
 	e.started++
 	token := fmt.Sprint("run-", e.started, "-")
-	instances := e.cluster.instances(promoter, false)
+	instances, lists := e.cluster.instances(e.draw(len(e.cluster.lists), "list"), promoter, false)
 	leaving := e.draw(4*len(e.cluster.nodes), "leaving")
 	e.promoters.Go(func() {
 		tokens := 0
@@ -108,10 +164,10 @@
 			return gypsumyard.Token(fmt.Sprint(token, tokens))
 		})
 		if leaving < len(e.cluster.nodes) {
-			_, _ = HandOver(ctx, e.cluster.nodes[leaving].name, instances, next, WithCatchUp(100*time.Millisecond))
+			_, _ = HandOver(ctx, e.cluster.nodes[leaving].name, instances, lists, next, WithCatchUp(100*time.Millisecond))
 			return
 		}
-		_, _ = Run(ctx, instances, next)
+		_, _ = Run(ctx, instances, lists, next)
 	})
 }
 
@@ -137,7 +193,7 @@
 	o := cl.pending[i]
 	cl.pending = slices.Delete(cl.pending, i, i+1)
 	lost := func() (gypsumyard.InstanceStatus, error) { return gypsumyard.InstanceStatus{}, errLostAnswer }
-	fate := e.draw(8, "fate")
+	fate := e.draw(e.fates, "fate")
 	if o.node.down || fate == 0 {
 		o.answer <- lost
 		return
@@ -157,7 +213,8 @@
 	for _, n := range cl.nodes {
 		n.down = false
 	}
-	r, err := Run(t.Context(), cl.instances(0, true))
+	instances, lists := cl.instances(len(cl.lists)-1, 0, true)
+	r, err := Run(t.Context(), instances, lists)
 	if err != nil {
 		cl.addViolation("no promotion after all failures have ended: %v", err)
 		return
@@ -188,8 +245,9 @@
 			}
 			return c
 		}
+		edits := rapid.Bool().Draw(rt, "edits")
 		var faults []string
-		synctest.Test(t, func(t *testing.T) { faults = explore(t, d, mutations{}) })
+		synctest.Test(t, func(t *testing.T) { faults = explore(t, d, mutations{}, edits) })
 		if len(faults) > 0 {
 			rt.Fatalf("%s", strings.Join(faults, "\n"))
 		}
@@ -201,17 +259,22 @@
 func TestCheckerSeesBrokenRules(t *testing.T) {
 	for name, m := range map[string]mutations{
 		"none":          {},
+		"none, edits":   {},
 		"tokens":        {acceptAnyToken: true},
 		"majority":      {minority: true},
 		"fence":         {ignoreFence: true},
 		"early confirm": {earlyConfirm: true},
 		"forgot log":    {forgetLog: true},
+		"forgot former": {forgetFormer: true},
+		"other version": {ignoreVersion: true},
+		"dropped early": {dropEarly: true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			edits := name == "none, edits" || m.forgetFormer || m.ignoreVersion || m.dropEarly
 			synctest.Test(t, func(t *testing.T) {
 				var faults []string
 				for seed := 0; seed < 2000 && faults == nil; seed++ {
-					if faults = explore(t, seededDraw(seed), m); faults != nil {
+					if faults = explore(t, seededDraw(seed), m, edits); faults != nil {
 						t.Logf("seed %d: %s", seed, strings.Join(faults, "; "))
 					}
 				}
@@ -258,7 +321,7 @@
 }
 
 func restartBetween(t *testing.T, m mutations) []string {
-	cl := newCluster(3, m)
+	cl := newCluster(3, 0, m)
 	old := cl.nodes[0]
 	goOn := func(chosen int) {
 		cl.mu.Lock()
@@ -273,7 +336,7 @@
 		old.down = true
 	}
 	old.down = true
-	list := cl.instances(0, true)
+	list := cl.listed()
 	for i := 1; i < 3; i++ {
 		list[i] = &restartingNode{list[i], func() { goOn(i) }}
 	}
@@ -288,9 +351,9 @@
 func TestNoMajority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		cl := newCluster(3, mutations{})
+		cl := newCluster(3, 0, mutations{})
 		cl.nodes[0].down, cl.nodes[2].down = true, true
-		_, err := Run(t.Context(), cl.instances(0, true), WithDatabase("readings"))
+		_, err := Run(t.Context(), cl.listed(), WithDatabase("readings"))
 		is.True(errors.Is(err, gypsumyard.ErrNoMajority))
 		is.True(strings.Contains(err.Error(), "n0: ") && strings.Contains(err.Error(), "n2: ") && !strings.Contains(err.Error(), "n1: "))
 		is.Equal(cl.nodes[1].role, gypsumyard.RoleReplica)
@@ -302,19 +365,19 @@
 func TestOldPrimaryReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		cl := newCluster(3, mutations{})
+		cl := newCluster(3, 0, mutations{})
 		cl.write(cl.nodes[0])
 		cl.replicate(cl.nodes[2])
 		cl.write(cl.nodes[0]) // never confirmed
 		cl.nodes[0].down = true
 		before := time.Now()
-		r, err := Run(t.Context(), cl.instances(0, true), WithHighestTerm(1))
+		r, err := Run(t.Context(), cl.listed(), WithHighestTerm(1))
 		is.NoErr(err)
 		is.True(time.Since(before) < 50*time.Millisecond) // it does not wait for the dead node
 		is.Equal(r.Primary, "n2")                         // the most advanced node that answers
 		is.Equal(r.Unfollowed, []string{"n0"})
 		cl.nodes[0].down = false
-		is.NoErr(cl.instances(0, true)[0].Follow(t.Context(), r.Term, r.Primary))
+		is.NoErr(cl.listed()[0].Follow(t.Context(), r.Term, r.Primary))
 		cl.replicate(cl.nodes[0])
 		is.Equal(cl.nodes[0].log, cl.nodes[2].log)
 	})
@@ -331,7 +394,7 @@
 
 func handOver(t *testing.T, dead bool) {
 	is := is.New(t)
-	cl := newCluster(3, mutations{})
+	cl := newCluster(3, 0, mutations{})
 	cl.nodes[2].down = dead
 	for range 5 {
 		cl.write(cl.nodes[0])
@@ -349,7 +412,7 @@
 		}
 	})
 	before := time.Now()
-	r, err := HandOver(t.Context(), "n0", cl.instances(0, true))
+	r, err := HandOver(t.Context(), "n0", cl.listed())
 	is.True(time.Since(before) < 200*time.Millisecond)
 	cancel()
 	workload.Wait()
