owner: count former instances until a majority of the listed ones replaces them

After an edit of a database's instances, majorities were counted among the listed ones only: a replica that was behind and a new instance could promote without an acknowledged row, and a host with another list could acknowledge beside it. Acknowledgement, the proof that a primary leads, and promotions now need a majority of the listed instances and of each former list, until a majority of the listed ones has a log with a term of the list's version. The owner has such a term begin once the listed ones hold the log as of the edit.

--- a/database.go
+++ b/database.go
@@ -31,9 +31,6 @@
 	Password string `json:"password"`
 }
 
-// Majority returns the smallest number of instances that is more than half.
-func (d *Database) Majority() int { return len(d.Instances)/2 + 1 }
-
 // Lists returns the list of instances and then the former ones, the latest first.
 func (d *Database) Lists() []InstanceList {
 	return append([]InstanceList{{Version: d.ListVersion, Instances: d.Instances}}, d.Former...)
--- a/internal/owner/detecting.go
+++ b/internal/owner/detecting.go
@@ -49,6 +49,9 @@
 	cutOff string
 	// notBefore is the earliest time of the next promotion.
 	notBefore time.Time
+	// listOutdated indicates that an instance has a term of a later version of the
+	// list of instances.
+	listOutdated bool
 }
 
 // NewPromoter returns the promoter of the database that applies the rules of
@@ -71,12 +74,32 @@
 // Evaluate implements Promoter.
 func (p *detectingPromoter) Evaluate(ctx context.Context, s PromotionState) PromotionDecision {
 	d := p.evaluate(ctx, s)
+	if p.isListOutdated(s) {
+		return PromotionDecision{}
+	}
 	if d.Promote && p.clock.Now().Before(p.notBefore) {
 		return PromotionDecision{}
 	}
 	return d
 }
 
+// isListOutdated reports whether an instance has a term of a later version of the
+// list than this host has. A majority of a replaced list proves nothing, so nothing
+// is promoted until the newer list arrives.
+func (p *detectingPromoter) isListOutdated(s PromotionState) bool {
+	version := uint64(0)
+	for _, v := range s.Views {
+		version = max(version, v.Status.Fence.ListVersion(), v.Status.Term().ListVersion())
+	}
+	outdated := version > s.Database.ListVersion
+	if outdated && !p.listOutdated {
+		p.log.WithFields(logrus.Fields{"database": s.Database.Name, "list-version": s.Database.ListVersion, "version-of-instances": version}).
+			Warn("list of instances is outdated; promoting nothing until the newer one arrives")
+	}
+	p.listOutdated = outdated
+	return outdated
+}
+
 func (p *detectingPromoter) evaluate(ctx context.Context, s PromotionState) PromotionDecision {
 	p.updateDetector(s)
 	if d, ok := p.evaluateWritability(s); ok {
@@ -107,6 +130,9 @@
 		if d, ok := p.evaluateReplication(s, writable.Upstream.Name); ok {
 			return d, ok
 		}
+		if s.ListReplicated {
+			return PromotionDecision{Promote: true, Reason: "the list of instances was edited"}, true
+		}
 		return p.evaluateStranded(s, writable.Status.Term())
 	}
 	if s.Primary != "" && s.Failures > 0 {
@@ -125,18 +151,13 @@
 func (p *detectingPromoter) evaluateReplication(s PromotionState, primary string) (d PromotionDecision, ok bool) {
 	p.cutOff = ""
 	now := p.clock.Now()
-	streaming, stalled := 1, 0
-	for _, v := range s.Views {
-		switch {
-		case !v.Reachable || v.Upstream.Name == primary:
-		case v.Status.StreamAge < p.detectTimeout:
-			streaming++
-		default:
-			stalled++
-		}
-	}
-	majority := s.Database.Majority()
-	if p.quorumStreamedAt.IsZero() || streaming >= majority || stalled < majority {
+	streaming := s.isMajority(func(v gypsumyard.InstanceView) bool {
+		return v.Upstream.Name == primary || v.Reachable && v.Status.StreamAge < p.detectTimeout
+	})
+	stalled := s.isMajority(func(v gypsumyard.InstanceView) bool {
+		return v.Upstream.Name != primary && v.Reachable && v.Status.StreamAge >= p.detectTimeout
+	})
+	if p.quorumStreamedAt.IsZero() || streaming || !stalled {
 		p.quorumStreamedAt = now
 	}
 	silent := now.Sub(p.quorumStreamedAt)
@@ -169,21 +190,16 @@
 }
 
 // writableView returns the view of an instance that answers and accepts
-// writes, or nil. An instance does not count if a majority is fenced for a
-// later term.
+// writes, or nil. An instance does not count if a majority of a list is fenced for
+// a later term.
 func writableView(s PromotionState) *gypsumyard.InstanceView {
 	for i := range s.Views {
 		v := &s.Views[i]
 		if !v.Reachable || !v.Status.Writable() {
 			continue
 		}
-		fenced := 0
-		for _, o := range s.Views {
-			if o.Status.Fence > v.Status.Term() {
-				fenced++
-			}
-		}
-		if fenced < s.Database.Majority() {
+		fenced := s.isAnyMajority(func(o gypsumyard.InstanceView) bool { return o.Status.Fence > v.Status.Term() })
+		if !fenced {
 			return v
 		}
 	}
@@ -273,7 +289,11 @@
 
 // Promote implements Promoter.
 func (p *detectingPromoter) Promote(ctx context.Context, s PromotionState, d PromotionDecision) (string, gypsumyard.Term, error) {
-	options := append(slices.Clone(p.options), promote.WithLeaving(leavingInstances(s)...))
+	options := append(slices.Clone(p.options), promote.WithLeaving(leavingInstances(s)...),
+		promote.WithLists(s.Lists...))
+	if s.ListReplicated {
+		options = append(options, promote.WithPreferred(s.Primary))
+	}
 	if p.cutOff != "" {
 		options = append(options, promote.WithExcludedPrimary(p.cutOff))
 	}
--- a/internal/owner/group.go
+++ b/internal/owner/group.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,9 +36,19 @@
 
 	mu       sync.Mutex
 	database gypsumyard.Database
-	members  []*member
-	waiters  []*waiter
-	samples  samples
+	// members are the listed instances and then the former ones that count.
+	members []*member
+	// counted holds the lists of instances that count, the one in force first.
+	counted     []countedList
+	unversioned unversionedEdit
+	// listedSince is when the list in force was applied. listedPosition is the
+	// position of the primary in the first status after that, zero without one.
+	listedSince    time.Time
+	listedPosition gypsumyard.Position
+	// formerDropAt is when the former lists were last to be removed from the entry.
+	formerDropAt time.Time
+	waiters      []*waiter
+	samples      samples
 	// samplesTerm is the term of the samples.
 	samplesTerm gypsumyard.Term
 	// lastPrimary is the name of the last known primary.
@@ -95,28 +106,62 @@
 func (g *group) update(d gypsumyard.Database) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	lists := g.listsOf(d)
+	if g.counted == nil || d.ListVersion != g.database.ListVersion {
+		g.formerDropAt = time.Time{}
+		g.listedSince, g.listedPosition = g.clock.Now(), gypsumyard.Position{}
+	}
 	g.database = d
+	g.setMembers(lists)
+	g.dropFormer()
+}
+
+// setMembers makes the instances of the lists the members, those of the first list
+// first, and retires the others. The caller must hold g.mu.
+func (g *group) setMembers(lists []gypsumyard.InstanceList) {
 	keep := map[gypsumyard.Upstream]*member{}
 	for _, m := range g.members {
 		keep[m.view.Upstream] = m
 	}
 	g.members = nil
-	for _, u := range d.Instances {
-		m := keep[u]
-		delete(keep, u)
-		if m == nil {
-			m = g.newMember(d, u)
+	for i, l := range lists {
+		for _, u := range l.Instances {
+			if i > 0 && slices.ContainsFunc(g.members, func(m *member) bool { return u.Same(m.view.Upstream) }) {
+				continue
+			}
+			m := keep[u]
+			delete(keep, u)
+			if m == nil {
+				m = g.newMember(g.database, u)
+			}
+			m.setAddress(upstream.AddressOf(g.database, u))
+			m.pool.SetLimit(upstream.MaxConnections(g.database))
+			m.permits.setLimit(upstream.MaxConnections(g.database), g.database.Slots)
+			g.setFormer(m, i > 0)
+			g.members = append(g.members, m)
 		}
-		m.setAddress(upstream.AddressOf(d, u))
-		m.pool.SetLimit(upstream.MaxConnections(d))
-		m.permits.setLimit(upstream.MaxConnections(d), d.Slots)
-		g.members = append(g.members, m)
 	}
+	g.setCounted(lists)
 	for _, m := range keep {
 		g.work.Add(1)
 		go g.retire(m)
 	}
 	g.updateCapacities()
+	g.notifyWaiters()
+}
+
+// setFormer records whether the instance counts only as a former one. Like a
+// leaving instance, it gets no new work, and a former primary is handed over from.
+// The caller must hold g.mu.
+func (g *group) setFormer(m *member, former bool) {
+	if former && !m.view.Leaving {
+		m.leavingSince = g.clock.Now()
+		m.view.Leaving = true
+	}
+	if former && !m.former {
+		g.log.WithField("instance", m.name).Info("instance is no longer listed; it counts until a majority of the listed ones holds all that it acknowledged")
+	}
+	m.former = former
 }
 
 func (g *group) newMember(d gypsumyard.Database, u gypsumyard.Upstream) *member {
@@ -232,17 +277,15 @@
 	if best == nil {
 		return nil
 	}
-	term, fenced := best.view.Status.Term(), 0
+	term := best.view.Status.Term()
 	for _, m := range g.members {
 		if m.view.Status.Term() > term {
 			return nil
 		}
-		if m.view.Status.Fence > term {
-			fenced++
-		}
 	}
 	h := best.view.Status.History
-	if fenced >= g.database.Majority() || len(h) == 0 || h[len(h)-1].Term != term {
+	fenced := g.anyMajority(func(m *member) bool { return m.view.Status.Fence > term })
+	if fenced || len(h) == 0 || h[len(h)-1].Term != term {
 		return nil
 	}
 	if !g.confirmed(gypsumyard.Position{Term: term, Offset: h[len(h)-1].Start}, best) {
@@ -251,21 +294,17 @@
 	return best
 }
 
-// confirmed reports whether a majority holds the record at p in the term in
-// which it was written, given that the primary does. The primary counts only
-// while it is listed: a promotion need not fence others. Another instance counts
-// if its log held p at any earlier moment and it has not been fenced for a
-// later term since: a promotion fences a majority, so it finds p on at least
-// one of these instances. The caller must hold g.mu.
+// confirmed reports whether a majority of each list that counts holds the record
+// at p in the term in which it was written, given that the primary does. The
+// primary counts only in lists that name it: a promotion need not fence others.
+// Another instance counts if its log held p at any earlier moment and it has not
+// been fenced for a later term since: a promotion fences a majority, so it finds p
+// on at least one of these instances. The majority of a list proves nothing in the
+// terms of a later version. The caller must hold g.mu.
 func (g *group) confirmed(p gypsumyard.Position, primary *member) bool {
-	n := 0
-	for _, m := range g.members {
-		s := &m.view.Status
-		if m == primary || s.Term() == p.Term && s.Fence <= p.Term && s.Contains(p) {
-			n++
-		}
-	}
-	return n >= g.database.Majority()
+	return p.Term.ListVersion() <= g.database.ListVersion && g.majority(func(m *member) bool {
+		return m == primary || m.holds(p)
+	})
 }
 
 // recordSample adds a sample if the primary and a majority have been polled
@@ -286,7 +325,7 @@
 		g.log.WithFields(logrus.Fields{"instance": p.name, "term": s.Term(), "position": s.Applied.String()}).Info("primary found")
 	}
 	at := p.view.SampledAt
-	for g.countPolledSince(at, s.Term()) < g.database.Majority() {
+	for !g.majorityPolledSince(at, s.Term()) {
 		at = g.latestPollBefore(at, s.Term())
 		if at.IsZero() {
 			return
@@ -295,16 +334,13 @@
 	g.samples.add(sample{at: at, position: s.Applied})
 }
 
-// countPolledSince counts the instances that are not fenced for a later term
-// and whose status was requested at or after t. The caller must hold g.mu.
-func (g *group) countPolledSince(t time.Time, term gypsumyard.Term) int {
-	n := 0
-	for _, m := range g.members {
-		if m.view.Status.Fence <= term && !m.view.SampledAt.IsZero() && !m.view.SampledAt.Before(t) {
-			n++
-		}
-	}
-	return n
+// majorityPolledSince reports whether the status of a majority of each list that
+// counts was requested at or after t from instances that are not fenced for a later
+// term. The caller must hold g.mu.
+func (g *group) majorityPolledSince(t time.Time, term gypsumyard.Term) bool {
+	return g.majority(func(m *member) bool {
+		return m.view.Status.Fence <= term && !m.view.SampledAt.IsZero() && !m.view.SampledAt.Before(t)
+	})
 }
 
 // latestPollBefore returns the latest time before t at which the status of an
--- a/internal/owner/harness_test.go
+++ b/internal/owner/harness_test.go
@@ -60,6 +60,16 @@
 	v.changes = make(chan struct{})
 }
 
+// DropFormer does what the lists of a host do.
+func (v *fakeView) DropFormer(_ context.Context, _ string, listVersion uint64) error {
+	d, _ := v.Database("")
+	if d.ListVersion == listVersion {
+		d.Former = nil
+		v.setDatabase(d)
+	}
+	return nil
+}
+
 func (v *fakeView) Owner(string) (gypsumyard.Host, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/owner/member.go
+++ b/internal/owner/member.go
@@ -46,6 +46,9 @@
 	permits permits
 
 	view gypsumyard.InstanceView
+	// former indicates that the instance is not listed and counts only in the
+	// majorities of former lists.
+	former bool
 	// lastSent and polledAt are when the last poll began and ended.
 	lastSent time.Time
 	polledAt time.Time
@@ -93,6 +96,13 @@
 // usable reports whether the instance may get new work.
 func (m *member) usable() bool { return m.view.Reachable && !m.view.Leaving }
 
+// holds reports whether the instance's log holds the record at p, is still in its
+// term, and the instance is not fenced for a later one.
+func (m *member) holds(p gypsumyard.Position) bool {
+	s := &m.view.Status
+	return s.Term() == p.Term && s.Fence <= p.Term && s.Contains(p)
+}
+
 // leavingGrace is how long a leaving primary accepts writes while its handover
 // waits for a replica to catch up.
 const leavingGrace = 2 * time.Second
@@ -228,7 +238,7 @@
 	if sent.Before(v.SampledAt) {
 		return
 	}
-	leaving := status.Leaving || g.service.listedLeaving(m.name)
+	leaving := status.Leaving || m.former || g.service.listedLeaving(m.name)
 	if leaving && !v.Leaving {
 		m.leavingSince = g.clock.Now()
 		g.log.WithField("instance", m.name).Info("instance is leaving")
@@ -241,6 +251,7 @@
 	}
 	v.Lag = ewma(v.Lag, lag)
 	g.updateAvailability(m)
+	g.dropFormer()
 }
 
 // ewma returns the exponentially weighted moving average after a new sample.
--- a/internal/owner/needed.go
+++ b/internal/owner/needed.go
@@ -86,31 +86,31 @@
 }
 
 // awaitConfirmed waits until a majority holds the record at p. It fails if a
-// majority has moved to a later term.
+// majority has moved to a later term, unless that term has brought an edited list of
+// instances into force and begins after p.
 func (g *group) awaitConfirmed(ctx context.Context, p gypsumyard.Position, primary *member) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, g.settings.confirmTimeout, errNotConfirmed)
 	defer cancel()
-	replaced := false
+	replaced, survives := false, false
 	start := g.clock.Now()
 	err := g.await(ctx, func() bool {
+		if survives = g.survivesEdit(p); survives {
+			return true
+		}
 		replaced = g.replaced(p.Term)
-		return replaced || g.confirmed(p, primary)
+		return replaced && !g.editMayDecide(p) || g.confirmed(p, primary)
 	})
 	g.metrics.confirmWait.Record(g.clock.Since(start))
-	if err == nil && replaced {
+	if err == nil && replaced && !survives {
 		return errPrimaryReplaced
 	}
 	return err
 }
 
-// replaced reports whether a majority has a later term in its log or is fenced
-// for one. The caller must hold g.mu.
+// replaced reports whether a majority of a list that counts has a later term in its
+// log or is fenced for one. The caller must hold g.mu.
 func (g *group) replaced(term gypsumyard.Term) bool {
-	n := 0
-	for _, m := range g.members {
-		if m.view.Status.Term() > term || m.view.Status.Fence > term {
-			n++
-		}
-	}
-	return n >= g.database.Majority()
+	return g.anyMajority(func(m *member) bool {
+		return m.view.Status.Term() > term || m.view.Status.Fence > term
+	})
 }
--- a/internal/owner/ownership.go
+++ b/internal/owner/ownership.go
@@ -263,7 +263,7 @@
 	g.mu.Lock()
 	members := g.members
 	open := g.transactions
-	g.members, g.transactions = nil, map[string]*transaction{}
+	g.members, g.counted, g.transactions = nil, nil, map[string]*transaction{}
 	g.mu.Unlock()
 	for _, t := range open {
 		t.conn.Close()
@@ -324,7 +324,7 @@
 }
 
 func equalDatabase(a, b gypsumyard.Database) bool {
-	if len(a.Instances) != len(b.Instances) || a.Slots != b.Slots || a.Connections != b.Connections ||
+	if len(a.Instances) != len(b.Instances) || a.ListVersion != b.ListVersion || len(a.Former) != len(b.Former) || a.Slots != b.Slots || a.Connections != b.Connections ||
 		a.User != b.User || a.Password != b.Password {
 		return false
 	}
--- a/internal/owner/promoter.go
+++ b/internal/owner/promoter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/gypsumyard/gypsumyard"
 )
@@ -9,6 +10,12 @@
 // A PromotionState is the input of a promotion decision.
 type PromotionState struct {
 	Database gypsumyard.Database
+	// Lists are the lists of instances that count, the one in force first. A
+	// promotion needs a majority of each.
+	Lists []gypsumyard.InstanceList
+	// ListReplicated indicates that the primary has a term of a former version of
+	// the list and that the listed instances are ready for one of this version.
+	ListReplicated bool
 	// Instances are control connections that only promotions and follow orders
 	// use.
 	Instances []gypsumyard.Instance
@@ -36,6 +43,27 @@
 	Err error
 }
 
+// isMajority reports whether the condition holds for a majority of each list that
+// counts.
+func (s *PromotionState) isMajority(condition func(gypsumyard.InstanceView) bool) bool {
+	return !slices.ContainsFunc(s.Lists, func(l gypsumyard.InstanceList) bool { return !l.IsMajority(s.count(l, condition)) })
+}
+
+// isAnyMajority reports whether the condition holds for a majority of some list
+// that counts.
+func (s *PromotionState) isAnyMajority(condition func(gypsumyard.InstanceView) bool) bool {
+	return slices.ContainsFunc(s.Lists, func(l gypsumyard.InstanceList) bool { return l.IsMajority(s.count(l, condition)) })
+}
+
+func (s *PromotionState) count(l gypsumyard.InstanceList, condition func(gypsumyard.InstanceView) bool) (n int) {
+	for _, v := range s.Views {
+		if slices.ContainsFunc(l.Instances, v.Upstream.Same) && condition(v) {
+			n++
+		}
+	}
+	return n
+}
+
 // A PromotionDecision indicates whether the primary must be replaced.
 type PromotionDecision struct {
 	Promote bool
--- a/internal/owner/quorum_test.go
+++ b/internal/owner/quorum_test.go
@@ -7,6 +7,7 @@
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/group"
 	"github.com/gypsumyard/gypsumyard/internal/owner"
+	"github.com/gypsumyard/gypsumyard/internal/planlist"
 	"github.com/matryer/is"
 )
 
@@ -25,6 +26,16 @@
 	return d
 }
 
+// edited returns the entry that the store holds after its instances were edited,
+// from the first list to the last.
+func edited(g *group.Group, lists ...[]string) gypsumyard.Database {
+	d := listed(g, lists[0]...)
+	for i, names := range lists[1:] {
+		d = planlist.Successor(d, listed(g, names...), uint64(i+2))
+	}
+	return d
+}
+
 // isolate stops the replication of the instances of the given names.
 func isolate(g *group.Group, names ...string) {
 	for _, n := range names {
@@ -202,12 +213,14 @@
 }
 
 // Guards against a lost row when a host acknowledges with an instance that
-// replaced another one, and a host whose list is older promotes.
+// replaced another one, and a host whose list is older promotes: majorities of the
+// two lists need not have an instance in common.
 func TestReplacedInstanceUnknownToAnotherHost(t *testing.T) {
 	g := startFour(t)
 	isolate(g, "2", "3")
-	newer := serveListed(t, g, listed(g, "1", "2", "4"))
+	newer := serveListed(t, g, edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"}), withPromoter())
 	w := newer.must("s", gypsumyard.StatementWrite, insert(1))
+	newer.members.setOwner("host-2")
 	g.Instance("1").Kill()
 	serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
 	neverWithout(t, g, w.result.Position.Term, 1)
@@ -230,10 +243,109 @@
 	g.Instance("3").Partition(true)
 	old.Partition(false)
 	g.Instance("4").Isolate(false)
-	next := serveListed(t, g, listed(g, "1", "3", "4"))
+	next := serveListed(t, g, edited(g, []string{"1", "2", "3"}, []string{"1", "3", "4"}))
 	r := request("s", gypsumyard.StatementWrite, insert(3))
 	r.Deadline = time.Now().Add(detectAndPromote)
 	if a := next.run(r); a.err == nil && !holds(g.Instance(a.result.Instance), 2) {
 		t.Fatalf("%s acknowledged row 3 at %v; it lacks row 2, which %s acknowledged", a.result.Instance, a.result.Position, g.Primary().Name())
 	}
 }
+
+// Guards against an edit that is forgotten when the host restarts: the replica that
+// alone acknowledged is no longer listed, and the primary fails.
+func TestReplicaReplacedThenHostRestarts(t *testing.T) {
+	for name, lists := range map[string][][]string{
+		"one edit":  {{"1", "2", "3"}, {"1", "3", "4"}},
+		"two edits": {{"1", "2", "3"}, {"1", "3"}, {"1", "3", "4"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startFour(t)
+			isolate(g, "3", "4")
+			f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+			w := f.must("s", gypsumyard.StatementWrite, insert(1))
+			f.members.setOwner("host-2")
+			g.Instance("1").Kill()
+			serveListed(t, g, edited(g, lists...), withPromoter())
+			if len(lists) > 2 {
+				// Instances 1 and 3 may have acknowledged more meanwhile.
+				neverWithout(t, g, w.result.Position.Term, 1)
+				return
+			}
+			// The former instance is promoted, since the listed ones lack the row.
+			awaitSuccessor(t, g, w.result.Position.Term, 1)
+		})
+	}
+}
+
+// Guards against a former instance that counts for ever, against an edit that
+// interrupts service, and against former instances that stay in the entry.
+func TestFormerInstanceStopsCounting(t *testing.T) {
+	is := is.New(t)
+	g := startFour(t)
+	f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.lists.setDatabase(edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"}))
+	eventually(t, "removal of the former instances from the entry", func() bool {
+		d, _ := f.lists.Database("")
+		return d.ListVersion == 2 && len(d.Former) == 0
+	})
+	described, _ := f.service.Describe("appraisal")
+	d := described.(owner.Description)
+	is.Equal(len(d.Instances), 3)
+	is.Equal(d.Primary, "appraisal-1") // the edit doesn't move the primary
+	is.Equal(d.Term.ListVersion(), uint64(2))
+	g.Instance("3").Kill()
+	g.Instance("1").Kill()
+	start := time.Now()
+	f.must("s", gypsumyard.StatementWrite, insert(2))
+	is.True(time.Since(start) < 2*time.Second)
+	awaitSuccessor(t, g, d.Term, 1, 2)
+}
+
+// Guards against a primary that is taken out of the list and keeps its role, or is
+// replaced by an instance that lacks a row.
+func TestPrimaryTakenOutOfList(t *testing.T) {
+	g := startFour(t)
+	f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	w := f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.lists.setDatabase(edited(g, []string{"1", "2", "3"}, []string{"2", "3", "4"}))
+	awaitSuccessor(t, g, w.result.Position.Term, 1)
+	f.must("s", gypsumyard.StatementWrite, insert(2))
+	if p := g.Primary().Name(); p == "appraisal-1" {
+		t.Fatalf("%s is the primary", p)
+	}
+}
+
+// Guards against an edit that takes the primary out of service while the new
+// instances are not there yet or far behind.
+func TestNewInstancesNotReady(t *testing.T) {
+	g := startFour(t)
+	isolate(g, "3", "4")
+	f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	w := f.must("s", gypsumyard.StatementWrite, insert(1))
+	f.lists.setDatabase(edited(g, []string{"1", "2", "3"}, []string{"1", "3", "4"}))
+	time.Sleep(detectAndPromote)
+	if st := g.Instance("1").Status(); st.Fence > w.result.Position.Term {
+		t.Fatalf("the primary was fenced for term %d", st.Fence)
+	}
+	g.Instance("4").Isolate(false)
+	f.must("s", gypsumyard.StatementWrite, insert(2))
+}
+
+// Guards against an unknown outcome of a write that waits for its confirmation while
+// an edit comes into force, and against its loss.
+func TestWriteInFlightAtEdit(t *testing.T) {
+	is := is.New(t)
+	g := startFour(t)
+	isolate(g, "2", "3")
+	f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	written := make(chan *answer, 1)
+	go func() { written <- f.exec("s", gypsumyard.StatementWrite, insert(1)) }()
+	eventually(t, "commit on the primary", func() bool { return holds(g.Instance("1"), 1) })
+	f.lists.setDatabase(edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"}))
+	a := <-written
+	is.NoErr(a.err)
+	g.Instance("1").Kill()
+	awaitSuccessor(t, g, a.result.Position.Term, 1)
+	is.True(holds(g.Instance("4"), 1))
+}
--- a/internal/owner/supervise.go
+++ b/internal/owner/supervise.go
@@ -38,6 +38,7 @@
 			continue
 		}
 		g.orderFollowers()
+		g.dropStoredFormer()
 	}
 }
 
@@ -53,7 +54,7 @@
 func (g *group) promotionState() PromotionState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := PromotionState{Database: g.database, Views: g.views(), Primary: g.lastPrimary, Probe: g.probe}
+	s := PromotionState{Database: g.database, Lists: g.countedInstances(), ListReplicated: g.listReplicated(), Views: g.views(), Primary: g.lastPrimary, Probe: g.probe}
 	for _, m := range g.members {
 		s.Instances = append(s.Instances, m.orderConn)
 		if m.name == g.lastPrimary {
--- a/internal/owner/timeout.go
+++ b/internal/owner/timeout.go
@@ -60,6 +60,6 @@
 }
 
 func (p *timeoutPromoter) Promote(ctx context.Context, s PromotionState, _ PromotionDecision) (string, gypsumyard.Term, error) {
-	r, err := promote.Run(ctx, s.Instances, promote.WithClock(p.clock), promote.WithDatabase(s.Database.Name))
+	r, err := promote.Run(ctx, s.Instances, promote.WithClock(p.clock), promote.WithDatabase(s.Database.Name), promote.WithLists(s.Lists...))
 	return r.Primary, r.Term, err
 }
