promote: log which lists of instances lack a majority

Three of four fenced instances can be no majority of a former list, which the counts alone don't show. Written only while former lists count. go test ./internal/promote passes.

--- a/internal/promote/run.go
+++ b/internal/promote/run.go
@@ -70,7 +70,10 @@
 }
 
 // isMajority reports whether the set has a majority of each list.
-func (p *promotion) isMajority(set []gypsumyard.Instance) bool {
+func (p *promotion) isMajority(set []gypsumyard.Instance) bool { return len(p.lacking(set)) == 0 }
+
+// lacking returns the versions of the lists of which the set has no majority.
+func (p *promotion) lacking(set []gypsumyard.Instance) (versions []uint64) {
 	for _, l := range p.settings.lists {
 		n := 0
 		for _, u := range l.Instances {
@@ -79,10 +82,10 @@
 			}
 		}
 		if !l.IsMajority(n) {
-			return false
+			versions = append(versions, l.Version)
 		}
 	}
-	return true
+	return versions
 }
 
 // nextTerm returns the lowest term of the list's version that no answer has shown.
@@ -179,8 +182,11 @@
 	if refused {
 		return nil, fmt.Errorf("fence for term %d: %w: %s", term, errTermLost, describeFailures(answers))
 	}
-	p.log().WithFields(logrus.Fields{"term": term, "fenced": len(fenced), "of": len(p.instances), "failures": describeFailures(answers)}).
-		Error("no majority fenced, nothing promoted")
+	log := p.log().WithFields(logrus.Fields{"term": term, "fenced": len(fenced), "of": len(p.instances), "failures": describeFailures(answers)})
+	if len(p.settings.lists) > 1 {
+		log = log.WithField("lists-without-majority", p.lacking(instancesOf(fenced)))
+	}
+	log.Error("no majority fenced, nothing promoted")
 	return nil, fmt.Errorf("fence for term %d: %w: %d of %d instances fenced; %s", term, gypsumyard.ErrNoMajority, len(fenced), len(p.instances), describeFailures(answers))
 }
 
