owner: probe former instances, keep the lists of edits without a version exact

Hosts asked to probe a former primary answered that there is no such instance. Found by inspection: the record of lists without a version kept those that an earlier list in force had dropped. New tests: a host with an older list does not acknowledge (fails if confirmed ignores the version of the term), and edits with and without versions in turn.

--- a/internal/owner/lists.go
+++ b/internal/owner/lists.go
@@ -149,9 +149,9 @@
 		"dropped":      len(g.counted) - keep,
 		"left":         keep - 1,
 	}).Info("former instances no longer count: the listed ones hold all that they acknowledged")
-	if keep <= len(g.counted)-len(g.unversioned.former) {
-		g.unversioned = unversionedEdit{}
-	}
+	// The lists of edits without a version are the last ones.
+	dropped := len(g.counted) - keep
+	g.unversioned.former = g.unversioned.former[:max(len(g.unversioned.former)-dropped, 0)]
 	g.setMembers(g.countedInstances()[:keep])
 }
 
--- a/internal/owner/quorum_test.go
+++ b/internal/owner/quorum_test.go
@@ -36,6 +36,13 @@
 	return d
 }
 
+// awaitInForce waits until the log of the instance has a term of the version of the
+// list. A write that is sent at that moment may have an unknown outcome.
+func awaitInForce(t *testing.T, in *group.Instance, version uint64) {
+	t.Helper()
+	eventually(t, "list in force", func() bool { return in.Status().Applied.Term.ListVersion() == version })
+}
+
 // isolate stops the replication of the instances of the given names.
 func isolate(g *group.Group, names ...string) {
 	for _, n := range names {
@@ -219,6 +226,7 @@
 	g := startFour(t)
 	isolate(g, "2", "3")
 	newer := serveListed(t, g, edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"}), withPromoter())
+	awaitInForce(t, g.Instance("4"), 2)
 	w := newer.must("s", gypsumyard.StatementWrite, insert(1))
 	newer.members.setOwner("host-2")
 	g.Instance("1").Kill()
@@ -329,6 +337,7 @@
 		t.Fatalf("the primary was fenced for term %d", st.Fence)
 	}
 	g.Instance("4").Isolate(false)
+	awaitInForce(t, g.Instance("4"), 2)
 	f.must("s", gypsumyard.StatementWrite, insert(2))
 }
 
@@ -349,3 +358,48 @@
 	awaitSuccessor(t, g, a.result.Position.Term, 1)
 	is.True(holds(g.Instance("4"), 1))
 }
+
+// Guards against a host with an older list that acknowledges beside the list in
+// force: the primary and a former instance are a majority of its list, and a
+// promotion need not ask the former one.
+func TestOlderListDoesNotAcknowledge(t *testing.T) {
+	is := is.New(t)
+	g := startFour(t)
+	newer := serveListed(t, g, edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"}), withPromoter())
+	awaitInForce(t, g.Instance("4"), 2)
+	newer.must("s", gypsumyard.StatementWrite, insert(1))
+	newer.members.setOwner("host-2")
+	isolate(g, "2", "4")
+	older := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	r := request("s", gypsumyard.StatementWrite, insert(2))
+	r.Deadline = time.Now().Add(detectAndPromote)
+	a := older.run(r)
+	is.True(a.err != nil)
+	is.Equal(gypsumyard.ClassOf(a.err), gypsumyard.ClassNotRun)
+	is.True(!holds(g.Instance("1"), 2))
+	older.lists.setDatabase(edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"}))
+	g.Instance("4").Isolate(false)
+	older.must("s", gypsumyard.StatementWrite, insert(3))
+}
+
+// Guards against lists of edits by older hosts, which have no version, that are
+// dropped while a later one is not in force, or kept for ever, in any order of edits.
+func TestEditsWithAndWithoutVersion(t *testing.T) {
+	g := startFour(t)
+	f := serveListed(t, g, listed(g, "1", "2", "3"), withPromoter())
+	f.must("s", gypsumyard.StatementWrite, insert(1))
+	versioned := edited(g, []string{"1", "2", "3"}, []string{"1", "2", "4"})
+	later := planlist.Successor(listed(g, "1", "2", "3"), listed(g, "2", "3", "4"), 7)
+	for i, d := range []gypsumyard.Database{listed(g, "1", "2", "4"), versioned, listed(g, "1", "2", "3"), listed(g, "1", "4"), later, versioned, later} {
+		f.lists.setDatabase(d)
+		if i%2 == 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	awaitInForce(t, g.Instance("4"), 7)
+	f.must("s", gypsumyard.StatementWrite, insert(2))
+	eventually(t, "end of the former lists", func() bool {
+		d, _ := f.service.Describe("appraisal")
+		return len(d.(owner.Description).Instances) == 3
+	})
+}
--- a/internal/owner/service.go
+++ b/internal/owner/service.go
@@ -247,13 +247,15 @@
 	if !ok {
 		return st, fmt.Errorf("owner: probe %s of %s: %w", instance, database, gypsumyard.ErrNotFound)
 	}
-	for _, u := range d.Instances {
-		if u.Name != instance {
-			continue
+	for _, l := range d.Lists() {
+		for _, u := range l.Instances {
+			if u.Name != instance {
+				continue
+			}
+			i := s.newControl(d, u)
+			st, err = i.Status(ctx)
+			return st, errors.Join(err, i.Close())
 		}
-		i := s.newControl(d, u)
-		st, err = i.Status(ctx)
-		return st, errors.Join(err, i.Close())
 	}
 	return st, fmt.Errorf("owner: probe %s of %s: %w", instance, database, gypsumyard.ErrNotFound)
 }
