--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -127,6 +127,7 @@
 		{"unknown in transaction", inTx, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), nil}, "", "b", gypsumyard.ClassUnknown},
 		{"not owner in transaction", inTx, []string{"a"}, []error{fail(gypsumyard.ClassNotOwner), nil}, "", "b", gypsumyard.ClassNotRun},
 		{"no retry", read, []string{"a"}, []error{&gypsumyard.Error{Class: gypsumyard.ClassNotRun, RetryAfter: time.Second, NoRetry: true}, nil}, "", "a", gypsumyard.ClassNotRun},
+		{"over the limit", read, []string{"a"}, []error{&gypsumyard.Error{Class: gypsumyard.ClassPlan, RetryAfter: time.Second, NoRetry: true}, nil}, "", "a", gypsumyard.ClassPlan},
 		{"load", write, []string{"a"}, []error{fail(gypsumyard.ClassLoad), nil}, "", "a", gypsumyard.ClassLoad},
 		{"plan", write, []string{"a"}, []error{fail(gypsumyard.ClassPlan), nil}, "", "a", gypsumyard.ClassPlan},
 		{"unknown read, then refused", read, []string{"a"}, []error{fail(gypsumyard.ClassUnknown), fail(gypsumyard.ClassLoad)}, "", "aa", gypsumyard.ClassUnknown},
