--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -17,6 +17,9 @@
 const (
 	// quotaTick is the time between two searches for customers that lack tokens.
 	quotaTick = 50 * time.Millisecond
+	// idleQuotaTick is that time on a host that owns no group. It is below the pause after
+	// which a share takes the host for one that was suspended.
+	idleQuotaTick = 500 * time.Millisecond
 	// unsupportedDelay is how long an owner is not asked that does not support quotas.
 	unsupportedDelay = 10 * time.Second
 	// rejectionLogInterval and transferLogInterval are the least times between two such
@@ -259,7 +262,11 @@
 		for _, g := range groups {
 			g.tickQuota(d)
 		}
-		if s.clock.Sleep(s.ctx, quotaTick) != nil {
+		tick := quotaTick
+		if len(groups) == 0 {
+			tick = idleQuotaTick
+		}
+		if s.clock.Sleep(s.ctx, tick) != nil {
 			return
 		}
 	}
