quota: the order in which owners are asked is the same in each run

Cause: it came from the global random source, so that a failing schedule could not be repeated by its seed. Change: each share has a source seeded by its place.

--- a/internal/linecaller/limit_test.go
+++ b/internal/linecaller/limit_test.go
@@ -14,7 +14,9 @@
 	f := newFixture(t)
 	over := gypsumyard.Errorf(gypsumyard.ClassPlan, "customer x is over its limit")
 	over.RetryAfter, over.NoRetry = 1250*time.Millisecond, true
-	f.executor.reply = func(*gypsumyard.Request, line.Payload) (string, gypsumyard.Result, error) { return "", gypsumyard.Result{}, over }
+	f.executor.reply = func(*gypsumyard.Request, line.Payload) (string, gypsumyard.Result, error) {
+		return "", gypsumyard.Result{}, over
+	}
 	s := f.dial("START orders u1")
 	s.expect("READY")
 	for _, text := range []string{"READ a", "WRITE a 1"} {
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -60,7 +60,8 @@
 }
 
 // Targets returns the indexes of the groups whose shares have parts of the limits of the
-// customers, in random order and without this one.
+// customers, without this one. Their order is random, but the same in each run: in turns,
+// owners were asked at intervals that do not fit AskInterval, and gave less.
 func (s *Share) Targets(wanted []gypsumyard.QuotaTokens) (indexes []int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,7 +82,10 @@
 	}
 	slices.Sort(indexes)
 	indexes = slices.Compact(indexes)
-	rand.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
+	if s.random == nil {
+		s.random = rand.New(rand.NewPCG(uint64(s.place.index), uint64(s.place.groups)))
+	}
+	s.random.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
 	return indexes
 }
 
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -53,6 +54,8 @@
 	highest float64
 	risesAt time.Time
 	buckets map[string]*bucket
+	// random determines the order in which owners are asked.
+	random *rand.Rand
 	// started is when the refill of the buckets began. Those without a record had at most
 	// firstTokens then.
 	started  time.Time
