catalog: hosts hear a peer before a first read proves the desired state

Cause: a host that starts after a restore of the store, or was cut off before it, could find an older desired state there, take it for proven and accept a key whose withdrawal its peers knew, until its first pull from them. Result: TestRestoreBringsKeyBack, which fails without the change ('state 1 is proven after 1ms'). The fake peers of the package's tests share one lock, since the race detector found the shared map.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -59,9 +59,14 @@
 	gypsumyard.PeerClient
 	mu    sync.Mutex
 	hosts map[string]*Service
+	// of is the one whose hosts are reached, if it is not this one.
+	of *peers
 }
 
-func (p *peers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
+func (p *peers) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
+	if p.of != nil {
+		return p.of.FetchObjects(ctx, from, after)
+	}
 	p.mu.Lock()
 	s := p.hosts[from.Name]
 	p.mu.Unlock()
@@ -97,7 +102,7 @@
 	if p != nil {
 		p.mu.Lock()
 		p.hosts[self] = s
-		own.hosts = p.hosts
+		own.of = p
 		p.mu.Unlock()
 	}
 	k, err := kernel.New(s, m, own)
--- a/internal/catalog/proof.go
+++ b/internal/catalog/proof.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,9 +29,44 @@
 // read of the store that confirmed the copy was sent. It never goes back, as the copy
 // does not. A proof from before a restore of the store stays good until it is too old:
 // its read was answered before the restore, so it was sent before each write of the new
-// era. Only reads of the desired state renew it, in whatever era.
+// era. Only reads of the desired state renew it, after a peerCheck in each era.
 type proof struct{ at atomic.Pointer[time.Time] }
 
+// A peerCheck tells whether a peer has answered since this host first read the desired
+// state in an era. A restored store may show an older state than peers have, which a host
+// that has just started, or was cut off, does not know.
+type peerCheck struct {
+	mu    sync.Mutex
+	known bool
+	era   gypsumyard.Era
+	since time.Time
+	heard bool
+}
+
+// begin notes a read of the desired state in the era. The caller must hold p.mu.
+func (p *peerCheck) begin(e gypsumyard.Era, now time.Time) {
+	if !p.known || e > p.era {
+		p.known, p.era, p.since, p.heard = true, e, now, false
+	}
+}
+
+// noteAnswer notes that a peer which has read the desired state in the era has answered.
+func (p *peerCheck) noteAnswer(e gypsumyard.Era, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begin(e, now)
+	p.heard = p.heard || e == p.era
+}
+
+// passed reports whether reads in the era prove the copy: a peer has answered, or there
+// was time enough for an answer.
+func (p *peerCheck) passed(e gypsumyard.Era, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begin(e, now)
+	return p.heard || now.Sub(p.since) >= firstPullTimeout
+}
+
 // record records that the copy is proven since the given time.
 func (p *proof) record(at time.Time) {
 	for {
@@ -106,7 +142,10 @@
 // confirmed the copies of a prefix. It is called when the objects of its answer are
 // applied.
 func (s *Service) noteConfirmed(prefix string, sent time.Time) {
-	if prefix == s.names.desiredPrefix() {
+	if s.revokeTimeout <= 0 || prefix != s.names.desiredPrefix() {
+		return
+	}
+	if s.peerCheck.passed(s.completeVersion(prefix).Era(), s.clock.Now()) {
 		s.proof.record(sent)
 	}
 }
@@ -115,7 +154,11 @@
 // was sent at the given time. It is called when the peer's objects are applied. A peer
 // that lacks the store or its latest restore may not have sent all that it knows.
 func (s *Service) notePeerProof(sent time.Time, u gypsumyard.ObjectUpdate) {
-	if u.Proven && s.peerValidity(u) > 0 {
+	if s.revokeTimeout <= 0 || s.peerValidity(u) == 0 {
+		return
+	}
+	s.peerCheck.noteAnswer(u.Complete.Era(), s.clock.Now())
+	if u.Proven {
 		s.proof.record(sent.Add(-u.ProofAge))
 	}
 }
--- a/internal/catalog/proof_test.go
+++ b/internal/catalog/proof_test.go
@@ -46,6 +46,7 @@
 		t.Fatal(err)
 	}
 	s.kernel = k
+	s.peerCheck.noteAnswer(0, s.clock.Now())
 	return s
 }
 
@@ -101,6 +102,7 @@
 	put(t, store, names.Desired, "1")
 	c := clock.NewFake(time.Unix(1000, 0))
 	s := newStrict(t, store, WithClock(c))
+	s.peerCheck.noteAnswer(1, c.Now())
 	is.NoErr(s.list(names.desiredPrefix()))
 	proven := s.ProvenAt()
 	is.Equal(proven, c.Now())
@@ -118,9 +120,71 @@
 	is.Equal(s.ProvenAt(), proven)
 	store.SetEra(2)
 	is.NoErr(s.list(names.desiredPrefix()))
+	is.Equal(s.ProvenAt(), proven) // Peers may have a newer state.
+	c.Advance(firstPullTimeout)
+	is.NoErr(s.list(names.desiredPrefix()))
 	is.Equal(s.ProvenAt(), c.Now())
 }
 
+// Pattern: a key is withdrawn, the store comes back from a copy that has it, and a host
+// starts, or one that was cut off regains the store.
+//
+// Guards against a host that accepts the key until its peers tell what the restore has
+// lost, and against a host that has no peers and never accepts any.
+func TestRestoreBringsKeyBack(t *testing.T) {
+	for _, starts := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			store, own := memstore.New(), memstore.New()
+			for _, s := range []*memstore.Store{store, own} {
+				s.SetEra(1)
+				put(t, s, names.Desired, "1")
+			}
+			older := store.Copy()
+			p := &peers{hosts: map[string]*Service{}}
+			a := startFor(t, forAll(store), p, "a", []string{"a", "b"}, withKeys)
+			cutOff := &peers{hosts: map[string]*Service{}}
+			var b *Service
+			if !starts {
+				b = startFor(t, forAll(own), cutOff, "b", []string{"a", "b"}, withKeys)
+				time.Sleep(time.Second)
+				own.SetDown(true)
+			}
+			put(t, store, names.Desired, "2")
+			time.Sleep(testRevokeTimeout)
+			store.Restore(older)
+			own.Restore(older)
+			time.Sleep(time.Second)
+			own.SetDown(false)
+			if starts {
+				b = startFor(t, forAll(own), p, "b", []string{"a", "b"}, withKeys)
+			} else {
+				cutOff.mu.Lock()
+				cutOff.hosts["a"] = a
+				cutOff.mu.Unlock()
+			}
+			began := time.Now()
+			for !b.KeysProven() || desiredNumber(b) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if took := time.Since(began); desiredNumber(b) != 2 || took > 500*time.Millisecond {
+				t.Errorf("state %d is proven after %v", desiredNumber(b), took)
+			}
+			if desiredNumber(a) != 2 {
+				t.Error("the state went back")
+			}
+		})
+	}
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New()
+		put(t, store, names.Desired, "1")
+		s := startFor(t, forAll(store), nil, "a", []string{"a"}, withKeys)
+		time.Sleep(2 * firstPullTimeout)
+		if !s.KeysProven() {
+			t.Error("a lone host has no proof")
+		}
+	})
+}
+
 // Guards against a proof from a peer that is younger than the peer's own, or that a peer
 // gives which states no age, lacks the store, or has not seen its latest restore.
 func TestProofFromPeer(t *testing.T) {
@@ -242,6 +306,7 @@
 		p := &peers{hosts: map[string]*Service{}}
 		startFor(t, forAll(store), p, "a", []string{"a", "b"})
 		b := startFor(t, forAll(own), p, "b", []string{"a", "b"}, withKeys)
+		time.Sleep(2 * time.Second) // Its first read, the pause of a stand-in, and a watch.
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
 			is.True(b.KeysProven()) // It reads the store itself.
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -51,8 +51,9 @@
 	work     sync.WaitGroup
 	done     chan struct{}
 
-	contact *contact
-	proof   proof
+	contact   *contact
+	proof     proof
+	peerCheck peerCheck
 	// revokeTimeout is how soon a withdrawn key must not be accepted, or zero if that
 	// is not strict.
 	revokeTimeout time.Duration
--- a/internal/linehost/keys_test.go
+++ b/internal/linehost/keys_test.go
@@ -40,6 +40,7 @@
 	}
 	for _, h := range s.hosts {
 		s.awaitRoute(h, openRoute)
+		s.eventually(startTimeout, "the host is ready", func() bool { return s.isReady(h) })
 	}
 	return s, c
 }
