peer, linecaller: large desired states

Cause: an object of over 2 MB, as a desired state with 100,000 customers, broke the stream between hosts and the heartbeats on it ('data overflow'); idle sessions kept the desired state of their last message in memory. Change: such an object is left out, and the update proves nothing, so that the asking host reads the store itself once for each version. Sessions hold the desired state while they handle a message only. Result: TestLargeObjectIsNotSent, which fails without the change; go test ./internal/peer ./internal/linecaller passes.

--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -44,8 +44,9 @@
 	// key is the hash of the key that the caller sent, or zero. The key itself is not
 	// kept.
 	key gypsumyard.KeyHash
-	// desired and customer are the desired state when the last message was read, and
-	// the customer that holds the key by it, or empty.
+	// desired and customer are the desired state when the message that is being handled
+	// was read, and the customer that holds the key by it, or empty. Between messages
+	// desired is nil: idle sessions would keep old states with many customers in memory.
 	desired  *gypsumyard.DesiredState
 	customer string
 
@@ -166,6 +167,7 @@
 		ss.refuse(line.CodeBusy, "desired state is not known yet")
 		return false
 	}
+	defer func() { ss.desired = nil }()
 	v := ss.identify(ss.server.clock.Now())
 	if _, ok := ss.route(); !ok {
 		ss.refuse(line.CodeNoDatabase, ss.database)
@@ -309,6 +311,7 @@
 		return line.ErrMalformed
 	}
 	began := ss.server.clock.Now()
+	defer func() { ss.desired = nil }()
 	ss.out = ss.out[:0]
 	ok, err := ss.admitKey(f[0], f[1], began)
 	if ok {
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,10 @@
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 )
 
+// maxObjectBytes is the size of the largest value that is sent. It leaves room for the
+// other fields of its message.
+const maxObjectBytes = maxMessageBytes - 64<<10
+
 // maxCalls is the number of calls of one Gossip stream that run concurrently.
 const maxCalls = 64
 
@@ -127,7 +132,18 @@
 	if err != nil {
 		return u, err
 	}
-	return lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision())), nil
+	return withoutLarge(lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision()))), nil
+}
+
+// withoutLarge removes the objects that do not fit a message, which would break the
+// stream with the heartbeats on it: a desired state with very many customers. The update
+// then proves nothing, so that the asking host reads the store itself.
+func withoutLarge(u gypsumyard.ObjectUpdate) gypsumyard.ObjectUpdate {
+	large := func(o gypsumyard.Object) bool { return len(o.Value) > maxObjectBytes }
+	if slices.ContainsFunc(u.Objects, large) {
+		u = gypsumyard.ObjectUpdate{Objects: slices.DeleteFunc(slices.Clone(u.Objects), large)}
+	}
+	return u
 }
 
 func (g *gossipServer) probe(p *peerpb.ProbeInstance) (*peerpb.InstanceStatus, error) {
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -67,6 +67,21 @@
 	is.True(err != nil)
 }
 
+// Guards against an object that is too large for a message and breaks the stream, on which
+// the heartbeats are, and against an update without it that is taken for complete.
+func TestLargeObjectIsNotSent(t *testing.T) {
+	is := is.New(t)
+	objects := []gypsumyard.Object{{Name: "a", Value: make([]byte, maxObjectBytes)}, {Name: "b", Value: make([]byte, 10<<20)}}
+	lists := &fakeLists{newer: objects, done: make(chan struct{})}
+	_, b := startHost(t, "b", newFakeOwner(nil), lists)
+	a, _ := startHost(t, "a")
+	for range 2 {
+		got, err := a.FetchObjects(t.Context(), b, 0)
+		is.NoErr(err)
+		is.Equal(got, gypsumyard.ObjectUpdate{Objects: objects[:1]})
+	}
+}
+
 // claimOwner is an owner that answers calls for claims with a script.
 type claimOwner struct {
 	*fakeOwner
