lineowner: elections wait for absent instances without a time limit

Cause: an instance that was neither listed nor reachable stopped counting after 6 s, so commits that only two absent instances held were lost when these returned later. Change: no timer. An instance that left counts until its log is elsewhere, a host has removed it from the stored set, or an operator accepts its loss. Coverage is noted while it is still listed. An election that too few instances answer is not begun; it is logged, has a gauge, and its requests are rejected at once.

--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -29,6 +29,9 @@
 	// itself keeps in the platform's store: registered hosts and promotions.
 	hostPrefix  = "gypsumyard-hosts/"
 	claimPrefix = "gypsumyard-promotions/"
+	// lossPrefix is that of the objects in which operators accept the loss of
+	// instances.
+	lossPrefix = "gypsumyard-loss-acceptance/"
 	// reservedDescriptors is the number of file descriptors that the platform
 	// reserves for files.
 	reservedDescriptors = 200
@@ -115,7 +118,7 @@
 		member.WithSeeds(s.Seeds...))
 	h.owner = lineowner.New(store(gypsumyard.ReasonClaim), claimPrefix, client.For(gypsumyard.ReasonPromotion),
 		lineowner.WithClock(h.clock), lineowner.WithLogger(h.logger("owner")), lineowner.WithMetrics(h.scope), lineowner.WithEras(eras),
-		lineowner.WithDrainTimeout(s.DrainTimeout))
+		lineowner.WithDrainTimeout(s.DrainTimeout), lineowner.WithLossAcceptances(store(gypsumyard.ReasonClaim), lossPrefix))
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.logger("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = linecaller.New(s.CallerAddr, linecaller.WithClock(h.clock), linecaller.WithLogger(h.logger("caller")),
 		linecaller.WithMetrics(h.scope), linecaller.WithMaxSessions((s.Descriptors-reservedDescriptors)/descriptorsPerSession))
--- /dev/null
+++ b/internal/lineowner/awaited.go
@@ -0,0 +1,128 @@
+package lineowner
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// waitDeclareDelay is how long an election must have lacked instances before its
+	// requests are rejected at once: an instance that misses one status request is back
+	// within it.
+	waitDeclareDelay = 500 * time.Millisecond
+	// awaitedPollInterval and awaitedPollTimeout apply to instances that an election
+	// lacks, so that it ends within a second after one has returned: an election takes
+	// up to 0.8 s itself.
+	awaitedPollInterval = 100 * time.Millisecond
+	awaitedPollTimeout  = 150 * time.Millisecond
+	// awaitedRetryAfter is the delay after which rejected callers may retry.
+	awaitedRetryAfter = time.Second
+)
+
+// An electionWait is the state of an election that cannot be held because too few of the
+// instances that count answer. It lasts until some return or an operator accepts their
+// loss; no time limit ends it.
+type electionWait struct {
+	// since is since when instances have been lacking, or zero.
+	since time.Time
+	// declared indicates that requests which need the primary are rejected at once.
+	declared bool
+}
+
+// errAwaitsInstances returns the error for requests that need a primary while the
+// election of one waits.
+func errAwaitsInstances() error {
+	e := gypsumyard.Errorf(gypsumyard.ClassNotRun, "no instance can lead until absent instances return: they may hold acknowledged commits")
+	e.RetryAfter, e.NoRetry = awaitedRetryAfter, true
+	return e
+}
+
+// mustAwaitInstances reports whether an election for the given cause would lack fences,
+// and keeps the state of the wait. Such an election is not begun: it would only fence
+// instances that work.
+func (g *group) mustAwaitInstances(owned bool, why electionCause) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if why.reason == "" && g.wait.since.IsZero() {
+		return false
+	}
+	now := g.clock.Now()
+	p, at := g.provenPrimary()
+	led := p != nil && now.Sub(at) <= evidenceTTL
+	b := g.nextBallot()
+	lacks := owned && why.reason != "" && b.lacksFences()
+	switch {
+	case !lacks && (why.reason != "" || led || !owned):
+		g.endWait(led)
+		return false
+	case !lacks:
+		return false // It is not certain yet whether an instance leads.
+	case g.wait.since.IsZero():
+		g.wait.since = now
+		g.replicas.mustRead = true // Another host may have removed an instance.
+	case !led && !g.wait.declared && now.Sub(g.wait.since) >= waitDeclareDelay:
+		g.declareWait(b)
+	}
+	if g.wait.declared {
+		g.refreshLossAcceptance(now)
+	}
+	return true
+}
+
+// declareWait makes the wait visible and wakes the requests that it concerns. The caller
+// must hold g.mu.
+func (g *group) declareWait(b ballot) {
+	g.wait.declared = true
+	var awaited, answering []string
+	var longest gypsumyard.Position
+	for _, i := range b.remaining() {
+		text := fmt.Sprintf("%s at %v term %d received %v", i.id, i.listed.Addr, i.status.term, i.status.received)
+		if !i.reachable {
+			awaited = append(awaited, text)
+			continue
+		}
+		answering = append(answering, text)
+		if i.status.received.Compare(longest) > 0 {
+			longest = i.status.received
+		}
+	}
+	g.log.WithFields(logrus.Fields{
+		"term": b.term, "awaited": awaited, "answering": answering, "needed": b.needed(),
+		"longest": longest.String(), "acknowledged": g.acknowledged.String(),
+	}).Warn("election waits for absent instances")
+	g.metrics.awaits(g.name, len(awaited))
+	g.broadcast()
+}
+
+// endWait ends the wait, if there is one. The caller must hold g.mu.
+func (g *group) endWait(led bool) {
+	if g.wait.declared {
+		g.log.WithFields(logrus.Fields{"waited": g.clock.Since(g.wait.since).String(), "led": led}).Info("election waits no longer")
+		g.metrics.awaits(g.name, 0)
+	}
+	g.wait = electionWait{}
+}
+
+// isAwaited reports whether an election lacks the instance. The caller must hold g.mu.
+func (g *group) isAwaited(i *instance) bool { return !g.wait.since.IsZero() && !i.reachable }
+
+// pollTimeoutOf returns the time limit of the next status request to the instance.
+func (g *group) pollTimeoutOf(i *instance) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.isAwaited(i) {
+		return awaitedPollTimeout
+	}
+	return pollTimeout
+}
+
+// noteAcknowledged records that the commit which ends at the position was acknowledged.
+// The caller must hold g.mu.
+func (g *group) noteAcknowledged(p gypsumyard.Position) {
+	if p.Compare(g.acknowledged) > 0 {
+		g.acknowledged = p
+	}
+}
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -93,10 +93,11 @@
 			g.syncReplicaSet()
 			g.forgetDeparted()
 		}
+		g.settleLoss()
 		if owned && g.maybeTransfer(g.clock.Now()) {
 			continue
 		}
-		if why.reason == "" || g.clock.Now().Before(g.election.notBefore) || g.mustAwaitLostClaims() {
+		if g.mustAwaitInstances(owned, why) || why.reason == "" || g.clock.Now().Before(g.election.notBefore) || g.mustAwaitLostClaims() {
 			continue
 		}
 		g.elect(why)
@@ -179,12 +180,12 @@
 		}
 	}()
 	setRead := g.startReplicaSetRead()
-	term, instances := g.nextTerm()
-	needed := fencesNeeded(len(instances))
-	g.logInstances(term, generation, instances)
-	answers := g.fence(instances, term, needed)
+	b := g.prepareBallot()
+	term, needed := b.term, b.needed()
+	g.logInstances(term, generation, b.counted)
+	answers := g.fence(b.remaining(), term, needed)
 	if len(answers) < needed {
-		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(instances), needed)
+		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(b.counted), needed)
 	}
 	best, err := chooseCandidate(answers)
 	if err != nil {
@@ -192,17 +193,17 @@
 	}
 	g.log.WithFields(logrus.Fields{
 		"term": term, "generation": generation, "fenced": describeFenced(answers), "needed": needed,
-		"instance": best.instance.id, "received": best.status.received.String(),
+		"instance": best.instance.id, "received": best.status.received.String(), "accepted-loss": instanceIDs(b.lost),
 	}).Info("instance chosen to lead")
 	g.setElecting(true)
 	defer g.setElecting(false)
-	if err := g.clock.Sleep(g.ctx, g.fenceWaitFor(instances, answers)); err != nil {
+	if err := g.clock.Sleep(g.ctx, g.fenceWaitFor(b.counted, answers)); err != nil {
 		return nil, err
 	}
 	if err := <-setRead; err != nil {
 		return nil, err
 	}
-	if err := g.checkCounted(instances); err != nil {
+	if err := g.checkCounted(b.counted); err != nil {
 		return nil, err
 	}
 	if err := g.confirmElection(answers, term, needed, generation, claimedAt); err != nil {
@@ -214,6 +215,9 @@
 	err = g.service.promotions.Promote(promoteCtx, o)
 	ordered = !errors.Is(err, gypsumyard.ErrConflict) // After a conflict the order had no effect.
 	g.log.WithFields(logrus.Fields{"instance": o.Instance, "generation": generation}).WithError(err).Info("promotion ordered")
+	if ordered {
+		g.noteLossOrdered(b, best.instance)
+	}
 	if err != nil && !errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
 		return nil, err
 	}
@@ -264,11 +268,11 @@
 func (g *group) checkCounted(counted []*instance) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if n := len(g.instances); len(g.replicas.set.Replicas) == 0 && n <= g.settings.SyncReplicas {
+	if n := g.countedNumber(); len(g.replicas.set.Replicas) == 0 && n <= g.settings.SyncReplicas {
 		return fmt.Errorf("%w: %d, commits are on %d", errTooFewListed, n, g.settings.SyncReplicas+1)
 	}
 	for _, i := range g.instances {
-		if !slices.Contains(counted, i) {
+		if !i.lossAccepted && !slices.Contains(counted, i) {
 			return fmt.Errorf("%w: %s was added", errTooFewFenced, i.id)
 		}
 	}
@@ -332,18 +336,6 @@
 	return mayOrder(gypsumyard.Version(generation), latest, g.clock.Since(claimedAt), defaultElectionLimits)
 }
 
-// nextTerm returns the term that the next promotion starts, and the instances.
-// Fences left by abandoned elections do not raise it: an instance fenced for a
-// later term than the new primary's would receive nothing from it.
-func (g *group) nextTerm() (term gypsumyard.Term, instances []*instance) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, i := range g.instances {
-		term = max(term, i.status.term)
-	}
-	return term + 1, append(instances, g.instances...)
-}
-
 // awaitPromoted waits until the instance reports that it is the primary.
 func (g *group) awaitPromoted(i *instance, term gypsumyard.Term) error {
 	ctx, cancel := context.WithTimeoutCause(g.ctx, promotionConfirmTimeout, errPromotionUnconfirmed)
--- a/internal/lineowner/failover.go
+++ b/internal/lineowner/failover.go
@@ -57,7 +57,7 @@
 	timeout := silenceTimeout
 	for _, i := range g.instances {
 		switch {
-		case !i.statusKnown && i.silentSince.IsZero():
+		case !i.statusKnown && i.silentSince.IsZero() && !i.retired:
 			return why // Not polled yet.
 		case i == g.lastPrimary && !i.silentSince.IsZero():
 			e.leaderlessSince = earlier(e.leaderlessSince, i.silentSince)
@@ -91,8 +91,9 @@
 }
 
 // replicasFenced reports whether an election was started and not finished
-// within fencedTimeout: a fenced replica receives nothing until a promotion.
-// The caller must hold g.mu.
+// within fencedTimeout: a fenced replica receives nothing until a promotion. It has
+// long not been finished if the group was waiting for the primary to return. The caller
+// must hold g.mu.
 func (g *group) replicasFenced(p *instance, now time.Time) bool {
 	e := &g.election
 	for _, i := range g.instances {
@@ -102,7 +103,7 @@
 		if e.fencedSince.IsZero() {
 			e.fencedSince = now
 		}
-		return now.Sub(e.fencedSince) >= fencedTimeout
+		return now.Sub(e.fencedSince) >= fencedTimeout || g.wait.declared
 	}
 	e.fencedSince = time.Time{}
 	return false
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -98,6 +98,12 @@
 	peerViews  peerViews
 	// election is the state of failure detection and elections.
 	election election
+	// wait is the state of an election that too few instances answer, loss what an
+	// operator has accepted to lose.
+	wait electionWait
+	loss lossState
+	// acknowledged is the highest position that is known to have been acknowledged.
+	acknowledged gypsumyard.Position
 }
 
 func newGroup(s *Service, name string) *group {
@@ -321,6 +327,7 @@
 	for _, i := range instances {
 		i.retire()
 	}
+	g.endWait(false)
 	g.mu.Unlock()
 	g.wg.Wait()
 	for _, i := range instances {
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -56,6 +56,16 @@
 	// when the stored replica set was first seen to hold it.
 	knownSince time.Time
 	storedAt   time.Time
+	// storedVersion is the version of the latest stored set that was seen to hold it, or
+	// zero. removed indicates that a host has removed it from the set since.
+	storedVersion gypsumyard.Version
+	removed       bool
+	// covered indicates that its process has ended and others hold all commits that it
+	// has helped to acknowledge.
+	covered bool
+	// lossAccepted indicates that an operator has accepted its loss: it does not count
+	// until it answers again.
+	lossAccepted bool
 	// settled indicates that its status may prove who leads, see hasSettled.
 	settled bool
 	// statusKnown indicates that status has been read.
@@ -117,7 +127,7 @@
 	defer i.control.close()
 	for ctx.Err() == nil {
 		sent := g.clock.Now()
-		s, fresh, err := c.exec(ctx, statusCommand, pollTimeout)
+		s, fresh, err := c.exec(ctx, statusCommand, g.pollTimeoutOf(i))
 		if ctx.Err() != nil {
 			return
 		}
@@ -134,7 +144,7 @@
 	if g.clock.Sleep(ctx, minPollInterval) != nil {
 		return
 	}
-	t := g.clock.NewTimer(g.currentPollInterval() - minPollInterval)
+	t := g.clock.NewTimer(g.currentPollInterval(i) - minPollInterval)
 	defer t.Stop()
 	select {
 	case <-t.C():
@@ -143,9 +153,12 @@
 	}
 }
 
-func (g *group) currentPollInterval() time.Duration {
+func (g *group) currentPollInterval(i *instance) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.isAwaited(i) {
+		return awaitedPollInterval
+	}
 	if g.clock.Since(g.lastRequest) > idleAfter {
 		return idlePollInterval
 	}
@@ -194,6 +207,7 @@
 	if i.statusKnown && sent.Before(i.sampledAt) {
 		return
 	}
+	g.noteAlive(i)
 	trip := g.clock.Since(sent)
 	if !i.statusKnown {
 		i.roundTrip = trip
@@ -252,6 +266,7 @@
 // recordAnswer marks the instance as reachable. The caller must hold g.mu.
 func (g *group) recordAnswer(i *instance) {
 	i.silentSince, i.connRefused = time.Time{}, false
+	g.noteAlive(i)
 	if i.reachable {
 		return
 	}
--- a/internal/lineowner/lead.go
+++ b/internal/lineowner/lead.go
@@ -104,7 +104,7 @@
 		}
 	}
 	slices.SortFunc(seen, func(a, b time.Time) int { return b.Compare(a) })
-	others := evidenceNeeded(len(g.instances)) - 1
+	others := evidenceNeeded(g.countedNumber()) - 1
 	switch {
 	case others == 0:
 		at = p.sampledAt
@@ -182,6 +182,9 @@
 func (g *group) acknowledgedSample(p *instance, at time.Time) (s sample, ok bool) {
 	var received []gypsumyard.Position
 	for _, i := range g.instances {
+		if i.lossAccepted {
+			continue
+		}
 		if !i.statusKnown || i.status.term != p.status.term {
 			return s, false
 		}
@@ -258,7 +261,11 @@
 	defer cancel()
 	err := g.await(ctx, func() bool {
 		p, at := g.provenPrimary()
-		return p == i && !at.Before(oldest) && (!i.listed.Leaving || g.isOnStayingReplica(p, commit))
+		kept := p == i && !at.Before(oldest) && (!i.listed.Leaving || g.isOnStayingReplica(p, commit))
+		if kept {
+			g.noteAcknowledged(commit)
+		}
+		return kept
 	})
 	if err != nil {
 		g.log.WithField("instance", i.id).WithError(err).Warn("commit is not known to be kept")
@@ -293,17 +300,21 @@
 
 // awaitEvidence is await for conditions that need a proven primary. It fails at
 // once if there has been none for noPrimaryTimeout and no promotion is in
-// progress.
+// progress, or if the election waits for absent instances.
 func (g *group) awaitEvidence(ctx context.Context, check func() bool) error {
-	noPrimary := false
+	noPrimary, awaits := false, false
 	err := g.await(ctx, func() bool {
 		if check() {
-			noPrimary = false
+			noPrimary, awaits = false, false
 			return true
 		}
+		awaits = g.wait.declared
 		noPrimary = !g.electing && g.clock.Since(g.evidenceAt) > noPrimaryTimeout
-		return noPrimary
+		return noPrimary || awaits
 	})
+	if err == nil && awaits {
+		return errAwaitsInstances()
+	}
 	if err == nil && noPrimary {
 		e := gypsumyard.Errorf(gypsumyard.ClassNotRun, "no instance has been known to lead for %v", noPrimaryTimeout)
 		e.RetryAfter, e.NoRetry = noPrimaryRetryAfter, true
--- /dev/null
+++ b/internal/lineowner/loss.go
@@ -0,0 +1,154 @@
+package lineowner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gypsumyard/gypsumyard"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	// lossReadInterval is the time between two reads of the acceptance of loss.
+	lossReadInterval = 2 * time.Second
+	// lossTimeout bounds a call to the store for it.
+	lossTimeout = 800 * time.Millisecond
+)
+
+var errMalformedLoss = errors.New("want a term and the IDs of instances")
+
+// A lossAcceptance is an operator's object: the instances named do not count in the
+// election that starts the term.
+type lossAcceptance struct {
+	version   gypsumyard.Version
+	Term      gypsumyard.Term `json:"term"`
+	Instances []string        `json:"instances"`
+}
+
+func parseLossAcceptance(value []byte) (a lossAcceptance, err error) {
+	if err := json.Unmarshal(value, &a); err != nil {
+		return lossAcceptance{}, err
+	}
+	if a.Term == 0 || len(a.Instances) == 0 || slices.Contains(a.Instances, "") {
+		return lossAcceptance{}, errMalformedLoss
+	}
+	return a, nil
+}
+
+// A lossStore reads and deletes the operators' acceptances. Without a store there are
+// none.
+type lossStore struct {
+	store  gypsumyard.Store
+	prefix string
+}
+
+// A lossState is what a host knows of the acceptance for its group.
+type lossState struct {
+	accepted lossAcceptance
+	pending  bool
+	readAt   time.Time
+	// read is the version of the object that was read last.
+	read gypsumyard.Version
+	// ordered holds the ballot of a promotion that was ordered without the lost
+	// instances, and chosen the instance to be promoted. It is nil if there is none.
+	ordered ballot
+	chosen  *instance
+}
+
+// accepts reports whether the loss of the instance is accepted for the term.
+func (l *lossState) accepts(term gypsumyard.Term, id string) bool {
+	return l.accepted.Term == term && slices.Contains(l.accepted.Instances, id)
+}
+
+// refreshLossAcceptance reads the acceptance in the background if it was not read
+// recently. The caller must hold g.mu.
+func (g *group) refreshLossAcceptance(now time.Time) {
+	l := &g.loss
+	if g.service.losses.store == nil || l.pending || !l.readAt.IsZero() && now.Sub(l.readAt) < lossReadInterval {
+		return
+	}
+	l.pending, l.readAt = true, now
+	g.wg.Go(g.readLossAcceptance)
+}
+
+func (g *group) readLossAcceptance() {
+	ctx, cancel := context.WithTimeout(g.ctx, lossTimeout)
+	defer cancel()
+	o, err := g.service.losses.store.Get(ctx, g.service.losses.prefix+g.name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := &g.loss
+	l.pending = false
+	switch {
+	case errors.Is(err, gypsumyard.ErrNotFound):
+		l.accepted, l.read = lossAcceptance{}, 0
+		return
+	case err != nil:
+		g.log.WithError(err).Info("acceptance of loss is not read")
+		return
+	case o.Version == l.read:
+		return
+	}
+	l.read = o.Version
+	l.accepted, err = parseLossAcceptance(o.Value)
+	log := g.log.WithField("version", o.Version)
+	if err != nil {
+		log.WithError(err).Warn("acceptance of loss is malformed, ignoring it")
+		return
+	}
+	l.accepted.version = o.Version
+	b := g.nextBallot()
+	log.WithFields(logrus.Fields{
+		"term": l.accepted.Term, "instances": l.accepted.Instances, "next-term": b.term,
+		"given-up": instanceIDs(b.lost), "awaited": instanceIDs(b.absent()), "sufficient": !b.lacksFences(),
+	}).Warn("operator accepts the loss of instances")
+}
+
+// noteLossOrdered records that a promotion without the lost instances was ordered.
+func (g *group) noteLossOrdered(b ballot, chosen *instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(b.lost) > 0 {
+		g.loss.ordered, g.loss.chosen = b, chosen
+	}
+}
+
+// settleLoss stops counting the lost instances once the promotion without them has taken
+// effect, and deletes the acceptance. Until then its outcome may be unknown, and the next
+// election for the term needs as many fences.
+func (g *group) settleLoss() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := &g.loss
+	c := l.chosen
+	if c == nil || c.status.term < l.ordered.term {
+		return
+	}
+	if c.status.role == gypsumyard.RolePrimary && c.status.term == l.ordered.term {
+		for _, i := range l.ordered.lost {
+			if !i.reachable {
+				i.lossAccepted = true
+				g.log.WithFields(logrus.Fields{"instance": i.id, "term": c.status.term, "received": i.status.received.String()}).
+					Warn("instance does not count any more, an operator accepted its loss")
+			}
+		}
+		v := l.accepted.version
+		g.wg.Go(func() { g.deleteLossAcceptance(v) })
+		g.broadcast()
+	}
+	l.accepted, l.ordered, l.chosen = lossAcceptance{}, ballot{}, nil
+}
+
+// deleteLossAcceptance deletes the acceptance that was used. One that remains has no
+// effect, since no later election starts its term.
+func (g *group) deleteLossAcceptance(v gypsumyard.Version) {
+	ctx, cancel := context.WithTimeout(g.ctx, lossTimeout)
+	defer cancel()
+	if err := g.service.losses.store.Delete(ctx, g.service.losses.prefix+g.name, v); err != nil {
+		g.log.WithField("version", v).WithError(fmt.Errorf("delete: %w", err)).Info("acceptance of loss remains")
+	}
+}
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -14,6 +14,8 @@
 	writes       tally.Counter
 	elections    tally.Counter
 	promotions   tally.Counter
+	// awaits sets how many absent instances the election of a group waits for.
+	awaits func(group string, instances int)
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -25,6 +27,9 @@
 		writes:       s.Counter("owner_writes"),
 		elections:    s.Counter("owner_elections"),
 		promotions:   s.Counter("owner_promotions"),
+		awaits: func(group string, instances int) {
+			s.Tagged(map[string]string{"group": group}).Gauge("group_awaits_instances").Update(float64(instances))
+		},
 	}
 }
 
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -55,7 +55,7 @@
 	if j.Position.Compare(p.needed) > 0 {
 		p.needed = j.Position
 	}
-	err = g.await(ctx, func() bool {
+	err = g.awaitEvidence(ctx, func() bool {
 		p.targets = g.readTargets(j, p.needed)
 		return len(p.targets) > 0
 	})
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -17,6 +17,10 @@
 	replicaSetRetryDelay = 500 * time.Millisecond
 	// replicaSetTimeout bounds one such call.
 	replicaSetTimeout = 800 * time.Millisecond
+	// coverageHurry is how long after the end of an instance's process the others are
+	// polled at each check until they are seen to have its commits: if the primary fails
+	// before that, its successor needs the log of the ended instance.
+	coverageHurry = 5 * time.Second
 	// listingDelay is how long an instance of the stored set may be missing from the
 	// list of a host that starts before it counts as leaving: entries that expired
 	// while the store was unavailable are back within two seconds.
@@ -34,6 +38,8 @@
 	// mustRewrite indicates that a write without an answer may still be carried out.
 	// Another write makes its condition false.
 	mustRewrite bool
+	// mustRead indicates that another host may have replaced the set.
+	mustRead bool
 	// failedAt is when the last call to the store failed.
 	failedAt time.Time
 }
@@ -44,7 +50,7 @@
 	if i.departure == nil {
 		g.log.WithField("instance", i.id).Info("instance is no longer listed")
 		now := g.clock.Now()
-		i.departure = &departure{since: now, expires: now.Add(departedRetention)}
+		i.departure = &departure{since: now}
 		i.markLeaving(now)
 	}
 	if i.successor = g.listedAt(i); i.successor != nil && !i.retired {
@@ -78,6 +84,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
+	g.noteCoverage(now)
 	for _, i := range g.instances {
 		if i.departure != nil && now.Sub(i.departure.since) > listingDelay {
 			i.markLeaving(now)
@@ -85,7 +92,7 @@
 	}
 	var over []*instance
 	for _, i := range g.instances {
-		reason := g.whyForget(i, now)
+		reason := i.whyForget()
 		if reason == "" {
 			continue
 		}
@@ -99,18 +106,19 @@
 }
 
 // whyForget returns why the instance need not count any more, or an empty string. The
-// caller must hold g.mu.
-func (g *group) whyForget(i *instance, now time.Time) string {
+// caller must hold the group's mutex.
+func (i *instance) whyForget() string {
 	switch {
 	case i.departure == nil:
 		return ""
 	case i.logIsInherited():
 		return "an instance at its address has its log"
-	case g.isDepartureCovered(i, now):
+	case i.covered:
 		return "other instances have all commits"
-	case !i.reachable && i.departure.isExpired(now):
-		g.log.WithField("instance", i.id).Warn("departed instance did not return, commits that only it has are lost")
-		return "it did not return"
+	case i.removed:
+		return "a host removed it from the stored replica set"
+	case i.lossAccepted:
+		return "an operator accepted its loss"
 	}
 	return ""
 }
@@ -126,29 +134,56 @@
 	return !i.statusKnown || s.statusKnown && s.replicaState().hasLogOf(i.replicaState())
 }
 
-// isDepartureCovered reports whether a primary that is proven to lead and another listed
-// instance have all commits that the departed instance has helped to acknowledge. The
-// caller must hold g.mu.
-func (g *group) isDepartureCovered(departed *instance, now time.Time) bool {
+// noteCoverage records which instances need not count once they are not listed any more:
+// a primary that is proven to lead and another instance have all commits that they have
+// helped to acknowledge. It is recorded while they are still listed, because that primary
+// may fail as soon as their entries are gone. The caller must hold g.mu.
+func (g *group) noteCoverage(now time.Time) {
 	p, at := g.provenPrimary()
-	if p == nil || p == departed || now.Sub(at) > evidenceTTL {
-		return false
+	if p == nil || now.Sub(at) > evidenceTTL {
+		return
 	}
+	primary := p.replicaState()
+	primary.sampledAt = earlier(primary.sampledAt, at)
 	var others []replicaState
 	for _, i := range g.instances {
-		if i != p && i.departure == nil && i.statusKnown {
+		if i != p && i.isListed() && i.statusKnown && i.stoppedAt().IsZero() {
 			others = append(others, i.replicaState())
 		}
 	}
-	return isCovered(departed.stoppedAt(), p.replicaState(), others)
+	for _, i := range g.instances {
+		stopped := i.stoppedAt()
+		switch {
+		case i == p || i.covered || stopped.IsZero():
+		case isCovered(stopped, primary, others):
+			i.covered = true
+			g.log.WithFields(logrus.Fields{"instance": i.id, "primary": p.id, "received": p.status.received.String()}).
+				Info("instance has ended, other instances have all its commits")
+		case now.Sub(stopped) < coverageHurry:
+			g.requestPolls()
+		}
+	}
+}
+
+// noteAlive voids what was concluded from the end of the instance's process or from its
+// loss: a process answers again. The caller must hold g.mu.
+func (g *group) noteAlive(i *instance) {
+	if i.lossAccepted {
+		// It counts again, like an instance that was added.
+		i.knownSince, i.settled = g.clock.Now(), false
+	}
+	if i.removed {
+		i.storedVersion = 0
+	}
+	i.covered, i.lossAccepted, i.removed = false, false, false
 }
 
-// stoppedAt returns a time since which the process of the departed instance has ended, or
-// the zero time if it may still acknowledge commits. An instance that does not answer may
-// be partitioned from this host only. The caller must hold the group's mutex.
+// stoppedAt returns a time since which the process of the instance has ended, or the zero
+// time if it may still acknowledge commits. An instance that does not answer may be
+// partitioned from this host only. The caller must hold the group's mutex.
 func (i *instance) stoppedAt() (at time.Time) {
 	switch {
-	case i.retired:
+	case i.retired && i.departure != nil:
 		return i.departure.since // Another instance has its address.
 	case i.connRefused:
 		return i.refusedSince
@@ -173,12 +208,12 @@
 	if r.pending || now.Sub(r.failedAt) < replicaSetRetryDelay {
 		return
 	}
-	if !r.known {
+	if !r.known || r.mustRead {
 		r.pending = true
 		g.wg.Go(func() { g.withReplicaSetTimeout(g.readReplicaSet) })
 		return
 	}
-	next := replicaSet{version: r.set.version, Replicas: g.countedReplicas()}
+	next := replicaSet{version: r.set.version, Replicas: g.countedReplicas(), Acknowledged: g.acknowledged}
 	p := g.claimedPrimary()
 	if p == nil || now.Sub(g.evidenceFrom(p, (*instance).isListed)) > evidenceTTL {
 		return
@@ -206,11 +241,11 @@
 	}
 }
 
-// countedReplicas returns the instances that count in an election, ordered by ID. The
-// caller must hold g.mu.
+// countedReplicas returns the instances that count in an election whether or not they are
+// listed, ordered by ID. The caller must hold g.mu.
 func (g *group) countedReplicas() (list []replica) {
 	for _, i := range g.instances {
-		if i.successor == nil {
+		if !i.logIsInherited() && !i.covered && !i.lossAccepted {
 			list = append(list, i.asReplica())
 		}
 	}
@@ -227,7 +262,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.replicas.set, g.replicas.known = s, true
+	g.replicas.set, g.replicas.known, g.replicas.mustRead = s, true, false
+	g.noteAcknowledged(s.Acknowledged)
 	g.noteStored(s)
 	for _, m := range s.Replicas {
 		if !g.forgotten[m] && !g.knowsReplica(m) {
@@ -259,14 +295,18 @@
 	return nil
 }
 
-// noteStored records which instances the stored set holds. The caller must hold g.mu.
+// noteStored records which instances the stored set holds, and which a host has removed
+// from it. The caller must hold g.mu.
 func (g *group) noteStored(s replicaSet) {
 	now := g.clock.Now()
 	for _, i := range g.instances {
-		switch stored := slices.Contains(s.Replicas, i.asReplica()); {
-		case !stored:
+		if !slices.Contains(s.Replicas, i.asReplica()) {
 			i.storedAt = time.Time{}
-		case i.storedAt.IsZero():
+			i.removed = i.removed || wasRemoved(i.storedVersion, s.version)
+			continue
+		}
+		i.storedVersion, i.removed = s.version, false
+		if i.storedAt.IsZero() {
 			i.storedAt = now
 		}
 	}
@@ -289,7 +329,7 @@
 func (g *group) addDeparted(m replica) {
 	g.log.WithFields(logrus.Fields{"instance": m.ID, "address": m.Address.String()}).Info("instance of the stored replica set is not listed")
 	i := g.newInstance(gypsumyard.ListedInstance{ID: m.ID, Group: g.name, Addr: m.Address, Started: time.UnixMilli(m.Started)})
-	now := g.clock.Now()
-	i.departure = &departure{since: now, expires: now.Add(listingDelay + departedRetention)}
+	i.departure = &departure{since: g.clock.Now()}
+	i.storedVersion = g.replicas.set.version
 	g.instances = append(g.instances, i)
 }
--- a/internal/lineowner/replicaset.go
+++ b/internal/lineowner/replicaset.go
@@ -10,11 +10,6 @@
 // The rules of this file decide which instances of a group an election must count.
 // They read no clock and know no store.
 
-// departedRetention is how long an instance that is neither listed nor reachable
-// counts at most. Longer outages of an instance are permanent: waiting for its log
-// would leave the group without a primary for good.
-const departedRetention = 6 * time.Second
-
 // fencesNeeded returns how many of n instances must be fenced before a
 // promotion, so that every acknowledged commit is on a fenced instance and the
 // unfenced instances cannot acknowledge another. A commit is on the primary and on
@@ -22,6 +17,17 @@
 // may acknowledge with fewer while some do not answer.
 func fencesNeeded(n int) int { return max(n-1, 1) }
 
+// fencesNeededWithout is fencesNeeded for an election that does not count some of n
+// instances because an operator has accepted their loss. Both holders of a commit may be
+// lost, and that commit is given up. Of any other one, a single remaining instance may be
+// the only holder, so all that remain must be fenced.
+func fencesNeededWithout(n, lost int) int {
+	if lost == 0 {
+		return fencesNeeded(n)
+	}
+	return max(n-lost, 1)
+}
+
 // evidenceNeeded returns how many of n instances, the primary among them, must
 // be unfenced to prove that it is the primary. Each such set intersects each set
 // of fencesNeeded instances.
@@ -51,18 +57,17 @@
 // A departure follows an instance whose list entry is gone. The number of fences that
 // an election needs assumes that two of the instances that count hold each
 // acknowledged commit. The instance may be one of the two, so it counts until that
-// holds without it.
+// holds without it, however long it is absent.
 type departure struct {
-	// since is when the entry was first missing, expires when the instance is taken as
-	// lost for good.
-	since   time.Time
-	expires time.Time
+	// since is when the entry was first missing.
+	since time.Time
 }
 
-// isCovered reports whether the primary and another instance hold all commits that a
-// departed instance has helped to acknowledge: the primary's log as it was after the
-// process of the departed one had ended. stopped is when that was, or zero if it may
-// still acknowledge commits.
+// isCovered reports whether the primary and another instance hold all commits that an
+// instance has helped to acknowledge: the primary's log as it was after the process of
+// the instance had ended. stopped is when that was, or zero if it may still acknowledge
+// commits. The result stays true: a process that has ended acknowledges nothing more, and
+// the process that follows it is another instance.
 func isCovered(stopped time.Time, primary replicaState, others []replicaState) bool {
 	if stopped.IsZero() || !primary.sampledAt.After(stopped) {
 		return false
@@ -72,9 +77,13 @@
 	})
 }
 
-// isExpired reports whether the departed instance, which does not answer, is to be
-// taken as lost for good.
-func (d *departure) isExpired(now time.Time) bool { return now.After(d.expires) }
+// wasRemoved reports whether a host has removed an instance from the stored set: held is
+// the version of a set with it, or zero, and latest that of a set without it. A host
+// removes only instances that need not count any more. A set of another era may be from
+// before the instance was added.
+func wasRemoved(held, latest gypsumyard.Version) bool {
+	return held.Revision() != 0 && held.Era() == latest.Era() && latest > held
+}
 
 // hasLogOf reports whether the instance that has taken the address of a departed one
 // has its log: an instance that returns after a crash does, with a new ID. A promotion
--- a/internal/lineowner/replicastore.go
+++ b/internal/lineowner/replicastore.go
@@ -28,6 +28,9 @@
 	// version is that of the object. If there is none, it holds only the era.
 	version  gypsumyard.Version
 	Replicas []replica `json:"replicas"`
+	// Acknowledged is the highest position that the writer of the set had acknowledged
+	// then. It informs operators; nothing is decided by it.
+	Acknowledged gypsumyard.Position `json:"acknowledged,omitzero"`
 }
 
 // A replicaSetStore keeps the replica sets in the store.
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -36,6 +36,7 @@
 	metrics       *metrics
 	claims        *claimStore
 	replicaSets   *replicaSetStore
+	losses        lossStore
 	drainTimeout  time.Duration
 	eras          gypsumyard.Eras
 	promotions    gypsumyard.PromotionClient
@@ -78,6 +79,12 @@
 // there is no limit.
 func WithDrainTimeout(d time.Duration) Option { return func(s *Service) { s.drainTimeout = d } }
 
+// WithLossAcceptances sets where operators accept the loss of instances: in the objects
+// of the store that are named by the prefix and the group. Without it they cannot.
+func WithLossAcceptances(store gypsumyard.Store, prefix string) Option {
+	return func(s *Service) { s.losses = lossStore{store, prefix} }
+}
+
 // New returns the service. It stores promotion claims and replica sets below
 // claimPrefix.
 func New(store gypsumyard.Store, claimPrefix string, promotions gypsumyard.PromotionClient, options ...Option) *Service {
--- a/internal/lineowner/transfer.go
+++ b/internal/lineowner/transfer.go
@@ -165,8 +165,8 @@
 func (g *group) maybeTransfer(now time.Time) (wait bool) {
 	g.mu.Lock()
 	ids, reached, silent := g.reachability()
-	fences := fencesNeeded(len(g.instances))
-	evidence := evidenceNeeded(len(g.instances))
+	fences := fencesNeeded(g.countedNumber())
+	evidence := evidenceNeeded(g.countedNumber())
 	if p, at := g.provenPrimary(); p != nil {
 		g.evidenceAt = later(at, g.evidenceAt)
 	}
