--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -13,6 +13,9 @@
 	// requests are rejected at once: an instance that misses one status request is back
 	// within it.
 	waitDeclareDelay = 500 * time.Millisecond
+	// ledTimeout is the age of evidence up to which a primary that answers counts as
+	// leading. It exceeds the time between two status requests of an idle group.
+	ledTimeout = time.Second
 	// awaitedPollInterval and awaitedPollTimeout apply to instances that an election
 	// lacks, so that it ends within a second after one has returned: an election takes
 	// up to 0.8 s itself.
@@ -51,7 +54,7 @@
 	}
 	now := g.clock.Now()
 	p, at := g.provenPrimary()
-	led := p != nil && now.Sub(at) <= evidenceTTL
+	led := p != nil && now.Sub(at) <= ledTimeout
 	b := g.nextBallot()
 	lacks := owned && why.reason != "" && b.lacksFences()
 	switch {
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -116,7 +116,7 @@
 	if why.planned {
 		defer g.drainPrimary(why.primary)()
 	}
-	chosen, err := g.electOnce()
+	chosen, err := g.electOnce(why.planned)
 	e := &g.election
 	e.behindSince, e.leaderlessSince, e.fencedSince = time.Time{}, time.Time{}, time.Time{}
 	if err != nil {
@@ -164,8 +164,15 @@
 }
 
 // electOnce claims a generation, fences enough instances, chooses the one with
-// the longest log and has the platform promote it.
-func (g *group) electOnce() (chosen *instance, err error) {
+// the longest log and has the platform promote it. A planned election is not begun unless
+// enough instances answer just before: it makes a primary that works step down.
+func (g *group) electOnce(planned bool) (chosen *instance, err error) {
+	if planned {
+		b := g.prepareBallot()
+		if n := g.countAnswering(b.remaining()); n < b.needed() {
+			return nil, fmt.Errorf("%w: %d of %d answer, %d needed", errTooFewFenced, n, len(b.counted), b.needed())
+		}
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
 	defer cancel()
 	claimedAt := g.clock.Now()
--- a/internal/lineowner/fence.go
+++ b/internal/lineowner/fence.go
@@ -97,6 +97,27 @@
 	return fencedInstance{i, s, i.listed.Leaving}, nil
 }
 
+// countAnswering returns how many of the instances answer a command now.
+func (g *group) countAnswering(instances []*instance) int {
+	var answering atomic.Int64
+	var wg sync.WaitGroup
+	for _, i := range instances {
+		wg.Go(func() {
+			g.mu.Lock()
+			retired := i.retired
+			g.mu.Unlock()
+			if retired {
+				return
+			}
+			if _, _, err := i.control.exec(g.ctx, statusCommand, commandTimeout); err == nil {
+				answering.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(answering.Load())
+}
+
 // holds reports whether the instance with the present status s has been fenced for the
 // term ever since. One that restarted is not; if another host has fenced it again, it may
 // have received more of the log meanwhile.
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -231,9 +231,11 @@
 	}
 }
 
-// isEntry reports whether the list entry is of this instance.
+// isEntry reports whether the list entry is of this instance. Start times are compared in
+// milliseconds, as the stored replica set holds them: an instance that is known only from
+// the set must not be taken for another one when it is listed.
 func (i *instance) isEntry(l gypsumyard.ListedInstance) bool {
-	return !i.retired && i.id == l.ID && i.listed.Addr == l.Addr && i.listed.Started.Equal(l.Started)
+	return !i.retired && i.id == l.ID && i.listed.Addr == l.Addr && i.listed.Started.UnixMilli() == l.Started.UnixMilli()
 }
 
 // updateCapacities passes the slots and availability of the instances to the
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -18,10 +18,14 @@
 	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/gypsumyard/gypsumyard/internal/line"
 	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/uber-go/tally/v4"
 )
 
 const groupName = "appraisal"
 
+// lossPrefix is that of the objects in which tests accept a loss.
+const lossPrefix = "losses/"
+
 // A fixture is one or more hosts in front of an emulated group.
 type fixture struct {
 	t      *testing.T
@@ -44,6 +48,7 @@
 	promoter *fakePromoter
 	// logHook collects the log entries of the host.
 	logHook *logtest.Hook
+	scope   tally.TestScope
 }
 
 // fakePromoter records promotion orders and passes them to the emulated group.
@@ -235,7 +240,9 @@
 		log.SetOutput(f.t.Output())
 	}
 	h.logHook = hook
-	h.Service = New(f.store, "claims/", h.promoter, WithClock(clock.Boot()), WithLogger(log), WithDrainTimeout(f.drainTimeout))
+	h.scope = tally.NewTestScope("", nil)
+	h.Service = New(f.store, "claims/", h.promoter, WithClock(clock.Boot()), WithLogger(log), WithDrainTimeout(f.drainTimeout),
+		WithMetrics(h.scope), WithLossAcceptances(f.store, lossPrefix))
 	var err error
 	h.kernel, err = kernel.New(h.lists, h.members, peers, h.Service)
 	if err != nil {
