--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -104,6 +104,12 @@
 	// election is the state of failure detection and elections.
 	election election
 	quota    groupQuota
+	// wait is the state of an election that too few instances answer, loss what an
+	// operator has accepted to lose.
+	wait electionWait
+	loss lossState
+	// acknowledged is the highest position that is known to have been acknowledged.
+	acknowledged gypsumyard.Position
 }
 
 func newGroup(s *Service, name string) *group {
@@ -236,9 +242,11 @@
 	}
 }
 
-// isEntry reports whether the list entry is of this instance.
+// isEntry reports whether the list entry is of this instance. Start times are compared in
+// milliseconds, as the stored replica set holds them: an instance that is known only from
+// the set must not be taken for another one when it is listed.
 func (i *instance) isEntry(l gypsumyard.ListedInstance) bool {
-	return !i.retired && i.id == l.ID && i.listed.Addr == l.Addr && i.listed.Started.Equal(l.Started)
+	return !i.retired && i.id == l.ID && i.listed.Addr == l.Addr && i.listed.Started.UnixMilli() == l.Started.UnixMilli()
 }
 
 // updateCapacities passes the slots and availability of the instances to the
@@ -333,6 +341,7 @@
 	for _, i := range instances {
 		i.retire()
 	}
+	g.endWait(false)
 	g.mu.Unlock()
 	g.wg.Wait()
 	for _, i := range instances {
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -23,6 +23,8 @@
 	connectionWaits    tally.Counter
 	transactionWaits   tally.Counter
 	quota              *quotaMetrics
+	// awaits sets how many absent instances the election of a group waits for.
+	awaits func(group string, instances int)
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -41,6 +43,9 @@
 		connectionWaits:    s.Counter("owner_connection_waits"),
 		transactionWaits:   s.Counter("owner_transaction_waits"),
 		quota:              newQuotaMetrics(s),
+		awaits: func(group string, instances int) {
+			s.Tagged(map[string]string{"group": group}).Gauge("group_awaits_instances").Update(float64(instances))
+		},
 	}
 }
 
