--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -38,6 +38,10 @@
 	// rejectCode is the error code with which new sessions are rejected. Empty
 	// means that they are accepted.
 	rejectCode string
+	// slowness multiplies the service time unless it is zero.
+	slowness int
+	// Every failEvery-th of the reads fails, unless that is zero.
+	failEvery, reads int
 }
 
 // Listed returns the instance's list entry.
@@ -94,6 +98,12 @@
 // empty code ends that.
 func (i *Instance) RejectSessions(code string) { i.update(func() { i.rejectCode = code }) }
 
+// SetSlowness makes statements occupy a slot n times as long. One ends that.
+func (i *Instance) SetSlowness(n int) { i.update(func() { i.slowness = n }) }
+
+// FailReads makes every n-th read fail. Zero ends that.
+func (i *Instance) FailReads(n int) { i.update(func() { i.failEvery = n }) }
+
 // Crash stops the instance and closes its connections.
 func (i *Instance) Crash() {
 	i.update(func() { i.down = true })
--- a/internal/emulate/linegroup/session.go
+++ b/internal/emulate/linegroup/session.go
@@ -218,8 +218,10 @@
 // occupySlot waits for a slot of the instance and occupies it for the statement's
 // service time.
 func (s *session) occupySlot(text string) {
+	slowness := 1
+	s.instance.update(func() { slowness = max(s.instance.slowness, 1) })
 	s.instance.slots <- struct{}{}
-	time.Sleep(s.instance.group.serviceTime(text))
+	time.Sleep(time.Duration(slowness) * s.instance.group.serviceTime(text))
 	<-s.instance.slots
 }
 
@@ -239,7 +241,7 @@
 // run carries out a read, a write or a commit.
 func (s *session) run(id, text string, st line.Statement) (out []byte) {
 	i := s.instance
-	dropped, mayWrite := false, false
+	dropped, mayWrite, failed := false, false, false
 	i.update(func() {
 		mayWrite = i.role == gypsumyard.RolePrimary && (s.state == 'I' || s.readOnly || i.term == s.term)
 		e := Execution{i.id, id, text, i.positionAt(i.applied), s.user}
@@ -250,9 +252,15 @@
 		if dropped = i.dropResponses > 0; dropped {
 			i.dropResponses--
 		}
+		if st.Verb == line.Read && i.failEvery > 0 {
+			i.reads++
+			failed = i.reads%i.failEvery == 0
+		}
 	})
 	readWrite := s.state == 'T' && !s.readOnly
 	switch {
+	case failed:
+		return s.fail(line.CodeFailed)
 	case st.Verb == line.Commit:
 		out = s.commit(readWrite, mayWrite)
 	case readWrite && !mayWrite, st.Verb == line.Write && (!mayWrite || s.readOnly && s.state == 'T'):
