balance: probe every avoided instance

An instance whose failures cost more than contention got no more reads before it counted as failing, and so was not probed: 0 to 2 of 500 reads in 2 s in TestUnevenInstances. Now it is probed from then on, with the weight of probes: 18 to 20 reads in 2 s, and its share is back within 2 s.

--- a/internal/balance/chooser.go
+++ b/internal/balance/chooser.go
@@ -187,9 +187,12 @@
 			// Slots that others hold. The wait for own statements is not counted.
 			out[n].Delay += time.Duration(float64(run) * min(excess, busy[n]-own) / float64(i.slots))
 		}
-		if !all {
-			out[n].Delay += i.penalty(now, best, run)
+		penalty := i.penalty(now, best, run)
+		if all {
+			penalty = 0
 		}
+		i.avoided = penalty > contention
+		out[n].Delay += penalty
 	}
 	if unseen > exactBelow {
 		c.narrow(gaps, out, run)
--- a/internal/balance/chooser_test.go
+++ b/internal/balance/chooser_test.go
@@ -113,6 +113,7 @@
 		is.True(got[name] > 1200/3/2)
 	}
 	// Each instance has a fault of its own.
+	c, f = newChooser()
 	c.instances["a"].slow, c.instances["b"].failing, c.instances["c"].slow = true, true, true
 	for _, e := range c.Estimate(names, run, true) {
 		is.Equal(e, Estimate{})
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -9,7 +9,8 @@
 
 const (
 	// sampleWeight is the weight of one outcome in the moving averages, probeWeight that
-	// of an outcome at an instance that gets little work.
+	// of an outcome at an instance that gets little work. With sampleWeight there, an
+	// instance that is avoided after few failures would be judged after many seconds.
 	sampleWeight = 0.05
 	probeWeight  = 0.3
 	// minSamples is how many outcomes a judgement needs.
@@ -33,7 +34,7 @@
 	// What was learned holds for keepFor after the last outcome, and is then forgotten
 	// with the time constant forgetIn.
 	keepFor, forgetIn = 2 * time.Second, 2 * time.Second
-	// A slow or failing instance is tried by one read at a time, at most once in
+	// An instance that is slow, failing or avoided is tried by one read at a time, at most once in
 	// probeInterval and with at most one of probeShare parts of an equal share of the
 	// reads. With one of ten reads of 64 hosts, the probes alone kept one of eight
 	// instances overloaded.
@@ -78,6 +79,9 @@
 	ratios, outcomes int
 	learnedAt        time.Time
 	slow, failing    bool
+	// avoided indicates that the last estimate delayed reads so much that the instance
+	// may get hardly any, though it may not count as slow or failing yet.
+	avoided bool
 	// offered is when the last probe was offered, offeredAfter how many reads were
 	// estimated since.
 	offered      time.Time
@@ -94,7 +98,7 @@
 	h.forget(now)
 	h.learnedAt = now
 	weight := sampleWeight
-	if h.suspect() {
+	if h.suspect() || h.avoided {
 		weight = probeWeight
 	}
 	failed := 0.0
@@ -239,15 +243,16 @@
 	return true
 }
 
-// offerProbe marks a suspect instance as the one to try, if it was not tried for a while
-// and the read has another one that is in good order for a retry.
+// offerProbe marks a slow, failing or avoided instance as the one to try, if it was not
+// tried for a while and the read has another one that is in good order for a retry.
 func (c *Chooser) offerProbe(now time.Time, known []*instance, out []Estimate) {
-	if !slices.ContainsFunc(known, func(i *instance) bool { return !i.suspect() }) {
+	good := func(i *instance) bool { return !i.suspect() && !i.avoided }
+	if !slices.ContainsFunc(known, good) {
 		return
 	}
 	offered := false
 	for n, i := range known {
-		if !i.suspect() {
+		if good(i) {
 			continue
 		}
 		i.offeredAfter++
