lineowner, linehost: reads avoid slow and failing instances

An instance that fails fast or runs slowly looked idle and kept its share. Where the contract has "health", owners take the costs of reads from internal/balance; without it, costs are as before.

--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/balance"
 	"github.com/gypsumyard/gypsumyard/internal/line"
 	"github.com/sirupsen/logrus"
 )
@@ -173,6 +174,7 @@
 		if err == nil {
 			return u, p, nil
 		}
+		u.outcome = dialOutcome(ctx, j, err)
 		u.release()
 		switch {
 		case !errors.Is(err, errNoMoreConns):
@@ -206,6 +208,9 @@
 	instance *instance
 	conn     *conn
 	began    time.Time
+	expected time.Duration
+	// outcome is what the statement tells of the instance.
+	outcome  balance.Outcome
 	ran      bool
 	released bool
 }
@@ -229,11 +234,12 @@
 		return nil, fmt.Errorf("wait for a slot: %w", err)
 	}
 	g.metrics.queueWait.Record(grant.Waited)
-	u = &slotUse{group: g, job: j, grant: grant, began: g.clock.Now()}
+	u = &slotUse{group: g, job: j, grant: grant, began: g.clock.Now(), expected: mean}
 	g.mu.Lock()
 	u.instance = g.instanceByID(grant.Target.Instance)
 	if u.instance != nil {
 		u.instance.running++
+		g.beginOn(u.instance)
 	}
 	g.mu.Unlock()
 	if u.instance == nil {
@@ -288,6 +294,7 @@
 	if u.ran {
 		used = max(g.clock.Since(u.began)-u.instance.roundTrip, time.Microsecond)
 	}
+	g.endOn(u)
 	g.mu.Unlock()
 	g.admitter.Release(u.grant, used)
 	if u.ran {
@@ -326,7 +333,10 @@
 		text = string(line.Execute) + " " + name + " " + s.Arguments
 	}
 	j.attempts++
+	sentAt := g.clock.Now()
 	a, sent, err = u.conn.run(ctx, exchange{setup: setup, id: j.ID, text: prefix + text})
+	took := g.clock.Since(sentAt)
+	u.outcome = statementOutcome(ctx, j, a, sent, err, took > timeoutFactor*u.expected && u.expected > 0)
 	if err != nil {
 		u.instance.requestPoll() // It may be down.
 		return a, sent, err
@@ -334,6 +344,9 @@
 	u.ran = a.failure == nil
 	g.mu.Lock()
 	u.instance.recordApplied(a.position)
+	// The time to open a connection is not the instance's slowness: where few reads go,
+	// each may have to open one.
+	u.outcome.Used = max(took-u.instance.roundTrip, time.Microsecond)
 	g.mu.Unlock()
 	return a, sent, nil
 }
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/admit"
+	"github.com/gypsumyard/gypsumyard/internal/balance"
 	"github.com/sirupsen/logrus"
 )
 
@@ -43,6 +44,11 @@
 	metrics  *metrics
 	admitter *admit.Admitter
 	runTimes *admit.RunTimeEstimator
+	// balance estimates the time to serve of instances, or is nil if their costs depend on
+	// the own statements only. mu guards it.
+	balance *balance.Chooser
+	// suspects is how many slow and failing instances the metrics count.
+	suspects suspects
 	// ctx ends all work of the group.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -125,6 +131,9 @@
 
 		transactionWaits: map[string]int{},
 	}
+	if s.unevenInstances {
+		g.balance = balance.New(balance.WithClock(s.clock))
+	}
 	g.ownedCtx, g.cancelOwned = context.WithCancelCause(ctx)
 	g.update()
 	g.wg.Go(g.supervise)
@@ -255,6 +264,7 @@
 		})
 	}
 	g.admitter.SetInstances(out)
+	g.setBalanced(out)
 }
 
 // instanceByID returns the listed instance, or nil. The caller must hold g.mu.
@@ -330,6 +340,7 @@
 	for _, i := range instances {
 		i.retire()
 	}
+	g.countSuspects(suspects{})
 	g.mu.Unlock()
 	g.wg.Wait()
 	for _, i := range instances {
--- a/internal/lineowner/harness_test.go
+++ b/internal/lineowner/harness_test.go
@@ -37,6 +37,8 @@
 	connections int
 	// customers are the customers of the deployment, if it has any.
 	customers []string
+	// uneven makes hosts learn which instances are slow or fail.
+	uneven bool
 }
 
 // A hostFixture is one host with its fake dependencies.
@@ -244,7 +246,7 @@
 		log.SetOutput(f.t.Output())
 	}
 	h.logHook = hook
-	h.Service = New(f.store, "claims/", h.promoter, WithClock(clock.Boot()), WithLogger(log), WithDrainTimeout(f.drainTimeout))
+	h.Service = New(f.store, "claims/", h.promoter, WithClock(clock.Boot()), WithLogger(log), WithDrainTimeout(f.drainTimeout), WithUnevenInstances(f.uneven))
 	var err error
 	h.kernel, err = kernel.New(h.lists, h.members, peers, h.Service)
 	if err != nil {
@@ -344,13 +346,16 @@
 // runConcurrently is run for goroutines other than the test's: it does not use the
 // fixture's counter or context.
 func (f *fixture) runConcurrently(h *hostFixture, s statement) (string, gypsumyard.Result, error) {
-	b := line.Payload{Consistency: gypsumyard.ConsistencyPrimary, ID: "parallel", Text: s.text, KeyHolder: s.customer}
+	if s.consistency == "" {
+		s.consistency = gypsumyard.ConsistencyPrimary
+	}
+	b := line.Payload{Consistency: s.consistency, ID: "parallel", Text: s.text, KeyHolder: s.customer}
 	if s.customer != "" {
 		b.ID, b.Key = s.customer, gypsumyard.HashKey(s.customer)
 	}
 	r := &gypsumyard.Request{
 		Session: "s2", Customer: "route", Database: groupName, Class: s.class, Messages: b.Marshal(), Deadline: h.clock.Now().Add(s.timeout),
-		Transaction: s.tx.Transaction, Owner: s.tx.Owner,
+		Transaction: s.tx.Transaction, Owner: s.tx.Owner, MaxStaleness: s.staleness,
 	}
 	var out bytes.Buffer
 	res, err := h.Execute(context.Background(), r, &out)
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -1,6 +1,8 @@
 package lineowner
 
 import (
+	"sync/atomic"
+
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/uber-go/tally/v4"
 )
@@ -22,6 +24,17 @@
 	connectionsEvicted tally.Counter
 	connectionWaits    tally.Counter
 	transactionWaits   tally.Counter
+	// Uneven instances: what was learned from the outcomes of reads, reads for which the
+	// estimates changed the preferred instance, reads that tried a slow or failing one, and
+	// how many of these there are.
+	outcomesAnswered tally.Counter
+	outcomesFailed   tally.Counter
+	choicesChanged   tally.Counter
+	probes           tally.Counter
+	slowInstances    tally.Gauge
+	failingInstances tally.Gauge
+	// slow and failing are the sums over all groups that the gauges show.
+	slow, failing atomic.Int64
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -39,6 +52,13 @@
 		connectionsEvicted: s.Counter("owner_connections_evicted"),
 		connectionWaits:    s.Counter("owner_connection_waits"),
 		transactionWaits:   s.Counter("owner_transaction_waits"),
+
+		outcomesAnswered: s.Tagged(map[string]string{"outcome": "answered"}).Counter("owner_instance_outcomes"),
+		outcomesFailed:   s.Tagged(map[string]string{"outcome": "failed"}).Counter("owner_instance_outcomes"),
+		choicesChanged:   s.Counter("owner_choices_changed"),
+		probes:           s.Counter("owner_instance_probes"),
+		slowInstances:    s.Tagged(map[string]string{"fault": "slow"}).Gauge("owner_instances_avoided"),
+		failingInstances: s.Tagged(map[string]string{"fault": "failing"}).Gauge("owner_instances_avoided"),
 	}
 }
 
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -78,7 +78,9 @@
 			continue
 		}
 		t := gypsumyard.Target{Instance: i.id, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
-		t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+		if g.balance == nil {
+			t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+		}
 		t.Cost += i.pool.openCost(j.KeyHolder)
 		if i.listed.FailureDomain != g.service.failureDomain {
 			t.Cost += domainCost
@@ -95,5 +97,8 @@
 	if j.avoidsPrimary && len(targets) > 1 && primary != nil {
 		targets = slices.DeleteFunc(targets, func(t gypsumyard.Target) bool { return t.Instance == primary.id })
 	}
+	if g.balance != nil {
+		g.addEstimates(j, targets)
+	}
 	return targets
 }
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -32,26 +32,29 @@
 
 // A Service is the kernel service "owner". It implements [gypsumyard.Owner].
 type Service struct {
-	clock         gypsumyard.Clock
-	log           logrus.FieldLogger
-	metrics       *metrics
-	claims        *claimStore
-	replicaSets   *replicaSetStore
-	drainTimeout  time.Duration
-	eras          gypsumyard.Eras
-	promotions    gypsumyard.PromotionClient
-	lists         Lists
-	members       gypsumyard.Membership
-	assigner      assigner
-	peers         gypsumyard.PeerClient
-	self          string
-	failureDomain string
-	lastHandle    atomic.Uint64
-	keyLog        *rate.Limiter
-	ctx           context.Context
-	cancel        context.CancelFunc
-	wg            sync.WaitGroup
-	done          chan struct{}
+	clock        gypsumyard.Clock
+	log          logrus.FieldLogger
+	metrics      *metrics
+	claims       *claimStore
+	replicaSets  *replicaSetStore
+	drainTimeout time.Duration
+	// unevenInstances indicates that instances may be slow or fail without reporting it.
+	unevenInstances bool
+	eras            gypsumyard.Eras
+	promotions      gypsumyard.PromotionClient
+	lists           Lists
+	members         gypsumyard.Membership
+	assigner        assigner
+	peers           gypsumyard.PeerClient
+	self            string
+	failureDomain   string
+	lastHandle      atomic.Uint64
+	keyLog          *rate.Limiter
+	suspectLog      *rate.Limiter
+	ctx             context.Context
+	cancel          context.CancelFunc
+	wg              sync.WaitGroup
+	done            chan struct{}
 
 	mu       sync.Mutex
 	groups   map[string]*group
@@ -80,6 +83,10 @@
 // there is no limit.
 func WithDrainTimeout(d time.Duration) Option { return func(s *Service) { s.drainTimeout = d } }
 
+// WithUnevenInstances makes the service learn which instances are slow or fail, and send
+// them fewer reads, if on. Without it, reads depend on the own load and the distance only.
+func WithUnevenInstances(on bool) Option { return func(s *Service) { s.unevenInstances = on } }
+
 // New returns the service. It stores promotion claims and replica sets below
 // claimPrefix.
 func New(store gypsumyard.Store, claimPrefix string, promotions gypsumyard.PromotionClient, options ...Option) *Service {
@@ -93,6 +100,7 @@
 		eras:        era.NewTracker(),
 		promotions:  promotions,
 		keyLog:      newKeyLog(),
+		suspectLog:  newSuspectLog(),
 		done:        make(chan struct{}),
 		groups:      map[string]*group{},
 	}
