lineowner: model of absences without a bound on time

Cause: the model did not explore instances that work and do not answer the elector, nor coverage noted before an instance leaves the list. Change: dark instances, coverage as a step of its own; mutants with a timer and with coverage that outlives a return.

--- a/internal/lineowner/replicamodel_test.go
+++ b/internal/lineowner/replicamodel_test.go
@@ -11,11 +11,13 @@
 
 // This file explores the rules of replicaset.go: one host elects, another passes on
 // acknowledgements of the old primary as soon as it may, while instances fail, return, and
-// enter and leave the list. Logs are prefixes of the primary's, the first promotion ends an
-// exploration. Instances that are up answer both hosts. Losses that departedRetention allows
-// are not explored. No rule enforces what is assumed about times: the other host sees each
-// fence in the wait, both see at once that an instance has returned, and the elector counts
-// an instance before it receives the log or is settled.
+// enter and leave the list. Absences have no bound in time: an instance that has crashed, or
+// that the elector does not reach, returns after any number of other steps or never. Logs are
+// prefixes of the primary's, the first promotion ends an exploration. Instances that are up
+// answer both hosts, unless they are dark: then they work and answer the other host only. No
+// rule enforces what is assumed about times: the other host sees each fence in the wait, both
+// see at once that a process has started again, and the elector counts an instance before it
+// receives the log or is settled.
 
 // The instances: the primary, two replicas and one that may be added.
 const oldPrimary, replicaX, replicaY, addedZ, modelSize = 0, 1, 2, 3, 4
@@ -38,21 +40,24 @@
 	covered                             func(stopped time.Time, primary replicaState, others []replicaState) bool
 	added                               func(seesListed, counted, electing bitset) bool
 	onlyListed, unchecked, addedSettled bool
+	// expires drops a departed instance that does not answer, keepsCoverage what was
+	// concluded from the end of a process after another one has started.
+	expires, keepsCoverage bool
 }
 
 const phaseIdle, phaseFenced, phaseWaited, phaseOrdered, phaseOrderedWaited = 0, 1, 2, 3, 4
 
 // A replicaWorld is a state of the model. It is comparable.
 type replicaWorld struct {
-	exists, up, deaf, fenced, listed bitset
-	log                              [modelSize]uint8
-	demoted                          bool
-	acknowledged                     uint8
+	exists, up, deaf, dark, fenced, listed bitset
+	log                                    [modelSize]uint8
+	demoted                                bool
+	acknowledged                           uint8
 	// The elector samples the log of the primary after the silence of sampledAfter.
-	counted, seesListed, silent, sampledAfter bitset
-	primarySeen                               uint8
-	phase, candidate, elections               uint8
-	electing, chosen                          bitset
+	counted, seesListed, silent, sampledAfter, covered bitset
+	primarySeen                                        uint8
+	phase, candidate, elections                        uint8
+	electing, chosen                                   bitset
 	// An election in progress may have missed the start of those that overlap it.
 	settled, overlaps     bitset
 	evidence, oldEvidence bool // Old evidence is from before the fences.
@@ -100,7 +105,7 @@
 	}
 	x.acknowledge(&w)
 	if w.elections == x.elections {
-		w.sampledAfter, w.primarySeen = 0, 0 // They matter before an election.
+		w.sampledAfter, w.covered, w.primarySeen = 0, 0, 0 // They matter before an election.
 	}
 	if least, ok := x.least[w]; !ok || faults < least {
 		x.least[w] = faults
@@ -193,6 +198,11 @@
 		x.try(exists && !up, 0, "return", i, func(w *replicaWorld) {
 			w.up.add(i)
 			w.fenced.drop(i)
+			w.silent.drop(i)
+			w.sampledAfter.drop(i)
+			if !x.rules.keepsCoverage {
+				w.covered.drop(i)
+			}
 			w.poll(i)
 			w.unsettle(i)
 		})
@@ -200,6 +210,8 @@
 		x.try(exists && !listed, 0, "list", i, func(w *replicaWorld) { w.listed.add(i) })
 		x.try(i != oldPrimary && up && !w.deaf.has(i), 1, "deafen", i, func(w *replicaWorld) { w.deaf.add(i) })
 		x.try(w.deaf.has(i), 0, "hear", i, func(w *replicaWorld) { w.deaf.drop(i) })
+		x.try(exists && !w.dark.has(i), 1, "darken", i, func(w *replicaWorld) { w.dark.add(i) })
+		x.try(w.dark.has(i), 0, "lighten", i, func(w *replicaWorld) { w.dark.drop(i) })
 	}
 }
 
@@ -209,15 +221,22 @@
 	next.seesListed, next.counted = w.listed, w.counted|w.listed
 	for i := range modelSize {
 		x.try(w.counted.has(i), 0, "elector polls", i, func(w *replicaWorld) { w.poll(i) })
-		if i != oldPrimary && (w.counted &^ w.seesListed).has(i) && w.phase == phaseIdle {
-			x.forget(w, i)
+		if i != oldPrimary && w.counted.has(i) && w.phase == phaseIdle {
+			x.noteCoverage(w, i)
+			gone := !w.seesListed.has(i)
+			expired := x.rules.expires && (w.dark.has(i) || !w.up.has(i))
+			x.try(gone && (w.covered.has(i) || expired), 0, "elector forgets", i, func(w *replicaWorld) { w.counted.drop(i) })
 		}
 	}
 	x.add("elector reads the list", 0, next, 0)
 }
 
-// poll records the status of the instance with the elector.
+// poll records the status of the instance with the elector. It learns nothing from a dark
+// one, which may have ended or not.
 func (w *replicaWorld) poll(i int) {
+	if w.dark.has(i) {
+		return
+	}
 	w.silent.add(i)
 	if w.up.has(i) {
 		w.silent.drop(i)
@@ -232,21 +251,17 @@
 	return replicaState{term: 1, received: gypsumyard.Position{Term: 1, Offset: gypsumyard.Offset(length)}, sampledAt: at}
 }
 
-// forget drops the departed instance if the newest samples of the others cover it.
-func (x *replicaExplorer) forget(w replicaWorld, i int) {
+// noteCoverage records whether the newest samples of the others cover the instance.
+func (x *replicaExplorer) noteCoverage(w replicaWorld, i int) {
 	var others []replicaState
 	for j := replicaX; j < modelSize; j++ {
-		if w.seesListed.has(j) {
+		if (w.seesListed &^ w.silent).has(j) {
 			others = append(others, sampleOf(w.log[j], modelNow))
 		}
 	}
 	primary := sampleOf(w.primarySeen, timeIf(w.sampledAfter.has(i), modelNow))
-	step, covered := "elector keeps", x.rules.covered(timeIf(w.silent.has(i), silentAt), primary, others)
-	if covered {
-		step = "elector forgets"
-		w.counted.drop(i)
-	}
-	x.add(step, 1<<i, w, 0)
+	covered := x.rules.covered(timeIf(w.silent.has(i), silentAt), primary, others)
+	x.try(covered, 0, "elector notes coverage of", i, func(w *replicaWorld) { w.covered.add(i) })
 }
 
 // stepElection takes the next step of the election.
@@ -279,7 +294,7 @@
 	w.overlaps |= w.exists &^ w.electing
 	w.oldEvidence = w.evidence
 	for s := bitset(1); s < 1<<modelSize; s++ {
-		if s&^(w.electing&w.up) == 0 {
+		if s&^(w.electing&w.up&^w.dark) == 0 {
 			x.fence(w, s)
 		}
 	}
@@ -303,7 +318,7 @@
 
 // mayOrder checks the fences and the list.
 func (x *replicaExplorer) mayOrder(w replicaWorld) bool {
-	enough := (w.chosen&w.up&w.fenced).len() >= x.rules.fences(w.electing.len()) || x.rules.unchecked
+	enough := (w.chosen&w.up&w.fenced&^w.dark).len() >= x.rules.fences(w.electing.len()) || x.rules.unchecked
 	return enough && !x.rules.added(w.seesListed, w.counted, w.electing)
 }
 
@@ -372,6 +387,8 @@
 	"fences are not checked again":         func(r *replicaRules) { r.unchecked = true },
 	"one fence fewer":                      func(r *replicaRules) { r.fences = func(n int) int { return fencesNeeded(n) - 1 } },
 	"added that left are not noticed":      func(r *replicaRules) { r.added = listedAdded },
+	"absent instances expire":              func(r *replicaRules) { r.expires = true },
+	"coverage outlives a return":           func(r *replicaRules) { r.keepsCoverage = true },
 	"added instances count at once":        func(r *replicaRules) { r.addedSettled, r.added = true, func(_, _, _ bitset) bool { return false } },
 }
 
