lineowner: coverage of an ended instance outlives the primary that gave it

Change: the log of the first proven primary after the end is kept; a replica that reaches it covers the ended instance, also when that primary has crashed: it still counts. Each new status is checked.

--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -63,6 +63,10 @@
 	// covered indicates that its process has ended and others hold all commits that it
 	// has helped to acknowledge.
 	covered bool
+	// afterEnd is the log of the first proven primary of the latest term as it was after
+	// the process of the instance had ended, afterEndPrimary that primary.
+	afterEnd        replicaState
+	afterEndPrimary *instance
 	// lossAccepted indicates that an operator has accepted its loss: it does not count
 	// until it answers again.
 	lossAccepted bool
@@ -231,6 +235,7 @@
 	i.statusKnown, i.status, i.sampledAt = true, s, sent
 	i.recordApplied(s.applied)
 	g.recordSample()
+	g.noteCoverage()
 	g.updateTrailing(i)
 }
 
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -84,7 +84,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.noteCoverage(now)
+	g.noteCoverage()
 	for _, i := range g.instances {
 		if i.departure != nil && now.Sub(i.departure.since) > listingDelay {
 			i.markLeaving(now)
@@ -135,36 +135,50 @@
 }
 
 // noteCoverage records which instances need not count once they are not listed any more:
-// a primary that is proven to lead and another instance have all commits that they have
-// helped to acknowledge. It is recorded while they are still listed, because that primary
-// may fail as soon as their entries are gone. The caller must hold g.mu.
-func (g *group) noteCoverage(now time.Time) {
-	p, at := g.provenPrimary()
-	if p == nil || now.Sub(at) > evidenceTTL {
+// a primary and another instance have all commits that they have helped to acknowledge.
+// It is recorded while they are still listed, and the primary may have failed by then: it
+// counts, and its log as it was after their end is known. The caller must hold g.mu.
+func (g *group) noteCoverage() {
+	if !slices.ContainsFunc(g.instances, (*instance).needsCoverage) {
 		return
 	}
-	primary := p.replicaState()
-	primary.sampledAt = earlier(primary.sampledAt, at)
-	var others []replicaState
+	now := g.clock.Now()
+	p, at := g.provenPrimary()
+	led := p != nil && now.Sub(at) <= evidenceTTL
 	for _, i := range g.instances {
-		if i != p && i.isListed() && i.statusKnown && i.stoppedAt().IsZero() {
-			others = append(others, i.replicaState())
+		if !i.needsCoverage() {
+			continue
 		}
-	}
-	for _, i := range g.instances {
 		stopped := i.stoppedAt()
-		switch {
-		case i == p || i.covered || stopped.IsZero():
-		case isCovered(stopped, primary, others):
+		if led && p != i && earlier(p.sampledAt, at).After(stopped) && p.status.term > i.afterEnd.term {
+			i.afterEnd, i.afterEndPrimary = p.replicaState(), p
+			i.afterEnd.sampledAt = earlier(p.sampledAt, at)
+		}
+		if slices.Contains(g.instances, i.afterEndPrimary) && isCovered(stopped, i.afterEnd, g.otherHolders(i.afterEndPrimary)) {
 			i.covered = true
-			g.log.WithFields(logrus.Fields{"instance": i.id, "primary": p.id, "received": p.status.received.String()}).
+			g.log.WithFields(logrus.Fields{"instance": i.id, "primary": i.afterEndPrimary.id, "received": i.afterEnd.received.String()}).
 				Info("instance has ended, other instances have all its commits")
-		case now.Sub(stopped) < coverageHurry:
+		} else if now.Sub(stopped) < coverageHurry {
 			g.requestPolls()
 		}
 	}
 }
 
+// needsCoverage reports whether the process of the instance has ended and it still counts.
+// The caller must hold the group's mutex.
+func (i *instance) needsCoverage() bool { return !i.covered && !i.stoppedAt().IsZero() }
+
+// otherHolders returns the states of the listed instances other than p whose processes
+// have not ended. The caller must hold g.mu.
+func (g *group) otherHolders(p *instance) (list []replicaState) {
+	for _, i := range g.instances {
+		if i != p && i.isListed() && i.statusKnown && i.stoppedAt().IsZero() {
+			list = append(list, i.replicaState())
+		}
+	}
+	return list
+}
+
 // noteAlive voids what was concluded from the end of the instance's process or from its
 // loss: a process answers again. The caller must hold g.mu.
 func (g *group) noteAlive(i *instance) {
@@ -176,6 +190,7 @@
 		i.storedVersion = 0
 	}
 	i.covered, i.lossAccepted, i.removed = false, false, false
+	i.afterEnd, i.afterEndPrimary = replicaState{}, nil
 }
 
 // stoppedAt returns a time since which the process of the instance has ended, or the zero
