soak, linegroup: groups that wait for lost instances

Cause: hosts do not give up absent instances any more, so a group whose commits are only on instances that are lost for good may stay unserved; and the proxies of lost instances accepted connections, which no ended process does. Change: a route that is not served passes only if a host waits for instances that are all lost for good, at least two of them within 5 s, with the gauge and prompt rejections; then some return, or the operator accepts, and it must be served within 2 s, or 4 s with the read interval.

--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -132,6 +132,38 @@
 	return i, nil
 }
 
+// Return starts a crashed instance again at its address, with its log and a new ID. It
+// returns as a replica.
+func (g *Group) Return(old *Instance) (*Instance, error) {
+	l, err := net.Listen("tcp", old.Addr().String())
+	if err != nil {
+		return nil, fmt.Errorf("linegroup: %w", err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastNumber++
+	i := &Instance{
+		group:    g,
+		id:       fmt.Sprintf("%s-%d", g.name, g.lastNumber),
+		role:     gypsumyard.RoleReplica,
+		term:     old.term,
+		log:      old.log,
+		applied:  len(old.log),
+		listener: l,
+		sessions: map[*session]bool{},
+		slots:    make(chan struct{}, g.slots),
+		started:  time.Now(),
+	}
+	if p := g.primaryLocked(); p != nil && !p.isolated && p.term >= i.term {
+		i.follow(p)
+	}
+	g.instances = slices.DeleteFunc(g.instances, func(j *Instance) bool { return j == old })
+	g.instances = append(g.instances, i)
+	go i.accept(l)
+	g.changed.Broadcast()
+	return i, nil
+}
+
 // Close crashes all instances.
 func (g *Group) Close() {
 	for _, i := range g.Instances() {
--- a/internal/emulate/linegroup/instance.go
+++ b/internal/emulate/linegroup/instance.go
@@ -94,6 +94,13 @@
 // empty code ends that.
 func (i *Instance) RejectSessions(code string) { i.update(func() { i.rejectCode = code }) }
 
+// Running reports whether the instance has not crashed.
+func (i *Instance) Running() bool {
+	i.group.mu.Lock()
+	defer i.group.mu.Unlock()
+	return !i.down
+}
+
 // Crash stops the instance and closes its connections.
 func (i *Instance) Crash() {
 	i.update(func() { i.down = true })
--- a/internal/emulate/objects/entries.go
+++ b/internal/emulate/objects/entries.go
@@ -83,6 +83,12 @@
 	})
 }
 
+// PutLossAcceptance writes an operator's acceptance of the loss of instances in the election
+// of the group that starts the term.
+func PutLossAcceptance(ctx context.Context, store *memstore.Store, group string, term uint64, instances []string) error {
+	return Put(ctx, store, "gypsumyard-loss-acceptance/"+group, map[string]any{"term": term, "instances": instances})
+}
+
 // SetDesiredState writes the operator's configuration.
 func SetDesiredState(ctx context.Context, store *memstore.Store, d DesiredState) error {
 	return Put(ctx, store, "config/main", d)
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -64,6 +65,15 @@
 	return number
 }
 
+// giveUp lets reads miss the data whose loss was accepted.
+func (h *history) giveUp(data map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for item, list := range h.acknowledgements {
+		h.acknowledgements[item] = slices.DeleteFunc(list, func(a acknowledgement) bool { return data[fmt.Sprintf("%s=%d", item, a.number)] })
+	}
+}
+
 func (h *history) addViolation(format string, args ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
