lineowner: an accepted loss takes effect once another instance has the log, and outlives the host

Cause: after an election without lost instances the new primary may be the only one with some commits; and a host that crashed between order and stored set left a primary that nothing proves. Change: the lost instances count until a second remaining instance has the log of the new primary, unless none remains.

--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -27,7 +27,8 @@
 
 // An electionWait is the state of an election that cannot be held because too few of the
 // instances that count answer. It lasts until some return or an operator accepts their
-// loss; no time limit ends it.
+// loss; no time limit ends it. A primary that answers alone, so that nothing proves that it
+// has not been replaced, is awaited by the same rules.
 type electionWait struct {
 	// since is since when instances have been lacking, or zero.
 	since time.Time
@@ -43,20 +44,25 @@
 	return e
 }
 
-// mustAwaitInstances reports whether an election for the given cause would lack fences,
-// and keeps the state of the wait. Such an election is not begun: it would only fence
-// instances that work.
+// mustAwaitInstances reports whether an election for the given cause would lack fences, or
+// the only instance that answers claims to lead and nothing proves it. It keeps the state
+// of the wait. Such an election is not begun: it would only fence instances that work.
 func (g *group) mustAwaitInstances(owned bool, why electionCause) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if why.reason == "" && g.wait.since.IsZero() {
+	now := g.clock.Now()
+	maybeUnproven := now.Sub(g.evidenceAt) > noPrimaryTimeout
+	if why.reason == "" && g.wait.since.IsZero() && !maybeUnproven {
 		return false
 	}
-	now := g.clock.Now()
 	p, at := g.provenPrimary()
 	led := p != nil && now.Sub(at) <= ledTimeout
+	unproven := maybeUnproven && !led && g.claimedPrimary() != nil
+	if unproven && g.acceptsAllOthers(g.claimedPrimary()) {
+		g.takeLoss(ballot{lost: g.othersThan(g.claimedPrimary())}, true)
+	}
 	b := g.nextBallot()
-	lacks := owned && why.reason != "" && b.lacksFences()
+	lacks := owned && (why.reason != "" || unproven) && b.lacksFences()
 	switch {
 	case !lacks && (why.reason != "" || led || !owned):
 		g.endWait(led)
--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -243,6 +243,52 @@
 	}
 }
 
+// Guards against a group that no host serves because nothing proves that its primary leads:
+// the host that promoted it without the lost instances has crashed before it stored that.
+func TestAcceptedLossOutlivesHost(t *testing.T) {
+	is := is.New(t)
+	f, h, _, behind := awaitedFixture(t)
+	f.awaitWait(h)
+	h.members.Assign(gypsumyard.Assignment{Host: "none"})
+	behind.SetIsolated(false)
+	is.NoErr(f.group.Promote(behind.ID()))
+	f.eventually("a promotion", func() bool { return f.group.Primary() == behind })
+	f.acceptLoss(`{"term": 2, "instances": ["appraisal-1", "appraisal-3"]}`)
+	b := f.addHostWithList("host-b", behind)
+	f.awaitWait(b)
+	added, err := f.group.Add()
+	is.NoErr(err)
+	b.list(behind, added)
+	f.eventually("a write", func() bool {
+		_, err := f.write(b, "WRITE a 3")
+		return err == nil
+	})
+}
+
+// Guards against the loss of commits that the new primary alone has, after an election
+// without lost instances, if it fails before another remaining instance has its log.
+func TestPrimaryFailsAfterAcceptedLoss(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 4)
+	h := f.addHost("host-1", nil)
+	all := f.group.Instances()
+	all[2].SetIsolated(true)
+	f.writeWithout(h, all[1])
+	f.awaitLog(h, "replica set stored")
+	all[0].SetUnresponsive(true)
+	all[0].SetIsolated(true)
+	all[2].SetUnresponsive(true)
+	h.list(all[1], all[3])
+	f.awaitWait(h)
+	f.acceptLoss(`{"term": 2, "instances": ["appraisal-1", "appraisal-3"]}`)
+	f.eventually("a promotion", func() bool { return all[3].Role() == gypsumyard.RolePrimary })
+	f.awaitLog(h, "an operator accepted the loss of the instance")
+	all[3].SetUnresponsive(true)
+	time.Sleep(electionCooldown + electionSpan)
+	is.Equal(len(h.promoter.sent()), 1)
+	is.True(all[3].Contains(all[0].Position()))
+}
+
 // Guards against the loss of commits that an instance holds whose loss was not accepted.
 func TestLossOfOthersIsNotAccepted(t *testing.T) {
 	is := is.New(t)
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -70,6 +70,8 @@
 	// lossAccepted indicates that an operator has accepted its loss: it does not count
 	// until it answers again.
 	lossAccepted bool
+	// lostSince is when an operator's acceptance of its loss took effect, or zero.
+	lostSince time.Time
 	// settled indicates that its status may prove who leads, see hasSettled.
 	settled bool
 	// statusKnown indicates that status has been read.
--- a/internal/lineowner/loss.go
+++ b/internal/lineowner/loss.go
@@ -129,20 +129,52 @@
 		return
 	}
 	if c.status.role == gypsumyard.RolePrimary && c.status.term == l.ordered.term {
-		for _, i := range l.ordered.lost {
-			if !i.reachable {
-				i.lossAccepted = true
-				g.log.WithFields(logrus.Fields{"instance": i.id, "term": c.status.term, "received": i.status.received.String()}).
-					Warn("instance does not count any more, an operator accepted its loss")
-			}
-		}
-		v := l.accepted.version
-		g.wg.Go(func() { g.deleteLossAcceptance(v) })
-		g.broadcast()
+		g.takeLoss(l.ordered, len(l.ordered.remaining()) == 1)
 	}
 	l.accepted, l.ordered, l.chosen = lossAcceptance{}, ballot{}, nil
 }
 
+// takeLoss lets the lost instances of the ballot count no longer, and deletes the
+// acceptance. If others than the primary remain, the lost ones are treated like instances
+// whose processes have ended: they count until one of the others has the log of the primary,
+// which may be the only one with some commits. The caller must hold g.mu.
+func (g *group) takeLoss(b ballot, atOnce bool) {
+	now := g.clock.Now()
+	for _, i := range b.lost {
+		if i.reachable {
+			continue
+		}
+		i.lossAccepted, i.lostSince = atOnce, now
+		g.log.WithFields(logrus.Fields{"instance": i.id, "received": i.status.received.String(), "at-once": atOnce}).
+			Warn("an operator accepted the loss of the instance")
+	}
+	v := g.loss.accepted.version
+	g.loss.accepted = lossAcceptance{}
+	g.wg.Go(func() { g.deleteLossAcceptance(v) })
+	g.broadcast()
+}
+
+// othersThan returns the instances that count other than the primary p. The caller must
+// hold g.mu.
+func (g *group) othersThan(p *instance) (list []*instance) {
+	for _, i := range g.instances {
+		if i != p && !i.lossAccepted {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// acceptsAllOthers reports whether an operator has accepted the loss of all instances other
+// than p, and none of them answers: a host may have crashed after it had promoted p without
+// them, or p leads since before they were lost. The caller must hold g.mu.
+func (g *group) acceptsAllOthers(p *instance) bool {
+	others := g.othersThan(p)
+	return len(others) > 0 && !slices.ContainsFunc(others, func(i *instance) bool {
+		return i.reachable || !g.loss.accepts(p.status.term, i.id) && !g.loss.accepts(p.status.term+1, i.id)
+	})
+}
+
 // deleteLossAcceptance deletes the acceptance that was used. One that remains has no
 // effect, since no later election starts its term.
 func (g *group) deleteLossAcceptance(v gypsumyard.Version) {
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -182,7 +182,7 @@
 // noteAlive voids what was concluded from the end of the instance's process or from its
 // loss: a process answers again. The caller must hold g.mu.
 func (g *group) noteAlive(i *instance) {
-	if i.lossAccepted {
+	if !i.lostSince.IsZero() {
 		// It counts again, like an instance that was added.
 		i.knownSince, i.settled = g.clock.Now(), false
 	}
@@ -190,6 +190,7 @@
 		i.storedVersion = 0
 	}
 	i.covered, i.lossAccepted, i.removed = false, false, false
+	i.lostSince = time.Time{}
 	i.afterEnd, i.afterEndPrimary = replicaState{}, nil
 }
 
@@ -200,6 +201,8 @@
 	switch {
 	case i.retired && i.departure != nil:
 		return i.departure.since // Another instance has its address.
+	case !i.lostSince.IsZero():
+		return i.lostSince // An operator has declared it.
 	case i.connRefused:
 		return i.refusedSince
 	}
