--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -18,7 +18,8 @@
 	ledTimeout = time.Second
 	// awaitedPollInterval and awaitedPollTimeout apply to instances that an election
 	// lacks, so that it ends within a second after one has returned: an election takes
-	// up to 0.8 s itself.
+	// up to 0.8 s itself. Every other request has the usual time limit, since a new
+	// connection to a slow instance takes longer than the short one.
 	awaitedPollInterval = 100 * time.Millisecond
 	awaitedPollTimeout  = 150 * time.Millisecond
 	// awaitedRetryAfter is the delay after which rejected callers may retry.
@@ -57,7 +58,7 @@
 	}
 	p, at := g.provenPrimary()
 	led := p != nil && now.Sub(at) <= ledTimeout
-	unproven := maybeUnproven && !led && g.claimedPrimary() != nil
+	unproven := owned && maybeUnproven && !led && g.claimedPrimary() != nil
 	if unproven && g.acceptsAllOthers(g.claimedPrimary()) {
 		g.takeLoss(ballot{lost: g.othersThan(g.claimedPrimary())}, true)
 	}
@@ -122,7 +123,8 @@
 func (g *group) pollTimeoutOf(i *instance) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.isAwaited(i) {
+	i.polledBriefly = g.isAwaited(i) && !i.polledBriefly
+	if i.polledBriefly {
 		return awaitedPollTimeout
 	}
 	return pollTimeout
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -87,6 +87,8 @@
 	// silentSince is when the first of the current run of unanswered status
 	// requests was sent, or zero if the last one was answered.
 	silentSince time.Time
+	// polledBriefly indicates that the last status request had the short time limit.
+	polledBriefly bool
 	// connRefused indicates that the last failed status request was refused
 	// because nothing listens at the address, refusedSince since when that is so.
 	connRefused  bool
