soak: the check of a waiting group sends a key

Cause: the check opened a session without a key, which hosts deny since the soak has customers. Change: it uses the key of a client that keeps it.

--- a/internal/soak/wait_test.go
+++ b/internal/soak/wait_test.go
@@ -164,7 +164,7 @@
 	if !strings.Contains(w.host.readMetrics(), `gypsumyard_group_awaits_instances{group="`+groupName+`"} `+fmt.Sprint(len(w.Awaited))) {
 		cl.t.Errorf("%s waits without the gauge", w.host.name)
 	}
-	s, err := lineclient.Dial(w.host.callers, routePrimary, "wait-"+w.host.name)
+	s, err := lineclient.DialWithKey(w.host.callers, routePrimary, "wait-"+w.host.name, keyOf(clientName(1)))
 	if err != nil {
 		cl.t.Error(err)
 		return
