lineowner: the load that other clients put on an instance counts

Cause: an owner counted its own statements only. While two hosts believe that they own a group, each overran the instance that the other kept busy; internal/balance could use samples and got none. Change: the number of busy slots is read from the status that is polled anyway, and used as a sample if the instance has clearly more connections than this host opened. A single owner stays exact.

--- a/internal/lineowner/balance.go
+++ b/internal/lineowner/balance.go
@@ -22,6 +22,14 @@
 	// instances a second.
 	suspectLogRate  = 1
 	suspectLogBurst = 20
+	// maxLoadSampleAge is the age up to which the load that an instance has reported is
+	// used. It covers two status requests that had no answer.
+	maxLoadSampleAge = 3 * idlePollInterval
+	// ownControlConnections is how many connections this host has to an instance besides
+	// its pool, and clientConnections how many more show that another client sends
+	// statements: another owner has its own for status and control as well.
+	ownControlConnections = 2
+	clientConnections     = 4
 )
 
 func newSuspectLog() *rate.Limiter { return rate.NewLimiter(suspectLogRate, suspectLogBurst) }
@@ -42,6 +50,16 @@
 	g.updateSuspects()
 }
 
+// sampleLoad passes on the load that an instance has reported, if other clients send
+// statements to it. Otherwise this host knows its load exactly, and better than by a
+// sample. The caller must hold g.mu.
+func (g *group) sampleLoad(i *instance, s status, at time.Time) {
+	if g.balance == nil || s.connections < i.pool.openConnections()+ownControlConnections+clientConnections {
+		return
+	}
+	g.balance.Sample(i.id, max(s.busy-1, 0), at)
+}
+
 // addEstimates adds the estimated delays to the costs of a read's targets. A target that
 // is to be probed becomes the cheapest one. The caller must hold g.mu.
 func (g *group) addEstimates(j *job, targets []gypsumyard.Target) {
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -139,7 +139,7 @@
 		transactionWaits: map[string]int{},
 	}
 	if s.unevenInstances {
-		g.balance = balance.New(balance.WithClock(s.clock))
+		g.balance = balance.New(balance.WithClock(s.clock), balance.WithSamples(maxLoadSampleAge))
 	}
 	g.ownedCtx, g.cancelOwned = context.WithCancelCause(ctx)
 	g.update()
--- a/internal/lineowner/instance.go
+++ b/internal/lineowner/instance.go
@@ -238,6 +238,7 @@
 	}
 	i.statusKnown, i.status, i.sampledAt = true, s, sent
 	i.recordApplied(s.applied)
+	g.sampleLoad(i, s, sent.Add(trip/2))
 	g.recordSample()
 	g.noteCoverage()
 	g.updateTrailing(i)
--- a/internal/lineowner/pool.go
+++ b/internal/lineowner/pool.go
@@ -60,6 +60,13 @@
 	}
 }
 
+// openConnections returns how many connections are open or being opened.
+func (p *pool) openConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.share.OpenConnections()
+}
+
 // get returns an idle connection of the customer, or opens one if the limit allows
 // it. If it cannot, it fails at once with errNoMoreConns and returns the channel that
 // is closed when that may have changed.
--- a/internal/lineowner/status.go
+++ b/internal/lineowner/status.go
@@ -25,6 +25,9 @@
 	// the log, or zero.
 	fencedTerm gypsumyard.Term
 	lag        time.Duration
+	// busy is how many slots of the instance are in use, by all clients. The status
+	// request holds one of them.
+	busy int
 	// connections counts the connections of all clients of the instance.
 	connections int
 }
@@ -56,7 +59,7 @@
 		return s, fmt.Errorf("%w: role %q", line.ErrMalformed, f[0])
 	}
 	var numbers [statusFieldCount]uint64
-	for _, n := range []int{1, 3, 6} {
+	for _, n := range []int{1, 3, 5, 6} {
 		if numbers[n], err = strconv.ParseUint(f[n], 10, 64); err != nil {
 			return s, err
 		}
@@ -67,7 +70,7 @@
 	}
 	s.term, s.fencedTerm = gypsumyard.Term(numbers[1]), gypsumyard.Term(numbers[3])
 	s.lag = time.Duration(lag * float64(time.Millisecond))
-	s.connections = int(numbers[6])
+	s.busy, s.connections = int(numbers[5]), int(numbers[6])
 	s.applied = a.position
 	s.received, err = line.ParsePosition(f[2])
 	return s, err
