--- a/internal/lineowner/quota_test.go
+++ b/internal/lineowner/quota_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/linegroup"
 	"github.com/gypsumyard/gypsumyard/internal/quota"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
