--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -13,9 +13,9 @@
 	// requests are rejected at once: an instance that misses one status request is back
 	// within it.
 	waitDeclareDelay = 500 * time.Millisecond
-	// ledTimeout is the age of evidence up to which a primary that answers counts as
+	// leadershipMaxAge is the age of evidence up to which a primary that answers counts as
 	// leading. It exceeds the time between two status requests of an idle group.
-	ledTimeout = time.Second
+	leadershipMaxAge = time.Second
 	// awaitedPollInterval and awaitedPollTimeout apply to instances that an election
 	// lacks, so that it ends within a second after one has returned: an election takes
 	// up to 0.8 s itself. Every other request has the usual time limit, since a new
@@ -45,10 +45,10 @@
 	return e
 }
 
-// mustAwaitInstances reports whether an election for the given cause would lack fences, or
-// the only instance that answers claims to lead and nothing proves it. It keeps the state
-// of the wait. Such an election is not begun: it would only fence instances that work.
-func (g *group) mustAwaitInstances(owned bool, why electionCause) bool {
+// updateElectionWait updates the state of the wait. It reports whether an election for the
+// given cause would lack fences, or the only instance that answers claims to lead and
+// nothing proves it. Such an election is not begun: it would only fence instances that work.
+func (g *group) updateElectionWait(owned bool, why electionCause) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -57,10 +57,10 @@
 		return false
 	}
 	p, at := g.provenPrimary()
-	led := p != nil && now.Sub(at) <= ledTimeout
+	led := p != nil && now.Sub(at) <= leadershipMaxAge
 	unproven := owned && maybeUnproven && !led && g.claimedPrimary() != nil
 	if unproven && g.acceptsAllOthers(g.claimedPrimary()) {
-		g.takeLoss(ballot{lost: g.othersThan(g.claimedPrimary())}, true)
+		g.excludeLost(ballot{lost: g.othersThan(g.claimedPrimary())}, true)
 	}
 	b := g.nextBallot()
 	lacks := owned && (why.reason != "" || unproven) && b.lacksFences()
--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -12,7 +12,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// longAbsence exceeds the 6 s after which absent instances once stopped counting.
+// longAbsence is well above all timeouts of an owner.
 const longAbsence = 8 * time.Second
 
 // awaitedFixture returns a group whose primary and one replica hold commits that the other
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -93,11 +93,11 @@
 			g.syncReplicaSet()
 			g.forgetDeparted()
 		}
-		g.settleLoss()
+		g.completeLoss()
 		if owned && g.maybeTransfer(g.clock.Now()) {
 			continue
 		}
-		if g.mustAwaitInstances(owned, why) || why.reason == "" || g.clock.Now().Before(g.election.notBefore) || g.mustAwaitLostClaims() {
+		if g.updateElectionWait(owned, why) || why.reason == "" || g.clock.Now().Before(g.election.notBefore) || g.mustAwaitLostClaims() {
 			continue
 		}
 		g.elect(why)
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -77,7 +77,7 @@
 	if err := g.charge(j); err != nil {
 		return gypsumyard.Result{}, err
 	}
-	defer g.settleCharge(j)
+	defer g.refundUnsent(j)
 	waitCtx, release := g.ownershipContext(ctx)
 	defer release()
 	for {
@@ -133,11 +133,12 @@
 		return res, waitCtx.Err() == nil && errors.Is(err, errNoConnection), notRun(err)
 	}
 	defer u.release()
+	defer g.releaseUnusedRoom(j)
 	if err := g.confirmCharge(j); err != nil {
 		u.instance.pool.put(u.conn)
 		return res, false, err
 	}
-	defer j.withdrawCharge()
+	defer j.markUnsent()
 	if opensTransaction(j.Class) {
 		return g.beginTransaction(ctx, j, u, p, sink)
 	}
@@ -154,10 +155,8 @@
 	var reserved *reservation
 	defer func() {
 		reserved.release()
-		if err != nil && j.reserved != nil {
-			g.mu.Lock()
-			g.releaseRoom(j)
-			g.mu.Unlock()
+		if err != nil {
+			g.releaseUnusedRoom(j)
 		}
 	}()
 	for {
--- a/internal/lineowner/failover.go
+++ b/internal/lineowner/failover.go
@@ -91,9 +91,9 @@
 }
 
 // replicasFenced reports whether an election was started and not finished
-// within fencedTimeout: a fenced replica receives nothing until a promotion. It has
-// long not been finished if the group was waiting for the primary to return. The caller
-// must hold g.mu.
+// within fencedTimeout: a fenced replica receives nothing until a promotion. While an
+// election waits for instances, a fence counts as abandoned at once. The caller must hold
+// g.mu.
 func (g *group) replicasFenced(p *instance, now time.Time) bool {
 	e := &g.election
 	for _, i := range g.instances {
--- a/internal/lineowner/loss.go
+++ b/internal/lineowner/loss.go
@@ -117,10 +117,10 @@
 	}
 }
 
-// settleLoss stops counting the lost instances once the promotion without them has taken
+// completeLoss stops counting the lost instances once the promotion without them has taken
 // effect, and deletes the acceptance. Until then its outcome may be unknown, and the next
 // election for the term needs as many fences.
-func (g *group) settleLoss() {
+func (g *group) completeLoss() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := &g.loss
@@ -129,16 +129,16 @@
 		return
 	}
 	if c.status.role == gypsumyard.RolePrimary && c.status.term == l.ordered.term {
-		g.takeLoss(l.ordered, len(l.ordered.remaining()) == 1)
+		g.excludeLost(l.ordered, len(l.ordered.remaining()) == 1)
 	}
 	l.accepted, l.ordered, l.chosen = lossAcceptance{}, ballot{}, nil
 }
 
-// takeLoss lets the lost instances of the ballot count no longer, and deletes the
+// excludeLost lets the lost instances of the ballot count no longer, and deletes the
 // acceptance. If others than the primary remain, the lost ones are treated like instances
 // whose processes have ended: they count until one of the others has the log of the primary,
 // which may be the only one with some commits. The caller must hold g.mu.
-func (g *group) takeLoss(b ballot, atOnce bool) {
+func (g *group) excludeLost(b ballot, atOnce bool) {
 	now := g.clock.Now()
 	for _, i := range b.lost {
 		if i.reachable {
--- a/internal/lineowner/pool.go
+++ b/internal/lineowner/pool.go
@@ -44,7 +44,7 @@
 	// keyed indicates that the deployment has customers, which are in customers.
 	keyed     bool
 	customers map[string]gypsumyard.CallerCustomer
-	// closing holds connections that unlock closes.
+	// closing holds connections that unlockAndClose closes.
 	closing []*conn
 	// epoch is incremented when the open connections may be dead.
 	epoch  int
@@ -99,7 +99,7 @@
 // the channel to wait on.
 func (p *pool) take(customer string, settings []gypsumyard.Setting) (c *conn, mayDial bool, freed <-chan struct{}, err error) {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	if p.closed {
 		return nil, false, nil, errPoolClosed
 	}
@@ -164,7 +164,7 @@
 	c, err := dial(ctx, p.instance, user)
 	if err != nil {
 		p.mu.Lock()
-		defer p.unlock()
+		defer p.unlockAndClose()
 		p.share.Close(customer, true)
 		var refusal *line.Error
 		if errors.As(err, &refusal) && refusal.Code == line.CodeTooMany {
@@ -204,7 +204,7 @@
 		p.discard(c)
 		return
 	}
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.idle[c.customer] = append(p.idle[c.customer], c)
 	p.share.Return(c.customer)
 	p.evictSurplus()
@@ -233,7 +233,7 @@
 func (p *pool) discard(c *conn) {
 	c.close()
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.share.Close(c.customer, true)
 	p.notifyWaiters()
 }
@@ -246,8 +246,8 @@
 	p.freed = make(chan struct{})
 }
 
-// unlock unlocks p.mu and closes the connections that were evicted.
-func (p *pool) unlock() {
+// unlockAndClose unlocks p.mu and closes the connections that were evicted.
+func (p *pool) unlockAndClose() {
 	closing := p.closing
 	p.closing = nil
 	p.mu.Unlock()
@@ -261,14 +261,14 @@
 // they are returned.
 func (p *pool) invalidate() {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.epoch++
 	p.closeIdle(func(string) bool { return true })
 }
 
 // closeIdle closes the idle connections of the customers that match. The caller must
 // hold p.mu.
-func (p *pool) closeIdle(matches func(customer string) bool) {
+func (p *pool) closeIdle(matches func(customer string) bool) (closed int) {
 	for customer, idle := range p.idle {
 		if !matches(customer) {
 			continue
@@ -277,15 +277,19 @@
 			p.share.Close(customer, false)
 		}
 		p.closing = append(p.closing, idle...)
+		closed += len(idle)
 		delete(p.idle, customer)
 	}
-	p.notifyWaiters()
+	if closed > 0 {
+		p.notifyWaiters()
+	}
+	return closed
 }
 
 // setLimits sets how many connections may be open and how many transactions on them.
 func (p *pool) setLimits(connections, transactions int) {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.share.SetLimits(connections, transactions)
 	p.evictSurplus()
 	p.notifyWaiters()
@@ -295,17 +299,17 @@
 // others are closed.
 func (p *pool) setCustomers(d *gypsumyard.DesiredState) {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.keyed, p.customers = d.Keyed, d.Customers
-	p.closeIdle(func(customer string) bool { return !p.serves(customer) })
-	if n := len(p.closing); n > 0 {
+	if n := p.closeIdle(func(customer string) bool { return !p.serves(customer) }); n > 0 {
 		p.log.WithFields(logrus.Fields{"connections": n, "desired": d.Number}).Info("closing connections of removed customers")
 	}
 }
 
 func (p *pool) close() {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.closed = true
 	p.closeIdle(func(string) bool { return true })
+	p.notifyWaiters()
 }
--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -187,15 +187,15 @@
 	return g.overLimit(j, l, wait)
 }
 
-// withdrawCharge must be called after an attempt.
-func (j *job) withdrawCharge() {
+// markUnsent marks the charge as unsent if the attempt has sent nothing.
+func (j *job) markUnsent() {
 	if j.charge != nil && !j.sent {
 		j.charge.Unsend()
 	}
 }
 
-// settleCharge refunds the charge of an operation of which nothing was sent.
-func (g *group) settleCharge(j *job) {
+// refundUnsent refunds the charge of an operation of which nothing was sent.
+func (g *group) refundUnsent(j *job) {
 	if j.charge != nil && !j.sent {
 		j.charge.Refund()
 		g.metrics.quota.refunds.Inc(1)
@@ -294,7 +294,8 @@
 	}
 }
 
-// tickQuota starts asking other owners if customers lack tokens.
+// tickQuota starts asking other owners if customers lack tokens. The service waits for the
+// requests when it stops; they end early when the group is closed.
 func (g *group) tickQuota(d *gypsumyard.DesiredState) {
 	g.mu.Lock()
 	share, owned := g.quota.share, g.ownedCtx.Err() == nil
@@ -365,7 +366,7 @@
 	case h.Name == s.self:
 		return s.GiveQuota(q)
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, quota.Lifetime)
+	ctx, cancel := context.WithTimeout(g.ctx, quota.Lifetime)
 	defer cancel()
 	return s.peers.RequestQuota(ctx, h, q)
 }
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -17,10 +17,10 @@
 	replicaSetRetryDelay = 500 * time.Millisecond
 	// replicaSetTimeout bounds one such call.
 	replicaSetTimeout = 800 * time.Millisecond
-	// coverageHurry is how long after the end of an instance's process the others are
+	// coveragePollWindow is how long after the end of an instance's process the others are
 	// polled at each check until they are seen to have its commits: if the primary fails
 	// before that, its successor needs the log of the ended instance.
-	coverageHurry = 5 * time.Second
+	coveragePollWindow = 5 * time.Second
 	// listingDelay is how long an instance of the stored set may be missing from the
 	// list of a host that starts before it counts as leaving: entries that expired
 	// while the store was unavailable are back within two seconds.
@@ -158,7 +158,7 @@
 			i.covered = true
 			g.log.WithFields(logrus.Fields{"instance": i.id, "primary": i.afterEndPrimary.id, "received": i.afterEnd.received.String()}).
 				Info("instance has ended, other instances have all its commits")
-		} else if now.Sub(stopped) < coverageHurry {
+		} else if now.Sub(stopped) < coveragePollWindow {
 			g.requestPolls()
 		}
 	}
--- a/internal/lineowner/replicaset.go
+++ b/internal/lineowner/replicaset.go
@@ -17,10 +17,9 @@
 // may acknowledge with fewer while some do not answer.
 func fencesNeeded(n int) int { return max(n-1, 1) }
 
-// fencesNeededWithout is fencesNeeded for an election that does not count some of n
-// instances because an operator has accepted their loss. Both holders of a commit may be
-// lost, and that commit is given up. Of any other one, a single remaining instance may be
-// the only holder, so all that remain must be fenced.
+// fencesNeededWithout is fencesNeeded if an operator has accepted the loss of some of the n
+// instances. A commit may have been on a lost and a remaining instance, so all that remain
+// must be fenced.
 func fencesNeededWithout(n, lost int) int {
 	if lost == 0 {
 		return fencesNeeded(n)
--- a/internal/lineowner/reservation.go
+++ b/internal/lineowner/reservation.go
@@ -10,8 +10,8 @@
 	"github.com/gypsumyard/gypsumyard/internal/connshare"
 )
 
-// openCost is the time that a read takes longer at an instance to which it has to open
-// a connection, as measured.
+// openCost is added to the cost of a read that has to open a connection first: the time
+// of a connect and its startup exchange, during which it holds a slot.
 const openCost = 12 * time.Millisecond
 
 // A reservation is a connection, or a place in the pool for one, that a caller of a
@@ -24,7 +24,7 @@
 }
 
 // awaitFree waits until get may succeed: freed is closed, or connections may be
-// opened again after a refusal. With customers it waits for a connection of the
+// opened again after a refusal. It returns no reservation if get should be tried again. With customers it waits for a connection of the
 // customer's own, so that callers of other customers can't take each that becomes
 // free.
 func (p *pool) awaitFree(ctx context.Context, customer string, freed <-chan struct{}) (*reservation, error) {
@@ -41,7 +41,7 @@
 		case <-freed:
 			return nil, nil
 		case <-t.C():
-			if w == nil || p.check() {
+			if w == nil || p.dispatchWaiters() {
 				p.withdraw(w, granted)
 				return nil, nil
 			}
@@ -57,7 +57,7 @@
 // customers there are none.
 func (p *pool) enqueue(customer string) (*connshare.Waiter, <-chan *reservation) {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	if !p.keyed {
 		return nil, nil
 	}
@@ -69,11 +69,11 @@
 	return w, granted
 }
 
-// check grants connections to waiters if any may be opened by now. It reports whether
+// dispatchWaiters grants connections to waiters if any may be opened by now. It reports whether
 // the pool is closed.
-func (p *pool) check() (closed bool) {
+func (p *pool) dispatchWaiters() (closed bool) {
 	p.mu.Lock()
-	defer p.unlock()
+	defer p.unlockAndClose()
 	p.share.Dispatch()
 	return p.closed
 }
@@ -119,7 +119,7 @@
 		r.pool.put(r.conn)
 	default:
 		r.pool.mu.Lock()
-		defer r.pool.unlock()
+		defer r.pool.unlockAndClose()
 		r.pool.share.Close(r.customer, true)
 		r.pool.notifyWaiters()
 	}
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -260,6 +260,16 @@
 	g.broadcast()
 }
 
+// releaseUnusedRoom is releaseRoom for callers that do not hold g.mu.
+func (g *group) releaseUnusedRoom(j *job) {
+	if j.reserved == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.releaseRoom(j)
+}
+
 func (g *group) endTransactionWait(customer string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
