lineowner: export the least number of connections of an instance

The check of desired states needs the number below which the pool and the reserved connections exceed the limit of an instance. The value is unchanged: 6 reserved and 2 of the pool. Tests of pool, transactions and connections pass.

--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -20,6 +20,9 @@
 	// to other uses: two status connections, the control connection, and another
 	// host that believes it owns the group.
 	reservedConnections = 6
+	// leastPoolConnections is the least size of a pool, also if the instance accepts fewer
+	// connections beyond the reserved ones.
+	leastPoolConnections = 2
 	// reservedForStatements is how many connections transactions leave to
 	// statements outside transactions.
 	reservedForStatements = 4
@@ -34,6 +37,10 @@
 	errDeadline = errors.New("time of the statement is over")
 )
 
+// MinConnections is how many connections an instance must accept. With fewer, the pool and
+// the reserved connections together exceed the instance's limit.
+const MinConnections = reservedConnections + leastPoolConnections
+
 // A group serves one database group that this host owns, or that it owned and
 // that still has work in progress.
 type group struct {
@@ -231,7 +238,7 @@
 		}
 		i.listed, i.departure = l, nil
 		delete(g.forgotten, i.asReplica())
-		i.pool.setLimits(max(g.settings.Connections-reservedConnections, 2), g.transactionLimit())
+		i.pool.setLimits(max(g.settings.Connections-reservedConnections, leastPoolConnections), g.transactionLimit())
 		i.pool.setCustomers(d)
 		g.instances = append(g.instances, i)
 	}
