gypsumyardd: check-state checks a desired state before it is sent

Operators learned of faults only from the logs of hosts, after the state was written. check-state FILE [--against FILE] [--format text|json] reports findings and differences, with exit codes 0, 1 and 2.

--- a/cmd/gypsumyardd/main.go
+++ b/cmd/gypsumyardd/main.go
@@ -31,11 +31,15 @@
 func run(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := newCommand().Run(ctx, args); err != nil {
-		fmt.Fprintln(os.Stderr, "gypsumyardd:", err)
-		return 1
+	err := newCommand().Run(ctx, args)
+	if err == nil {
+		return 0
 	}
-	return 0
+	fmt.Fprintln(os.Stderr, "gypsumyardd:", err)
+	if errors.As(err, new(inputError)) {
+		return exitInput
+	}
+	return 1
 }
 
 func newCommand() *cli.Command {
@@ -62,7 +66,7 @@
 			Usage:     "show what the logs of the hosts say of a request and what happened around it",
 			ArgsUsage: "REQUEST LOG...",
 			Action:    explain,
-		}},
+		}, checkStateCommand()},
 	}
 }
 
