statecheck: show the values of added entries

A comparison named an added entry only, so that a wrong limit of a new customer went unseen. Its fields that are not zero are now listed.

--- a/internal/statecheck/compare.go
+++ b/internal/statecheck/compare.go
@@ -32,8 +32,9 @@
 	return KeyPrefix(hex.EncodeToString(h[:])[:keyDigits])
 }
 
-// Compare returns the differences field by field, ordered by entity and name. Entries that
-// were added or removed are one change each, and their keys one more each.
+// Compare returns the differences field by field, ordered by entity and name. An entry that
+// was added is one change, and one more for each of its fields that is not zero. An entry
+// that was removed is one change. Keys follow at the end, one change each.
 func Compare(from, to *gypsumyard.DesiredState) []Change {
 	var c changes
 	c.field(Place{Field: FieldNumber}, from.Number, to.Number)
@@ -41,29 +42,39 @@
 	if from.Keyed != to.Keyed {
 		c.presence(Place{Field: FieldCustomers}, from.Keyed, to.Keyed)
 	}
-	entries(&c, EntityRoute, from.Routes, to.Routes, func(name string, a, b gypsumyard.Route) {
-		at := func(f Field) Place { return Place{EntityRoute, name, f} }
-		c.field(at(FieldGroup), a.Group, b.Group)
-		c.field(at(FieldConsistency), a.Consistency, b.Consistency)
-		c.field(at(FieldMaxStaleness), a.MaxStaleness, b.MaxStaleness)
-		c.field(at(FieldStatementTimeout), a.StatementTimeout, b.StatementTimeout)
-		c.field(at(FieldObjective), a.Objective, b.Objective)
-		c.field(at(FieldPriority), a.Priority, b.Priority)
-		c.field(at(FieldOpen), a.Open, b.Open)
-	})
-	entries(&c, EntityGroup, from.Groups, to.Groups, func(name string, a, b gypsumyard.Group) {
-		c.field(Place{EntityGroup, name, FieldConnections}, a.Connections, b.Connections)
-		c.field(Place{EntityGroup, name, FieldSyncReplicas}, a.SyncReplicas, b.SyncReplicas)
-	})
-	entries(&c, EntityCustomer, from.Customers, to.Customers, func(name string, a, b gypsumyard.CallerCustomer) {
-		c.field(Place{EntityCustomer, name, FieldPriority}, a.Priority, b.Priority)
-		c.field(Place{EntityCustomer, name, FieldRate}, a.Rate, b.Rate)
-		c.field(Place{EntityCustomer, name, FieldBurst}, a.Burst, b.Burst)
-	})
+	entries(&c, EntityRoute, from.Routes, to.Routes, routeFields)
+	entries(&c, EntityGroup, from.Groups, to.Groups, groupFields)
+	entries(&c, EntityCustomer, from.Customers, to.Customers, customerFields)
 	c.keys(from.Keys, to.Keys)
 	return c
 }
 
+// A fieldValue is a field of an entry and its value.
+type fieldValue struct {
+	field Field
+	value any
+}
+
+func routeFields(r gypsumyard.Route) []fieldValue {
+	return []fieldValue{
+		{FieldGroup, r.Group},
+		{FieldConsistency, r.Consistency},
+		{FieldMaxStaleness, r.MaxStaleness},
+		{FieldStatementTimeout, r.StatementTimeout},
+		{FieldObjective, r.Objective},
+		{FieldPriority, r.Priority},
+		{FieldOpen, r.Open},
+	}
+}
+
+func groupFields(g gypsumyard.Group) []fieldValue {
+	return []fieldValue{{FieldConnections, g.Connections}, {FieldSyncReplicas, g.SyncReplicas}}
+}
+
+func customerFields(c gypsumyard.CallerCustomer) []fieldValue {
+	return []fieldValue{{FieldPriority, c.Priority}, {FieldRate, c.Rate}, {FieldBurst, c.Burst}}
+}
+
 // CheckNumber returns a finding if the number of the new state is not higher. Hosts compare
 // states by their number when they check keys for each other and after a restore of the
 // store.
@@ -95,19 +106,30 @@
 	c.field(p, value(from), value(to))
 }
 
-// entries adds the differences of the entries of one entity. It calls both for each name
-// that is in both states.
-func entries[T any](c *changes, e Entity, from, to map[string]T, both func(name string, a, b T)) {
+// entries adds the differences of the entries of one entity.
+func entries[T any](c *changes, e Entity, from, to map[string]T, fields func(T) []fieldValue) {
 	names := slices.AppendSeq(slices.Collect(maps.Keys(from)), maps.Keys(to))
 	slices.Sort(names)
 	for _, name := range slices.Compact(names) {
 		a, inOld := from[name]
 		b, inNew := to[name]
-		if inOld && inNew {
-			both(name, a, b)
+		if inOld != inNew {
+			c.presence(Place{e, name, FieldNone}, inOld, inNew)
+		}
+		if !inNew {
 			continue
 		}
-		c.presence(Place{e, name, FieldNone}, inOld, inNew)
+		// The old values of an entry that was added are zero.
+		old := fields(a)
+		for n, f := range fields(b) {
+			switch {
+			case f.value == old[n].value:
+			case inOld:
+				*c = append(*c, Change{Place{e, name, f.field}, old[n].value, f.value})
+			default:
+				*c = append(*c, Change{Place{e, name, f.field}, nil, f.value})
+			}
+		}
 	}
 }
 
--- a/internal/statecheck/statecheck_test.go
+++ b/internal/statecheck/statecheck_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"testing"
 	"time"
 
@@ -107,3 +108,23 @@
 	to.Number++
 	is.Equal(len(CheckNumber(state(), to, at)), 0)
 }
+
+// Guards against fields that are not compared, and against added entries whose values are
+// not shown.
+func TestCompareEntries(t *testing.T) {
+	is := is.New(t)
+	to := state()
+	delete(to.Routes, "main")
+	to.Groups["h"] = gypsumyard.Group{Name: "h", Connections: 9}
+	edit(to.Customers, "x", func(c *gypsumyard.CallerCustomer) { c.Rate = 0 })
+	is.Equal(Compare(state(), to), []Change{
+		{Place{EntityRoute, "main", FieldNone}, Present, nil},
+		{Place{EntityGroup, "h", FieldNone}, nil, Present},
+		{Place{EntityGroup, "h", FieldConnections}, nil, 9},
+		{Place{EntityCustomer, "x", FieldRate}, 2.0, 0.0},
+	})
+	// Each type lists its name and the fields that are compared.
+	is.Equal(len(routeFields(gypsumyard.Route{}))+1, reflect.TypeFor[gypsumyard.Route]().NumField())
+	is.Equal(len(groupFields(gypsumyard.Group{}))+1, reflect.TypeFor[gypsumyard.Group]().NumField())
+	is.Equal(len(customerFields(gypsumyard.CallerCustomer{}))+1, reflect.TypeFor[gypsumyard.CallerCustomer]().NumField())
+}
