--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -246,10 +246,23 @@
 	}
 }
 
+// maxLoggedFaults is how many bytes of a decoding error are logged: it names all faults, of
+// which a state with many customers may have many.
+const maxLoggedFaults = 4 << 10
+
+// logFaulty logs that a desired state cannot be decoded.
+func (c *objectCache) logFaulty(o gypsumyard.Object, err error) {
+	text := err.Error()
+	if len(text) > maxLoggedFaults {
+		text = text[:maxLoggedFaults] + "..."
+	}
+	c.log.WithFields(logrus.Fields{"version": o.Version, "error": text, "bytes": len(err.Error())}).Warn("cannot decode desired state, ignoring it")
+}
+
 func (c *objectCache) applyDesired(o gypsumyard.Object) {
 	d, err := c.decoder.DesiredState(o)
 	if err != nil {
-		c.log.WithField("version", o.Version).WithError(err).Warn("cannot decode desired state, ignoring it")
+		c.logFaulty(o, err)
 		return
 	}
 	fields := logrus.Fields{"version": o.Version, "number": d.Number, "routes": len(d.Routes), "groups": len(d.Groups)}
--- a/internal/catalog/merge.go
+++ b/internal/catalog/merge.go
@@ -44,7 +44,7 @@
 func (c *objectCache) isNewerDesired(o gypsumyard.Object, later bool) bool {
 	d, err := c.decoder.DesiredState(o)
 	if err != nil {
-		c.log.WithField("version", o.Version).WithError(err).Warn("cannot decode desired state, ignoring it")
+		c.logFaulty(o, err)
 		return false
 	}
 	if c.desired == nil || d.Number > c.desired.Number {
