--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -34,7 +34,7 @@
 )
 
 // defaultQuotaTerms hold unless WithQuota sets others.
-var defaultQuotaTerms = quota.Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+var defaultQuotaTerms = quota.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 // WithQuota sets how the rate limits of customers are checked: in any window a customer
 // may run (rate x window + burst) x (1 + overage) + slack operations. A window of zero
@@ -42,14 +42,14 @@
 func WithQuota(window time.Duration, overage, slack float64) Option {
 	return func(s *Service) {
 		if window > 0 {
-			s.quota.terms = quota.Terms{Window: window, Overage: overage, Slack: slack}
+			s.quota.terms = quota.Tolerance{Window: window, Overage: overage, Slack: slack}
 		}
 	}
 }
 
 // quotas is the part of the service that rate limits of customers need.
 type quotas struct {
-	terms quota.Terms
+	terms quota.Tolerance
 	reach hostReach
 	order groupOrder
 }
@@ -73,7 +73,7 @@
 // A groupQuota is a group's share of the rate limits.
 type groupQuota struct {
 	// share is nil while the desired state has no customers. The group's mutex guards it.
-	share *quota.Share
+	share *quota.Allocation
 	// asking is set while other owners are asked. Its holder uses askAfter, which holds
 	// when each owner may be asked again, by group.
 	asking   atomic.Bool
@@ -119,7 +119,7 @@
 		return
 	}
 	if g.quota.share == nil {
-		g.quota.share = quota.NewShare(g.service.quota.terms, g.clock)
+		g.quota.share = quota.NewAllocation(g.service.quota.terms, g.clock)
 	}
 	names := g.service.quota.order.groups(d)
 	if index, ok := slices.BinarySearch(names, g.name); ok {
@@ -135,7 +135,7 @@
 	}
 }
 
-func (g *group) quotaShare() *quota.Share {
+func (g *group) quotaShare() *quota.Allocation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.quota.share
@@ -190,7 +190,7 @@
 // withdrawCharge must be called after an attempt.
 func (j *job) withdrawCharge() {
 	if j.charge != nil && !j.sent {
-		j.charge.Unsend()
+		j.charge.MarkUnsent()
 	}
 }
 
@@ -314,13 +314,13 @@
 
 // askOwners asks the owners of the other groups, one after the other, until no customer
 // lacks tokens.
-func (g *group) askOwners(share *quota.Share, d *gypsumyard.DesiredState) {
+func (g *group) askOwners(share *quota.Allocation, d *gypsumyard.DesiredState) {
 	names := g.service.quota.order.groups(d)
 	if g.quota.askAfter == nil {
 		g.quota.askAfter = map[string]time.Time{}
 	}
 	targets := share.Targets(share.Shortages())
-	for _, index := range targets[:min(len(targets), quota.MaxAsked)] {
+	for _, index := range targets[:min(len(targets), quota.MaxRequests)] {
 		if index >= len(names) || g.ownedCtxErr() != nil {
 			return // The groups have changed.
 		}
@@ -328,16 +328,16 @@
 		if at.Before(g.quota.askAfter[other]) {
 			continue
 		}
-		wanted := share.At(index, share.Shortages())
+		wanted := share.WantedFrom(index, share.Shortages())
 		if len(wanted) == 0 {
 			continue
 		}
-		g.quota.askAfter[other] = at.Add(quota.AskInterval)
+		g.quota.askAfter[other] = at.Add(quota.RequestInterval)
 		granted, err := g.requestQuota(other, wanted)
 		if gypsumyard.ClassOf(err) == gypsumyard.ClassNotSupported && err != nil {
 			g.quota.askAfter[other] = at.Add(unsupportedDelay)
 		}
-		g.metrics.quota.question(granted, err)
+		g.metrics.quota.request(granted, err)
 		if tokens := share.Receive(wanted, granted, at); tokens > 0 {
 			g.metrics.quota.received.add(tokens)
 			g.logTransfer("tokens received from another owner", other, granted, tokens)
--- a/internal/lineowner/quotametrics.go
+++ b/internal/lineowner/quotametrics.go
@@ -30,15 +30,15 @@
 }
 
 func newQuotaMetrics(s tally.Scope) *quotaMetrics {
-	questions := func(outcome string) tally.Counter {
-		return s.Tagged(map[string]string{"outcome": outcome}).Counter("quota_questions")
+	requests := func(outcome string) tally.Counter {
+		return s.Tagged(map[string]string{"outcome": outcome}).Counter("quota_transfer_requests")
 	}
 	return &quotaMetrics{
 		scope:      s,
 		refunds:    s.Counter("quota_refunds"),
-		granted:    questions("granted"),
-		none:       questions("none"),
-		failed:     questions("failed"),
+		granted:    requests("granted"),
+		none:       requests("none"),
+		failed:     requests("failed"),
 		given:      tokenCounter{counter: s.Counter("quota_tokens_given")},
 		received:   tokenCounter{counter: s.Counter("quota_tokens_received")},
 		rejections: map[string]tally.Counter{},
@@ -61,8 +61,8 @@
 	c.Inc(1)
 }
 
-// question counts a question to another owner.
-func (m *quotaMetrics) question(granted []gypsumyard.QuotaTokens, err error) {
+// request counts a transfer request to another owner.
+func (m *quotaMetrics) request(granted []gypsumyard.QuotaTokens, err error) {
 	switch {
 	case err != nil:
 		m.failed.Inc(1)
--- a/internal/quota/share.go
+++ b/internal/quota/allocation.go
@@ -37,24 +37,24 @@
 	// exchangeDelay is after what time a caller is told to retry while other owners may
 	// still have tokens. They arrive within it, and last for longer.
 	exchangeDelay = 100 * time.Millisecond
-	// tolerance absorbs rounding errors of sums of tokens.
-	tolerance = 1e-9
+	// epsilon absorbs rounding errors of sums of tokens.
+	epsilon = 1e-9
 )
 
-// A Share is the part of all customers' limits that belongs to one group. Its methods
-// may be called concurrently.
-type Share struct {
-	terms Terms
-	clock gypsumyard.Clock
+// An Allocation is the part of all customers' limits that belongs to one group. Its
+// methods may be called concurrently.
+type Allocation struct {
+	tolerance Tolerance
+	clock     gypsumyard.Clock
 
 	mu    sync.Mutex
 	place place
-	// highest is the fraction that will be in force at risesAt. It is zero if the fraction
-	// is not about to rise.
-	highest float64
-	risesAt time.Time
-	buckets map[string]*bucket
-	// random determines the order in which owners are asked.
+	// pendingFraction is the fraction that will be in force at risesAt. It is zero if the
+	// fraction is not about to rise.
+	pendingFraction float64
+	risesAt         time.Time
+	buckets         map[string]*bucket
+	// random determines the order in which owners are queried.
 	random *rand.Rand
 	// started is when the refill of the buckets began. Those without a record had at most
 	// firstTokens then.
@@ -63,7 +63,7 @@
 	sweptAt  time.Time
 }
 
-// A bucket holds one customer's tokens at one share.
+// A bucket holds one customer's tokens at one allocation.
 type bucket struct {
 	limit Limit
 	part  part
@@ -73,34 +73,34 @@
 	// reserved is the part of the tokens of charges whose operations were not sent yet.
 	// They take up capacity, so that a long queue does not raise the sum later.
 	reserved float64
-	// given holds the tokens that other shares may still have as parcels. They take up
-	// capacity as well, so that the sum over all shares is never above that of the
-	// capacities.
-	given []parcel
-	// received holds tokens of other shares for which the bucket has no room.
-	received []parcel
+	// given holds the transfers of which other allocations may still have tokens. They
+	// take up capacity as well, so that the sum over all allocations is never above that
+	// of the capacities.
+	given []transfer
+	// received holds tokens of other allocations for which the bucket has no room.
+	received []transfer
 	// demand and longDemand are estimates over a short and a long time, in operations a
 	// second, at the time of at.
 	demand, longDemand float64
 	lastTake           time.Time
 	rejectedAt         time.Time
-	// fruitless counts the answers in a row that granted nothing.
-	fruitless   int
-	pausedUntil time.Time
+	// emptyAnswers counts the answers in a row that granted nothing.
+	emptyAnswers int
+	pausedUntil  time.Time
 }
 
-// A parcel is a number of tokens that were moved between shares. Until it expires, they
-// take up capacity of the giver.
-type parcel struct {
+// A transfer is a number of tokens that were moved between allocations. Until it expires,
+// they take up capacity of the giver.
+type transfer struct {
 	tokens  float64
 	expires time.Time
 }
 
-// NewShare returns the share of a group that this host has begun to own.
-func NewShare(t Terms, c gypsumyard.Clock) *Share {
+// NewAllocation returns the allocation of a group that this host has begun to own.
+func NewAllocation(t Tolerance, c gypsumyard.Clock) *Allocation {
 	now := c.Now()
-	return &Share{
-		terms: t, clock: c, place: place{groups: 1, fraction: 1}, buckets: map[string]*bucket{},
+	return &Allocation{
+		tolerance: t, clock: c, place: place{groups: 1, fraction: 1}, buckets: map[string]*bucket{},
 		started: now.Add(takeoverDelay), tickedAt: now, sweptAt: now,
 	}
 }
@@ -109,125 +109,118 @@
 // and the fraction of the limits that belongs to the hosts which this one reaches. It must
 // be called before the first use, and again at each change. A higher fraction takes effect
 // after riseDelay.
-func (s *Share) Configure(index, groups int, fraction float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
+func (a *Allocation) Configure(index, groups int, fraction float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
 	switch {
-	case fraction <= s.place.fraction:
-		s.highest = 0
-	case s.highest == 0:
-		s.highest, s.risesAt = fraction, now.Add(riseDelay)
-		fraction = s.place.fraction
+	case fraction <= a.place.fraction:
+		a.pendingFraction = 0
+	case a.pendingFraction == 0:
+		a.pendingFraction, a.risesAt = fraction, now.Add(riseDelay)
+		fraction = a.place.fraction
 	default:
-		s.highest = fraction
-		fraction = s.place.fraction
+		a.pendingFraction = fraction
+		fraction = a.place.fraction
 	}
-	s.move(place{index: index, groups: groups, fraction: fraction}, now)
+	a.move(place{index: index, groups: groups, fraction: fraction}, now)
 }
 
-// move applies another place. The caller must hold s.mu.
-func (s *Share) move(to place, now time.Time) {
-	if to == s.place {
+// move applies another place. The caller must hold a.mu.
+func (a *Allocation) move(to place, now time.Time) {
+	if to == a.place {
 		return
 	}
-	rises := to.groups != s.place.groups || to.index != s.place.index || to.fraction > s.place.fraction
-	for _, b := range s.buckets {
+	rises := to.groups != a.place.groups || to.index != a.place.index || to.fraction > a.place.fraction
+	for _, b := range a.buckets {
 		b.refill(now)
 	}
-	s.place = to
-	for name, b := range s.buckets {
-		b.part = s.terms.partOf(name, b.limit, to)
+	a.place = to
+	for name, b := range a.buckets {
+		b.part = a.tolerance.partOf(name, b.limit, to)
 		b.refill(now)
 	}
-	if rises && now.After(s.started) {
-		s.started = now // A bucket without a record is not full by the larger capacity.
+	if rises && now.After(a.started) {
+		a.started = now // A bucket without a record is not full by the larger capacity.
 	}
 }
 
 // Restart resets the buckets: this host owns the group again after another one may
 // have.
-func (s *Share) Restart() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.restart(s.now(), takeoverDelay)
+func (a *Allocation) Restart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.restart(a.now(), takeoverDelay)
 }
 
-// restart is Restart with a delay of the refill. The caller must hold s.mu.
-func (s *Share) restart(now time.Time, delay time.Duration) {
-	s.started = now.Add(delay)
-	for _, b := range s.buckets {
+// restart is Restart with a delay of the refill. The caller must hold a.mu.
+func (a *Allocation) restart(now time.Time, delay time.Duration) {
+	a.started = now.Add(delay)
+	for _, b := range a.buckets {
 		b.refill(now)
 		b.tokens = min(b.tokens, max(firstTokens-b.reserved, 0))
 		b.received = nil
-		b.at = s.started
+		b.at = a.started
 	}
 }
 
 // Tick must be called several times a second while this host runs. It drops buckets that
 // are not needed.
-func (s *Share) Tick() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	s.tickedAt = now
-	if now.Sub(s.sweptAt) < sweepInterval {
+func (a *Allocation) Tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	a.tickedAt = now
+	if now.Sub(a.sweptAt) < sweepInterval {
 		return
 	}
-	s.sweptAt = now
-	for name, b := range s.buckets {
+	a.sweptAt = now
+	for name, b := range a.buckets {
 		b.refill(now)
-		if b.disposable() && b.tokens >= s.unrecorded(b.part, now)-tolerance {
-			delete(s.buckets, name)
+		if b.isIdle() && b.tokens >= a.unrecorded(b.part, now)-epsilon {
+			delete(a.buckets, name)
 		}
 	}
 }
 
-// disposable reports whether the bucket records nothing but its tokens.
-func (b *bucket) disposable() bool {
-	return b.reserved <= tolerance && len(b.given)+len(b.received) == 0 && b.longDemand < idleDemand
-}
-
-// Buckets returns the number of customers with a record.
-func (s *Share) Buckets() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.buckets)
+// isIdle reports whether the bucket records nothing but its tokens.
+func (b *bucket) isIdle() bool {
+	return b.reserved <= epsilon && len(b.given)+len(b.received) == 0 && b.longDemand < idleDemand
 }
 
 // now returns the time. It restarts the buckets after a pause of the host, and applies a
-// fraction that is due. The caller must hold s.mu.
-func (s *Share) now() time.Time {
-	now := s.clock.Now()
-	if now.Sub(s.tickedAt) > maxPause {
-		s.tickedAt = now
-		s.restart(now, pauseDelay)
+// fraction that is due. The caller must hold a.mu.
+func (a *Allocation) now() time.Time {
+	now := a.clock.Now()
+	if now.Sub(a.tickedAt) > maxPause {
+		a.tickedAt = now
+		a.restart(now, pauseDelay)
 	}
-	if s.highest > 0 && !now.Before(s.risesAt) {
-		to := s.place
-		to.fraction, s.highest = s.highest, 0
-		s.move(to, now)
+	if a.pendingFraction > 0 && !now.Before(a.risesAt) {
+		to := a.place
+		to.fraction, a.pendingFraction = a.pendingFraction, 0
+		a.move(to, now)
 	}
 	return now
 }
 
 // unrecorded returns the content of a bucket without a record.
-func (s *Share) unrecorded(p part, now time.Time) float64 {
-	return min(p.capacity, firstTokens+p.rate*max(now.Sub(s.started), 0).Seconds())
+func (a *Allocation) unrecorded(p part, now time.Time) float64 {
+	return min(p.capacity, firstTokens+p.rate*max(now.Sub(a.started), 0).Seconds())
 }
 
-// bucket returns the customer's bucket as of now. The caller must hold s.mu.
-func (s *Share) bucket(customer string, l Limit, now time.Time) *bucket {
-	b := s.buckets[customer]
+// bucket returns the customer's bucket as of now. The caller must hold a.mu.
+func (a *Allocation) bucket(customer string, l Limit, now time.Time) *bucket {
+	b := a.buckets[customer]
 	if b == nil {
-		p := s.terms.partOf(customer, l, s.place)
-		b = &bucket{limit: l, part: p, tokens: s.unrecorded(p, now), at: later(now, s.started)}
-		s.buckets[customer] = b
+		p := a.tolerance.partOf(customer, l, a.place)
+		b = &bucket{limit: l, part: p, tokens: a.unrecorded(p, now), at: later(now, a.started)}
+		a.buckets[customer] = b
 		return b
 	}
 	b.refill(now)
 	if b.limit != l {
-		b.limit, b.part = l, s.terms.partOf(customer, l, s.place)
+		b.limit, b.part = l, a.tolerance.partOf(customer, l, a.place)
 		b.refill(now)
 	}
 	return b
@@ -256,12 +249,12 @@
 	}
 }
 
-// unexpired returns the parcels that are neither empty nor expired.
-func unexpired(list []parcel, now time.Time) []parcel {
-	return slices.DeleteFunc(list, func(p parcel) bool { return p.tokens <= tolerance || !now.Before(p.expires) })
+// unexpired returns the transfers that are neither empty nor expired.
+func unexpired(list []transfer, now time.Time) []transfer {
+	return slices.DeleteFunc(list, func(p transfer) bool { return p.tokens <= epsilon || !now.Before(p.expires) })
 }
 
-func sum(list []parcel) (tokens float64) {
+func sum(list []transfer) (tokens float64) {
 	for _, p := range list {
 		tokens += p.tokens
 	}
@@ -273,12 +266,12 @@
 
 // spend takes n tokens, received ones first. The caller has checked that they are
 // available.
-func (b *bucket) spend(n float64) (own float64, received []parcel) {
+func (b *bucket) spend(n float64) (own float64, received []transfer) {
 	for i := range b.received {
 		p := &b.received[i]
 		k := min(p.tokens, n)
 		if k > 0 {
-			received = append(received, parcel{tokens: k, expires: p.expires})
+			received = append(received, transfer{tokens: k, expires: p.expires})
 		}
 		p.tokens -= k
 		n -= k
@@ -289,29 +282,29 @@
 
 // A Charge is the token of one operation.
 type Charge struct {
-	share    *Share
-	customer string
-	limit    Limit
-	own      float64
-	received []parcel
-	sent     bool
+	allocation *Allocation
+	customer   string
+	limit      Limit
+	own        float64
+	received   []transfer
+	sent       bool
 }
 
 // Take charges one operation. If the customer is over its limit, it returns no charge
 // and the time until the bucket has refilled.
-func (s *Share) Take(customer string, l Limit) (c *Charge, retryAfter time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	b := s.bucket(customer, l, now)
+func (a *Allocation) Take(customer string, l Limit) (c *Charge, retryAfter time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	b := a.bucket(customer, l, now)
 	b.lastTake = now
 	b.longDemand += 1 / longDemandWindow.Seconds()
 	b.demand = min(b.demand+1/demandWindow.Seconds(), max(l.Rate, 1/demandWindow.Seconds()))
-	if b.available() < 1-tolerance {
+	if b.available() < 1-epsilon {
 		b.rejectedAt = now
-		return nil, s.retryAfter(b, now)
+		return nil, a.retryAfter(b, now)
 	}
-	c = &Charge{share: s, customer: customer, limit: l}
+	c = &Charge{allocation: a, customer: customer, limit: l}
 	c.own, c.received = b.spend(1)
 	b.reserved += c.own
 	return c, 0
@@ -319,7 +312,7 @@
 
 // retryAfter returns the time until the bucket has refilled, or less while other owners
 // may have tokens.
-func (s *Share) retryAfter(b *bucket, now time.Time) time.Duration {
+func (a *Allocation) retryAfter(b *bucket, now time.Time) time.Duration {
 	d := time.Hour
 	if b.part.rate > 0 {
 		d = seconds((1 - b.available()) / b.part.rate)
@@ -333,22 +326,22 @@
 // Send records that the operation is about to be sent to an instance. It reports false if
 // the charge has expired in a queue and the customer is now over its limit.
 func (c *Charge) Send() (retryAfter time.Duration, ok bool) {
-	s := c.share
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	a := c.allocation
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if c.sent {
 		return 0, true
 	}
-	now := s.now()
-	b := s.bucket(c.customer, c.limit, now)
+	now := a.now()
+	b := a.bucket(c.customer, c.limit, now)
 	missing := 0.0
 	for _, p := range c.received {
 		if !now.Before(p.expires) {
 			missing += p.tokens
 		}
 	}
-	if missing > b.available()+tolerance {
-		return s.retryAfter(b, now), false
+	if missing > b.available()+epsilon {
+		return a.retryAfter(b, now), false
 	}
 	if missing > 0 {
 		own, received := b.spend(missing)
@@ -361,25 +354,25 @@
 	return 0, true
 }
 
-// Unsend records that nothing was sent after all, and that the operation is tried again.
-func (c *Charge) Unsend() {
-	s := c.share
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// MarkUnsent records that nothing was sent after all, and that the operation is tried again.
+func (c *Charge) MarkUnsent() {
+	a := c.allocation
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	if c.sent {
 		c.sent = false
-		s.bucket(c.customer, c.limit, s.now()).reserved += c.own
+		a.bucket(c.customer, c.limit, a.now()).reserved += c.own
 	}
 }
 
 // Refund returns the token of an operation of which nothing was sent. The charge must not
 // be used any more.
 func (c *Charge) Refund() {
-	s := c.share
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	b := s.bucket(c.customer, c.limit, now)
+	a := c.allocation
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	b := a.bucket(c.customer, c.limit, now)
 	if !c.sent {
 		b.reserved = max(b.reserved-c.own, 0)
 	}
--- a/internal/quota/share_test.go
+++ b/internal/quota/allocation_test.go
@@ -11,29 +11,29 @@
 	"github.com/matryer/is"
 )
 
-// newShares returns the shares of n groups that have been owned for long, and a function
+// newAllocations returns the allocations of n groups that have been owned for long, and a function
 // that lets time pass while the hosts run.
-func newShares(n int) (shares []*Share, pass func(time.Duration)) {
+func newAllocations(n int) (allocations []*Allocation, pass func(time.Duration)) {
 	c := clock.NewFake(time.Unix(1e9, 0))
 	for i := range n {
-		s := NewShare(testTerms, c)
+		s := NewAllocation(testTolerance, c)
 		s.Configure(i, n, 1)
-		shares = append(shares, s)
+		allocations = append(allocations, s)
 	}
 	pass = func(d time.Duration) {
 		for ; d > 0; d -= step {
 			c.Advance(min(d, step))
-			for _, s := range shares {
+			for _, s := range allocations {
 				s.Tick()
 			}
 		}
 	}
 	pass(time.Hour / 60)
-	return shares, pass
+	return allocations, pass
 }
 
 // takeAll takes and sends operations until there is no token left.
-func takeAll(s *Share, l Limit) (n int) {
+func takeAll(s *Allocation, l Limit) (n int) {
 	for c, _ := s.Take("c", l); c != nil; c, _ = s.Take("c", l) {
 		if _, ok := c.Send(); ok {
 			n++
@@ -51,17 +51,17 @@
 func TestTransfersDoNotRaiseTheSum(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 100, Burst: 100}
-	shares, pass := newShares(8)
-	capacities := 8 * testTerms.partOf("c", l, place{groups: 8, fraction: 1}).capacity
+	allocations, pass := newAllocations(8)
+	capacities := 8 * testTolerance.partOf("c", l, place{groups: 8, fraction: 1}).capacity
 	for range 50 {
 		var deliver []func()
-		for n, asker := range shares {
-			asker.Take("c", l)
-			asked := asker.clock.Now()
+		for n, requester := range allocations {
+			requester.Take("c", l)
+			requestedAt := requester.clock.Now()
 			wanted := tokensFor("c", 1000)
-			for k := 1; k < len(shares); k++ {
-				granted := shares[(n+k)%len(shares)].Give(wanted, always(l))
-				deliver = append(deliver, func() { asker.Receive(wanted, granted, asked) })
+			for k := 1; k < len(allocations); k++ {
+				granted := allocations[(n+k)%len(allocations)].Give(wanted, always(l))
+				deliver = append(deliver, func() { requester.Receive(wanted, granted, requestedAt) })
 			}
 		}
 		pass(Lifetime - step)
@@ -70,7 +70,7 @@
 		}
 	}
 	n := 0
-	for _, s := range shares {
+	for _, s := range allocations {
 		n += takeAll(s, l)
 	}
 	t.Logf("%d spent at once, capacities %.1f", n, capacities)
@@ -83,8 +83,8 @@
 func TestQueuedOperationsTakeUpCapacity(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 10, Burst: 50}
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	var queued []*Charge
 	for range 40 {
 		c, _ := s.Take("c", l)
@@ -106,17 +106,17 @@
 func TestReceivedTokensExpire(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 8, Burst: 8}
-	shares, pass := newShares(2)
-	a, b := shares[0], shares[1]
+	allocations, pass := newAllocations(2)
+	a, b := allocations[0], allocations[1]
 	own := takeAll(a, l)
 	_, wait := a.Take("c", l)
 	is.True(wait > 0)
-	asked := a.clock.Now()
+	requestedAt := a.clock.Now()
 	wanted := tokensFor("c", 3)
 	granted := b.Give(wanted, always(l))
 	is.Equal(granted, wanted)
 	pass(50 * time.Millisecond)
-	is.Equal(a.Receive(wanted, granted, asked), 3.0)
+	is.Equal(a.Receive(wanted, granted, requestedAt), 3.0)
 	c, _ := a.Take("c", l)
 	is.True(c != nil)
 	pass(time.Second)
@@ -124,18 +124,18 @@
 	is.True(ok)
 	t.Logf("capacity %d", own)
 
-	asked = a.clock.Now()
+	requestedAt = a.clock.Now()
 	granted = b.Give(wanted, always(l))
 	pass(Lifetime)
-	is.Equal(a.Receive(wanted, granted, asked), 0.0) // It comes too late.
+	is.Equal(a.Receive(wanted, granted, requestedAt), 0.0) // It comes too late.
 }
 
 // Guards against refunds that are lost, and against refunds that raise the sum.
 func TestRefund(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 1, Burst: 5}
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	var charges []*Charge
 	for range 5 {
 		c, _ := s.Take("c", l)
@@ -147,7 +147,7 @@
 	for n, c := range charges {
 		if n%2 == 0 {
 			c.Send() // The connection fails before a byte is sent.
-			c.Unsend()
+			c.MarkUnsent()
 		}
 		c.Refund()
 	}
@@ -164,15 +164,15 @@
 // which spends what another owner has spent.
 func TestNewOwnerHasOneToken(t *testing.T) {
 	l := Limit{Rate: 1, Burst: 100}
-	for name, change := range map[string]func(s *Share, c *clock.Fake){
-		"new":       func(s *Share, c *clock.Fake) { *s = *NewShare(testTerms, c) }, //nolint:govet // The lock is free.
-		"again":     func(s *Share, _ *clock.Fake) { s.Restart() },
-		"suspended": func(_ *Share, c *clock.Fake) { c.Advance(30 * time.Second) },
+	for name, change := range map[string]func(s *Allocation, c *clock.Fake){
+		"new":       func(s *Allocation, c *clock.Fake) { *s = *NewAllocation(testTolerance, c) }, //nolint:govet // The lock is free.
+		"again":     func(s *Allocation, _ *clock.Fake) { s.Restart() },
+		"suspended": func(_ *Allocation, c *clock.Fake) { c.Advance(30 * time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			shares, pass := newShares(1)
-			s := shares[0]
+			allocations, pass := newAllocations(1)
+			s := allocations[0]
 			c, _ := s.Take("c", l)
 			c.Send()
 			change(s, s.clock.(*clock.Fake))
@@ -193,8 +193,8 @@
 func TestNewOwnerWaits(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 100, Burst: 100}
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	s.Restart()
 	is.Equal(takeAll(s, l), 1)
 	pass(takeoverDelay)
@@ -212,8 +212,8 @@
 func TestLimitChanges(t *testing.T) {
 	is := is.New(t)
 	high, low := Limit{Rate: 100, Burst: 100}, Limit{Rate: 1, Burst: 5}
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	c, _ := s.Take("c", high)
 	c.Send()
 	is.Equal(takeAll(s, low), 5)
@@ -229,8 +229,8 @@
 func TestFractionOfHosts(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 100, Burst: 100}
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	s.Configure(0, 1, 0.25)
 	is.Equal(takeAll(s, l), 25)
 	pass(time.Second)
@@ -247,8 +247,8 @@
 func TestFractionRisesForIdleCustomers(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 10, Burst: 100}
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	s.Configure(0, 1, 0.1)
 	pass(time.Minute)
 	s.Configure(0, 1, 1)
@@ -261,8 +261,8 @@
 func TestIdleBucketsAreDropped(t *testing.T) {
 	is := is.New(t)
 	const customers = 5000
-	shares, pass := newShares(1)
-	s := shares[0]
+	allocations, pass := newAllocations(1)
+	s := allocations[0]
 	quick, slow := Limit{Rate: 100, Burst: 10}, Limit{Rate: 1, Burst: 100}
 	for n := range customers {
 		c, _ := s.Take(fmt.Sprint("quick-", n), quick)
@@ -280,8 +280,8 @@
 func TestMalformedTokens(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 10, Burst: 10}
-	shares, _ := newShares(2)
-	a, b := shares[0], shares[1]
+	allocations, _ := newAllocations(2)
+	a, b := allocations[0], allocations[1]
 	known := func(customer string) (Limit, bool) { return l, customer == "c" }
 	for _, n := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
 		is.Equal(len(b.Give(tokensFor("c", n), known)), 0)
@@ -296,12 +296,12 @@
 	is.Equal(a.Receive([]gypsumyard.QuotaTokens{}, tokensFor("c", 5), a.clock.Now()), 0.0)
 }
 
-// Guards against owners that keep asking when nobody has tokens.
-func TestAskerPauses(t *testing.T) {
+// Guards against owners that keep requesting tokens when nobody has tokens.
+func TestRequesterPauses(t *testing.T) {
 	is := is.New(t)
 	l := Limit{Rate: 10, Burst: 10}
-	shares, pass := newShares(3)
-	s := shares[0]
+	allocations, pass := newAllocations(3)
+	s := allocations[0]
 	takeAll(s, l)
 	wanted := s.Shortages()
 	is.Equal(len(wanted), 1)
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -4,11 +4,11 @@
 
 // Guards against a charge that costs a noticeable part of a statement's CPU time.
 func BenchmarkCharge(b *testing.B) {
-	shares, pass := newShares(8)
+	allocations, pass := newAllocations(8)
 	l := Limit{Rate: 1e9, Burst: 1e9}
 	pass(step)
 	for b.Loop() {
-		c, _ := shares[0].Take("c", l)
+		c, _ := allocations[0].Take("c", l)
 		if c == nil {
 			b.Fatal("over the limit")
 		}
--- a/internal/quota/efficiency_test.go
+++ b/internal/quota/efficiency_test.go
@@ -52,19 +52,19 @@
 			for load, least := range map[float64]float64{0.8: 0.95, 1.5: 0.95, 4: 0.95} {
 				t.Run(fmt.Sprintf("%s/%v of %v", name, load, l), func(t *testing.T) {
 					is := is.New(t)
-					share, most, asked := 0.0, 0, 0
+					fraction, most, requests := 0.0, 0, 0
 					for seed := range uint64(seeds) {
 						m := newModel(seed, l, 8, 8)
 						pick := func(at time.Duration) int { return p(m, at) }
 						m.arrivals(warmUp, l.Rate*load, pick)
 						sent, arrived := m.arrivals(duration, l.Rate*load, pick)
-						share += float64(sent) / min(l.Rate*duration.Seconds(), float64(arrived)) / seeds
+						fraction += float64(sent) / min(l.Rate*duration.Seconds(), float64(arrived)) / seeds
 						most = max(most, m.worst())
-						asked += m.asked / seeds
+						requests += m.requests / seeds
 					}
-					t.Logf("%.3f served, at most %d in a window of %.0f, %d questions", share, most, testTerms.Bound(l), asked)
-					is.True(share >= least)
-					is.True(float64(most) <= testTerms.Bound(l))
+					t.Logf("%.3f served, at most %d in a window of %.0f, %d requests", fraction, most, testTolerance.Bound(l), requests)
+					is.True(fraction >= least)
+					is.True(float64(most) <= testTolerance.Bound(l))
 				})
 			}
 		}
@@ -97,7 +97,7 @@
 			sent, _ := m.arrivals(2*time.Second, 400, func(at time.Duration) int { return p(m, at) })
 			t.Logf("%d of %v", sent, l)
 			is.True(float64(sent) >= l.Burst)
-			is.True(float64(sent) <= testTerms.Bound(l))
+			is.True(float64(sent) <= testTolerance.Bound(l))
 		})
 	}
 }
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -1,33 +1,32 @@
 package quota
 
 import (
-	"math"
+	"cmp"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 )
 
 const (
-	// Lifetime is how long after the question moved tokens take up capacity of the giver.
-	// An answer that comes later is discarded, and so are tokens for which the asker has
-	// had no room by then. A giver of its whole refill needs capacity for Lifetime and
-	// AskInterval together; with 250 ms, bursts of a tenth of the rate were too small.
+	// Lifetime is how long after a request its tokens occupy capacity of the giver; later
+	// answers are discarded, and so are tokens for which the requester has had no room by
+	// then. The giver needs spare capacity for its refill in Lifetime + RequestInterval:
+	// with a Lifetime of 250 ms, bursts of a tenth of the rate were too small.
 	Lifetime = 150 * time.Millisecond
-	// AskInterval is the least time between two questions to one owner.
-	AskInterval = 250 * time.Millisecond
-	// MaxAsked is how many owners are asked in a row.
-	MaxAsked = 16
-	// pause is how long a customer's tokens are not asked for after all owners have
+	// RequestInterval is the least time between two requests to one owner.
+	RequestInterval = 250 * time.Millisecond
+	// MaxRequests is how many owners are queried in a row.
+	MaxRequests = 16
+	// pause is how long a customer's tokens are not requested after all owners have
 	// granted none.
 	pause = time.Second
 	// keepFor is the time for which a giver keeps the tokens that it expects to need.
 	keepFor = 500 * time.Millisecond
-	// askFor is the time for which an asker wants tokens, reserveFor the time whose
+	// requestFor is the time for which a requester wants tokens, reserveFor the time whose
 	// demand it wants in the bucket beyond that, up to reserveFraction of the capacity.
-	askFor          = 300 * time.Millisecond
+	requestFor      = 300 * time.Millisecond
 	reserveFor      = 200 * time.Millisecond
 	reserveFraction = 0.3
 	// missedArrivals is how many expected operations must fail to arrive before the
@@ -35,67 +34,65 @@
 	missedArrivals = 3
 	// leastGrant is the least number of tokens worth a transfer.
 	leastGrant = 0.02
-	// maxBatch is the largest number of customers in a question.
+	// maxBatch is the largest number of customers in a request.
 	maxBatch = 256
 )
 
-// Shortages returns the customers that need tokens of other shares, and how many.
-func (s *Share) Shortages() (wanted []gypsumyard.QuotaTokens) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	for name, b := range s.buckets {
+// Shortages returns the customers that need tokens of other allocations, and how many.
+func (a *Allocation) Shortages() (wanted []gypsumyard.QuotaTokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	for name, b := range a.buckets {
 		b.refill(now)
 		if n := b.shortage(now); n >= leastGrant {
 			wanted = append(wanted, gypsumyard.QuotaTokens{Customer: name, Tokens: n})
 		}
 	}
 	slices.SortFunc(wanted, func(a, b gypsumyard.QuotaTokens) int {
-		if a.Tokens != b.Tokens {
-			return int(math.Copysign(1, b.Tokens-a.Tokens))
-		}
-		return strings.Compare(a.Customer, b.Customer)
+		return cmp.Or(cmp.Compare(b.Tokens, a.Tokens), cmp.Compare(a.Customer, b.Customer))
 	})
 	return wanted[:min(len(wanted), maxBatch)]
 }
 
-// Targets returns the indexes of the groups whose shares have parts of the limits of the
-// customers, without this one. Their order is random, but the same in each run: in turns,
-// owners were asked at intervals that do not fit AskInterval, and gave less.
-func (s *Share) Targets(wanted []gypsumyard.QuotaTokens) (indexes []int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// Targets returns the indexes of the groups whose allocations have parts of the limits of
+// the customers, without this one. The order is random, since owners that were queried in
+// turns received requests at intervals that do not fit RequestInterval, and gave less. The
+// seed is fixed, so that runs are reproducible.
+func (a *Allocation) Targets(wanted []gypsumyard.QuotaTokens) (indexes []int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, w := range wanted {
-		b := s.buckets[w.Customer]
+		b := a.buckets[w.Customer]
 		if b == nil {
 			continue
 		}
-		n, first := s.terms.homes(b.limit, s.place.groups), firstHome(w.Customer, s.place.groups)
+		n, first := a.tolerance.holders(b.limit, a.place.groups), firstHolder(w.Customer, a.place.groups)
 		for k := range n {
-			if i := (first + k) % s.place.groups; i != s.place.index {
+			if i := (first + k) % a.place.groups; i != a.place.index {
 				indexes = append(indexes, i)
 			}
 		}
-		if n >= s.place.groups {
+		if n >= a.place.groups {
 			break // All groups are in the list.
 		}
 	}
 	slices.Sort(indexes)
 	indexes = slices.Compact(indexes)
-	if s.random == nil {
-		s.random = rand.New(rand.NewPCG(uint64(s.place.index), uint64(s.place.groups)))
+	if a.random == nil {
+		a.random = rand.New(rand.NewPCG(uint64(a.place.index), uint64(a.place.groups)))
 	}
-	s.random.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
+	a.random.Shuffle(len(indexes), func(i, j int) { indexes[i], indexes[j] = indexes[j], indexes[i] })
 	return indexes
 }
 
-// At returns those of the wanted tokens of which the share of the group with the index may
-// have some.
-func (s *Share) At(index int, wanted []gypsumyard.QuotaTokens) (list []gypsumyard.QuotaTokens) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// WantedFrom returns those of the wanted tokens of which the allocation of the group with
+// the index may have some.
+func (a *Allocation) WantedFrom(index int, wanted []gypsumyard.QuotaTokens) (list []gypsumyard.QuotaTokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	for _, w := range wanted {
-		if b := s.buckets[w.Customer]; b != nil && isHome(w.Customer, index, s.terms.homes(b.limit, s.place.groups), s.place.groups) {
+		if b := a.buckets[w.Customer]; b != nil && isHolder(w.Customer, index, a.tolerance.holders(b.limit, a.place.groups), a.place.groups) {
 			list = append(list, w)
 		}
 	}
@@ -108,7 +105,7 @@
 		return 0
 	}
 	reserve := min(b.demand*reserveFor.Seconds(), b.part.capacity*reserveFraction)
-	missing := (b.expected(now)-b.part.rate)*askFor.Seconds() + reserve - b.available()
+	missing := (b.expected(now)-b.part.rate)*requestFor.Seconds() + reserve - b.available()
 	if !b.rejectedAt.IsZero() && now.Sub(b.rejectedAt) < pause {
 		missing = max(missing, 1-b.available())
 	}
@@ -117,30 +114,31 @@
 
 // expected returns the demand that is expected from now on. It falls as soon as several
 // operations have failed to arrive, so that an owner whose demand has moved elsewhere
-// neither asks for tokens nor keeps its own.
+// neither requests tokens nor keeps its own.
 func (b *bucket) expected(now time.Time) float64 {
 	silence := now.Sub(b.lastTake).Seconds()
 	return min(b.demand, missedArrivals/max(silence, 1e-3))
 }
 
-// Give deducts the tokens that the share does not need, and returns them for the asker.
+// Give deducts the tokens that the allocation does not need, and returns them for the
+// requester.
 // Customers whose limit is unknown get none.
-func (s *Share) Give(wanted []gypsumyard.QuotaTokens, limitOf func(customer string) (Limit, bool)) (granted []gypsumyard.QuotaTokens) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
+func (a *Allocation) Give(wanted []gypsumyard.QuotaTokens, limitOf func(customer string) (Limit, bool)) (granted []gypsumyard.QuotaTokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
 	for _, w := range wanted[:min(len(wanted), maxBatch)] {
 		l, ok := limitOf(w.Customer)
 		if !ok || !(w.Tokens > 0) { // NaN is not above zero.
 			continue
 		}
-		b := s.bucket(w.Customer, l, now)
+		b := a.bucket(w.Customer, l, now)
 		n := min(w.Tokens, b.tokens-b.needed(now))
 		if n < leastGrant {
 			continue
 		}
 		b.tokens -= n
-		b.given = append(b.given, parcel{tokens: n, expires: now.Add(Lifetime)})
+		b.given = append(b.given, transfer{tokens: n, expires: now.Add(Lifetime)})
 		granted = append(granted, gypsumyard.QuotaTokens{Customer: w.Customer, Tokens: n})
 	}
 	return granted
@@ -156,29 +154,29 @@
 	return max((b.expected(now)-b.part.rate)*keepFor.Seconds(), min(b.longDemand, 1))
 }
 
-// Receive adds the answer to a question that was sent at the given time. It returns the
+// Receive adds the answer to a request that was sent at the given time. It returns the
 // number of tokens that can be spent.
-func (s *Share) Receive(wanted, granted []gypsumyard.QuotaTokens, asked time.Time) (tokens float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
+func (a *Allocation) Receive(wanted, granted []gypsumyard.QuotaTokens, requestedAt time.Time) (tokens float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
 	for _, w := range wanted {
-		b := s.buckets[w.Customer]
+		b := a.buckets[w.Customer]
 		if b == nil {
 			continue
 		}
 		b.refill(now)
 		n := grantOf(granted, w)
 		if n <= 0 {
-			b.fruitless++
-			if b.fruitless >= min(b.part.others, MaxAsked) {
-				b.fruitless, b.pausedUntil = 0, now.Add(pause)
+			b.emptyAnswers++
+			if b.emptyAnswers >= min(b.part.others, MaxRequests) {
+				b.emptyAnswers, b.pausedUntil = 0, now.Add(pause)
 			}
 			continue
 		}
-		b.fruitless = 0
-		if expires := asked.Add(Lifetime); now.Before(expires) {
-			b.received = append(b.received, parcel{tokens: n, expires: expires})
+		b.emptyAnswers = 0
+		if expires := requestedAt.Add(Lifetime); now.Before(expires) {
+			b.received = append(b.received, transfer{tokens: n, expires: expires})
 			b.refill(now)
 			tokens += n
 		}
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -12,16 +12,16 @@
 // step is the time between two actions of the model.
 const step = 10 * time.Millisecond
 
-// A model runs the shares of all groups on one clock, with a network between them.
+// A model runs the allocations of all groups on one clock, with a network between them.
 type model struct {
-	terms  Terms
-	limit  Limit
-	clock  *clock.Fake
-	began  time.Time
-	random *rand.Rand
-	groups int
-	hosts  []*modelHost
-	events eventQueue
+	tolerance Tolerance
+	limit     Limit
+	clock     *clock.Fake
+	began     time.Time
+	random    *rand.Rand
+	groups    int
+	hosts     []*modelHost
+	events    eventQueue
 	// delay returns how long a message takes between two hosts, or false if it is lost.
 	delay func(from, to *modelHost) (time.Duration, bool)
 	// ownerOf returns the owner of a group in the view of a host.
@@ -29,18 +29,18 @@
 	// sent holds the times at which operations were sent.
 	sent     []time.Duration
 	rejected int
-	asked    int
+	requests int
 }
 
 // A modelHost is one host.
 type modelHost struct {
-	index  int
-	shares map[int]*Share
+	index       int
+	allocations map[int]*Allocation
 	// resumes is when the host runs again.
-	resumes time.Time
-	askedAt map[[2]int]time.Time
-	// asking holds the groups for which an answer is awaited.
-	asking map[int]bool
+	resumes     time.Time
+	requestedAt map[[2]int]time.Time
+	// requesting holds the groups for which an answer is awaited.
+	requesting map[int]bool
 }
 
 type event struct {
@@ -60,19 +60,19 @@
 	return e
 }
 
-var testTerms = Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+var testTolerance = Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 // newModel returns a model in which host i of n owns the groups g with g % n == i.
 func newModel(seed uint64, l Limit, groups, hosts int) *model {
 	m := &model{
-		terms: testTerms, limit: l, clock: clock.NewFake(time.Unix(1e9, 0)), groups: groups,
+		tolerance: testTolerance, limit: l, clock: clock.NewFake(time.Unix(1e9, 0)), groups: groups,
 		random: rand.New(rand.NewPCG(seed, 1)),
 		delay:  func(_, _ *modelHost) (time.Duration, bool) { return 2 * time.Millisecond, true },
 	}
 	m.began = m.clock.Now()
 	m.ownerOf = func(_ *modelHost, g int) *modelHost { return m.hosts[g%hosts] }
 	for i := range hosts {
-		m.hosts = append(m.hosts, &modelHost{index: i, shares: map[int]*Share{}, askedAt: map[[2]int]time.Time{}, asking: map[int]bool{}})
+		m.hosts = append(m.hosts, &modelHost{index: i, allocations: map[int]*Allocation{}, requestedAt: map[[2]int]time.Time{}, requesting: map[int]bool{}})
 	}
 	for g := range groups {
 		m.own(m.hosts[g%hosts], g)
@@ -82,9 +82,9 @@
 
 // own makes the host an owner of the group.
 func (m *model) own(h *modelHost, g int) {
-	s := NewShare(m.terms, m.clock)
+	s := NewAllocation(m.tolerance, m.clock)
 	s.Configure(g, m.groups, 1)
-	h.shares[g] = s
+	h.allocations[g] = s
 }
 
 func (m *model) at(d time.Duration, run func()) {
@@ -107,48 +107,48 @@
 	}
 	for _, h := range m.hosts {
 		for g := range m.groups {
-			if s := h.shares[g]; s != nil && m.running(h) {
+			if s := h.allocations[g]; s != nil && m.running(h) {
 				s.Tick()
-				if !h.asking[g] {
-					m.ask(h, g, s, s.Targets(s.Shortages()))
+				if !h.requesting[g] {
+					m.request(h, g, s, s.Targets(s.Shortages()))
 				}
 			}
 		}
 	}
 }
 
-// ask asks the owners of the groups, one after the other, until the share lacks no token.
-func (m *model) ask(h *modelHost, g int, s *Share, targets []int) {
-	h.asking[g] = false
-	for n, target := range targets[:min(len(targets), MaxAsked)] {
+// request queries the owners of the groups, one after the other, until the allocation lacks no token.
+func (m *model) request(h *modelHost, g int, s *Allocation, targets []int) {
+	h.requesting[g] = false
+	for n, target := range targets[:min(len(targets), MaxRequests)] {
 		now := m.clock.Now()
 		pair := [2]int{g, target}
 		to := m.ownerOf(h, target)
-		if h.shares[g] != s || now.Sub(h.askedAt[pair]) < AskInterval {
+		if h.allocations[g] != s || now.Sub(h.requestedAt[pair]) < RequestInterval {
 			continue
 		}
-		wanted := s.At(target, s.Shortages())
+		wanted := s.WantedFrom(target, s.Shortages())
 		if len(wanted) == 0 {
 			continue
 		}
-		h.askedAt[pair] = now
-		m.asked++
-		h.asking[g] = true
+		h.requestedAt[pair] = now
+		m.requests++
+		h.requesting[g] = true
 		answered := false
 		next := func() {
 			if !answered {
 				answered = true
-				m.ask(h, g, s, targets[n+1:])
+				m.request(h, g, s, targets[n+1:])
 			}
 		}
 		m.send(h, to, func() {
-			giver := to.shares[target]
+			giver := to.allocations[target]
 			if giver == nil {
 				return
 			}
 			granted := giver.Give(wanted, func(string) (Limit, bool) { return m.limit, true })
 			m.send(to, h, func() {
-				if h.shares[g] == s {
+				if h.allocations[g] == s {
 					s.Receive(wanted, granted, now)
 				}
 				next()
@@ -178,7 +178,7 @@
 func (m *model) operate(g int, queue time.Duration) {
 	var owners []*modelHost
 	for _, h := range m.hosts {
-		if h.shares[g] != nil && m.running(h) {
+		if h.allocations[g] != nil && m.running(h) {
 			owners = append(owners, h)
 		}
 	}
@@ -187,7 +187,7 @@
 		return
 	}
 	h := owners[m.random.IntN(len(owners))]
-	c, _ := h.shares[g].Take("c", m.limit)
+	c, _ := h.allocations[g].Take("c", m.limit)
 	if c == nil {
 		m.rejected++
 		return
@@ -195,7 +195,7 @@
 	end := func() {
 		switch _, ok := c.Send(); {
 		case !ok, m.random.IntN(20) == 0 && queue > 0:
-			c.Unsend()
+			c.MarkUnsent()
 			c.Refund()
 			m.rejected++
 		default:
@@ -218,7 +218,7 @@
 // worst returns the largest number of operations in one window.
 func (m *model) worst() (most int) {
 	for first, last := 0, 0; last < len(m.sent); last++ {
-		for m.sent[last]-m.sent[first] >= m.terms.Window {
+		for m.sent[last]-m.sent[first] >= m.tolerance.Window {
 			first++
 		}
 		most = max(most, last-first+1)
--- a/internal/quota/schedule_test.go
+++ b/internal/quota/schedule_test.go
@@ -77,7 +77,7 @@
 	return view
 }
 
-// update applies the view of the host to its shares.
+// update applies the view of the host to its allocations.
 func (s *schedule) update(i int) {
 	h := s.hosts[i]
 	if s.down[i] || !s.running(h) {
@@ -95,13 +95,13 @@
 	for g := range s.groups {
 		owns := s.ownerIn(i, g) == i || s.assigned[g] == h
 		switch {
-		case owns && h.shares[g] == nil:
-			h.shares[g] = NewShare(s.terms, s.clock)
-			h.shares[g].Configure(g, s.groups, fraction)
+		case owns && h.allocations[g] == nil:
+			h.allocations[g] = NewAllocation(s.tolerance, s.clock)
+			h.allocations[g].Configure(g, s.groups, fraction)
 		case owns:
-			h.shares[g].Configure(g, s.groups, fraction)
+			h.allocations[g].Configure(g, s.groups, fraction)
 		default:
-			delete(h.shares, g)
+			delete(h.allocations, g)
 		}
 	}
 }
@@ -171,7 +171,7 @@
 		})
 	case 1: // A crash.
 		s.down[i] = true
-		clear(h.shares)
+		clear(h.allocations)
 		s.eachPair(func(a, b int) {
 			if b == i {
 				s.fail(a, b)
@@ -254,7 +254,7 @@
 		s := newSchedule(seed)
 		s.run()
 		sent += len(s.sent)
-		n, bound := s.worst(), s.terms.Bound(s.limit)
+		n, bound := s.worst(), s.tolerance.Bound(s.limit)
 		closest = max(closest, float64(n)/bound)
 		if float64(n) > bound {
 			over++
--- a/internal/quota/terms.go
+++ b/internal/quota/tolerance.go
@@ -20,9 +20,9 @@
 	wholeOperation = 1.25
 )
 
-// Terms describe how limits are checked: in any Window a customer may run
+// Tolerance describes how limits are checked: in any Window a customer may run
 // (rate x Window + burst) x (1 + Overage) + Slack operations.
-type Terms struct {
+type Tolerance struct {
 	Window  time.Duration
 	Overage float64
 	Slack   float64
@@ -36,21 +36,21 @@
 	Burst float64
 }
 
-// Bound returns how many operations may run in one window.
-func (t Terms) Bound(l Limit) float64 {
+// Bound returns how many operations may run in one window. It is used to verify runs.
+func (t Tolerance) Bound(l Limit) float64 {
 	return (l.Rate*t.Window.Seconds()+max(l.Burst, 1))*(1+t.Overage) + t.Slack
 }
 
-// A part is one share's part of a limit.
+// A part is one allocation's part of a limit.
 type part struct {
 	// rate is the refill in tokens a second, capacity the number of tokens at which it
 	// stops.
 	rate, capacity float64
-	// others is how many other shares have a part.
+	// others is how many other allocations have a part.
 	others int
 }
 
-// A place is the place of a share among those of all groups.
+// A place is the place of an allocation among those of all groups.
 type place struct {
 	// index is that of the group in the order of the names of all groups.
 	index, groups int
@@ -59,37 +59,47 @@
 }
 
 // partOf returns the part of a customer's limit for a place.
-func (t Terms) partOf(customer string, l Limit, at place) part {
+func (t Tolerance) partOf(customer string, l Limit, at place) part {
 	burst := max(l.Burst, 1)
-	transfer := transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
 	if at.groups <= 1 {
 		// There is nobody to transfer to.
 		return part{rate: l.Rate * at.fraction, capacity: burst * at.fraction}
 	}
-	n := t.homes(l, at.groups)
-	if !isHome(customer, at.index, n, at.groups) {
+	n := t.holders(l, at.groups)
+	if !isHolder(customer, at.index, n, at.groups) {
 		return part{others: n}
 	}
-	p := part{rate: l.Rate * at.fraction / float64(n), capacity: (burst + transfer) * at.fraction / float64(n), others: n - 1}
-	p.capacity = max(p.capacity, min(wholeOperation, 2*t.Slack/slackParts/float64(n)))
+	p := part{rate: l.Rate * at.fraction / float64(n), capacity: (burst + t.transferRoom(l)) * at.fraction / float64(n), others: n - 1}
+	p.capacity = max(p.capacity, min(wholeOperation, t.operationRoom()/float64(n)))
 	return p
 }
 
-// homes returns among how many groups the limit is divided: all, unless their buckets
+// transferRoom returns by how much the buckets of all groups together are larger than the
+// burst, so that tokens in transfer take up no room of it.
+func (t Tolerance) transferRoom(l Limit) float64 {
+	return transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
+}
+
+// operationRoom returns the part of the slack that makes room for at least one whole
+// operation in each bucket.
+func (t Tolerance) operationRoom() float64 { return 2 * t.Slack / slackParts }
+
+// holders returns among how many groups the limit is divided: all, unless their buckets
 // would be too small for one operation.
-func (t Terms) homes(l Limit, groups int) int {
-	transfer := transferFraction*t.Overage*l.Rate*t.Window.Seconds() + t.Slack/slackParts
-	most := max(max(l.Burst, 1)+transfer, 2*t.Slack/slackParts) / wholeOperation
+func (t Tolerance) holders(l Limit, groups int) int {
+	most := max(max(l.Burst, 1)+t.transferRoom(l), t.operationRoom()) / wholeOperation
 	return int(min(max(most, 1), float64(groups)))
 }
 
-// isHome reports whether the group with the index is one of the n homes of the customer.
-func isHome(customer string, index, n, groups int) bool {
-	return n >= groups || (index+groups-firstHome(customer, groups))%groups < n
+// isHolder reports whether the group with the index is one of the n holders of the
+// customer's limit.
+func isHolder(customer string, index, n, groups int) bool {
+	return n >= groups || (index+groups-firstHolder(customer, groups))%groups < n
 }
 
-// firstHome returns the index of the customer's first home. The others follow it.
-func firstHome(customer string, groups int) int {
+// firstHolder returns the index of the first holder of the customer's limit. The others
+// follow it.
+func firstHolder(customer string, groups int) int {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(customer)) // It never fails.
 	return int(h.Sum32() % uint32(groups))
