balance: what only tests use is in export_test.go, plain comments

Cause: Choose and WithRandom were exported for tests only; comments were circular or too wide. Change: both moved to export_test.go, comments reworded, an else after a return outdented. Result: no change of behaviour; go vet ./... and go test ./internal/balance pass.

--- a/internal/balance/chooser.go
+++ b/internal/balance/chooser.go
@@ -61,9 +61,6 @@
 // WithClock sets the clock.
 func WithClock(c gypsumyard.Clock) Option { return func(h *Chooser) { h.clock = c } }
 
-// WithRandom sets the source of random numbers in [0, 1).
-func WithRandom(f func() float64) Option { return func(h *Chooser) { h.random = f } }
-
 // WithSamples makes the Chooser use samples of up to the given age. Without it, all load
 // counts as its own.
 func WithSamples(age time.Duration) Option { return func(h *Chooser) { h.sampleAge = age } }
@@ -162,9 +159,9 @@
 	Probe bool
 }
 
-// Estimate returns the estimates for a read with the expected run time, in the order of
-// the names. If it may be a probe, it may be marked as one. Where what others have sent since the last samples matters, it raises the
-// delay of all instances but a few, which it draws at random.
+// Estimate returns one estimate for each name, for a read with the expected run time. With
+// mayProbe, one may be marked as a probe. If others have sent many statements since the
+// last samples, all but a few randomly drawn instances get a higher delay.
 func (c *Chooser) Estimate(names []string, run time.Duration, mayProbe bool) []Estimate {
 	now := c.clock.Now()
 	if run <= 0 {
@@ -203,35 +200,12 @@
 	return out
 }
 
-// Choose returns the name of the instance that a read should be sent to, if no admission
-// decides about the slots. Of equal ones it takes the one that has waited longest.
-func (c *Chooser) Choose(names []string, run time.Duration) (name string) {
-	estimates := c.Estimate(names, run, true)
-	var best time.Duration
-	var chosen *instance
-	for n, e := range estimates {
-		i := c.instances[names[n]]
-		switch {
-		case i == nil:
-			continue
-		case e.Probe:
-			return names[n]
-		}
-		t := e.Delay + time.Duration(float64(run)*max(float64(i.running+1-i.slots), 0)/float64(i.slots))
-		if chosen == nil || t < best || t == best && i.lastBegan < chosen.lastBegan {
-			name, best, chosen = names[n], t, i
-		}
-	}
-	return name
-}
-
 // loads returns how many statements are expected to run on each instance, how many of
 // them others have sent since the samples, and the sum of the latter.
 //
-// Of the statements in a sample, fewer are left with its age. As many have arrived since.
-// Others are
-// expected to have sent theirs such that the instances become equally busy by the same
-// sample. What the own statements have changed since then is unknown to them.
+// The statements in a sample decay with its age, and as many are assumed to have arrived
+// since, distributed so that all instances are equally busy by the same sample. What the
+// own statements have changed since then is unknown to other hosts.
 func (c *Chooser) loads(now time.Time, known []*instance, best reference) (busy, gaps []float64, unseen float64) {
 	busy, gaps = make([]float64, len(known)), make([]float64, len(known))
 	left, capacity := make([]float64, len(known)), make([]float64, len(known))
@@ -267,11 +241,11 @@
 	if sampled <= slots {
 		return math.Exp(-runs)
 	}
-	if queued := sampled - slots; runs*slots < queued {
+	queued := sampled - slots
+	if runs*slots < queued {
 		return 1 - runs*slots/sampled
-	} else {
-		return slots / sampled * math.Exp(queued/slots-runs)
 	}
+	return slots / sampled * math.Exp(queued/slots-runs)
 }
 
 // narrow draws candidates and raises the delays of the other instances above theirs. An
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -9,8 +9,9 @@
 
 const (
 	// sampleWeight is the weight of one outcome in the moving averages, probeWeight that
-	// of an outcome at an instance that gets little work. With sampleWeight there, an
-	// instance that is avoided after few failures would be judged after many seconds.
+	// of an outcome at an instance that gets little work. It is higher because an avoided
+	// instance yields few outcomes: with sampleWeight, it would be judged after many
+	// seconds.
 	sampleWeight = 0.05
 	probeWeight  = 0.3
 	// minSamples is how many outcomes a judgement needs.
@@ -24,8 +25,8 @@
 	slowFrom, slowUntil = 2.0, 1.4
 	ignoredSlowness     = 1.4
 	// An instance fails if the share of its failures exceeds that of the best one by
-	// failingFrom, until failingUntil. With probeWeight, eleven good answers in a row
-	// lead from a share of 1 to failingUntil.
+	// failingFrom, until failingUntil. With probeWeight, the share falls from 1 to
+	// failingUntil in eleven answers without a failure.
 	failingFrom, failingUntil = 0.2, 0.02
 	ignoredFailures           = 0.05
 	// failureCost is the expected loss of time by a failure besides the run time: the
@@ -34,9 +35,10 @@
 	// What was learned holds for keepFor after the last outcome, and is then forgotten
 	// with the time constant forgetIn.
 	keepFor, forgetIn = 2 * time.Second, 2 * time.Second
-	// An instance that is slow, failing or avoided is tried by one read at a time, at most once in
-	// probeInterval and with at most one of probeShare parts of an equal share of the
-	// reads. With one of ten reads of 64 hosts, the probes alone kept one of eight
+	// An instance that is slow, failing or avoided is tried by one read at a time, at most
+	// once in probeInterval and with at most one of probeShare parts of an equal share of
+	// the reads. The limit is per host, and the probes of all hosts together must not load
+	// the instance: with one of ten reads of 64 hosts, they alone kept one of eight
 	// instances overloaded.
 	probeInterval = 100 * time.Millisecond
 	probeShare    = 4
