balance, promote, lineowner, soak, linegroup: plain names in tests

Cause: names in tests came from play: trial, play, fates, dark, giveUp; Group.Return does not say that it starts an instance. Change: simulation, sendReads, lossOdds, unreachable, runWithFaults, acceptLoss and Restart; in quota one comment is wrapped. Result: no change of behaviour; go vet ./... and the tests of balance, promote and linegroup pass; those of soak were not run.

--- a/internal/balance/chooser_test.go
+++ b/internal/balance/chooser_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// play sends reads for the given time, 200 a second, each ended before the next. It returns
-// how many each instance got, how many failed, and the changes.
-func play(c *Chooser, f *clock.Fake, d time.Duration, outcome func(name string, n int) Outcome) (got map[string]int, failed int, changes []Change) {
+// sendReads sends reads for the given time, 200 a second, each ended before the next. It
+// returns how many each instance got, how many failed, and the changes.
+func sendReads(c *Chooser, f *clock.Fake, d time.Duration, outcome func(name string, n int) Outcome) (got map[string]int, failed int, changes []Change) {
 	got = map[string]int{}
 	for n := range int(d / (5 * ms)) {
 		f.Advance(5 * ms)
@@ -84,15 +84,15 @@
 			}
 			return good(name, n)
 		}
-		_, _, changes := play(c, f, time.Second, bad)
+		_, _, changes := sendReads(c, f, time.Second, bad)
 		is.True(len(changes) == 1)
 		is.Equal(changes[0].Instance+string(changes[0].Fault), "b"+string(fault))
 		is.True(changes[0].Found)
-		got, _, _ := play(c, f, 4*time.Second, bad)
+		got, _, _ := sendReads(c, f, 4*time.Second, bad)
 		is.True(got["b"] > 4 && got["b"] < 800/3/3)
-		_, _, changes = play(c, f, 2*time.Second, good)
+		_, _, changes = sendReads(c, f, 2*time.Second, good)
 		is.True(slices.ContainsFunc(changes, func(c Change) bool { return c.Fault == fault && !c.Found }))
-		got, _, _ = play(c, f, 600*ms, good)
+		got, _, _ = sendReads(c, f, 600*ms, good)
 		is.True(got["b"] >= 35)
 	}
 }
@@ -103,7 +103,7 @@
 	is := is.New(t)
 	c, f := newChooser()
 	r := rand.New(rand.NewPCG(5, 6))
-	got, _, _ := play(c, f, 6*time.Second, func(string, int) Outcome {
+	got, _, _ := sendReads(c, f, 6*time.Second, func(string, int) Outcome {
 		if r.IntN(2) == 0 {
 			return Outcome{Failed: true}
 		}
@@ -131,7 +131,7 @@
 	is := is.New(t)
 	c, f := newChooser()
 	slow := Outcome{Used: 5 * run, Expected: run, Answered: true}
-	play(c, f, time.Second, func(name string, n int) Outcome {
+	sendReads(c, f, time.Second, func(name string, n int) Outcome {
 		if name == "b" {
 			return slow
 		}
--- a/internal/balance/even_test.go
+++ b/internal/balance/even_test.go
@@ -24,22 +24,22 @@
 
 // A policy chooses an instance for one of several hosts. sampled is the load by sample.
 type policy interface {
-	choose(s *trial, sampled []float64) int
+	choose(s *simulation, sampled []float64) int
 	// begin and end tell of the host's own statements, sample of a new sample.
 	begin(instance int)
 	end(instance int, took time.Duration)
-	sample(s *trial, sampled []float64, at time.Time)
+	sample(s *simulation, sampled []float64, at time.Time)
 }
 
 // A byFunc is a policy without memory.
-type byFunc func(s *trial, sampled []float64) int
+type byFunc func(s *simulation, sampled []float64) int
 
-func (f byFunc) choose(s *trial, sampled []float64) int        { return f(s, sampled) }
-func (byFunc) begin(int)                                       {}
-func (byFunc) end(int, time.Duration)                          {}
-func (byFunc) sample(s *trial, sampled []float64, _ time.Time) {}
+func (f byFunc) choose(s *simulation, sampled []float64) int        { return f(s, sampled) }
+func (byFunc) begin(int)                                            {}
+func (byFunc) end(int, time.Duration)                               {}
+func (byFunc) sample(s *simulation, sampled []float64, _ time.Time) {}
 
-func leastLoaded(s *trial, sampled []float64) int {
+func leastLoaded(s *simulation, sampled []float64) int {
 	best := s.r.IntN(len(sampled))
 	for n, l := range sampled {
 		if l < sampled[best] {
@@ -49,7 +49,7 @@
 	return best
 }
 
-func powerOfTwo(s *trial, sampled []float64) int {
+func powerOfTwo(s *simulation, sampled []float64) int {
 	a, b := s.r.IntN(len(sampled)), s.r.IntN(len(sampled))
 	if sampled[b] < sampled[a] {
 		return b
@@ -57,7 +57,7 @@
 	return a
 }
 
-func atRandom(s *trial, sampled []float64) int { return s.r.IntN(len(sampled)) }
+func atRandom(s *simulation, sampled []float64) int { return s.r.IntN(len(sampled)) }
 
 // shares draws instances by shares that each sample moves by a tenth towards the
 // instances with less load.
@@ -74,7 +74,7 @@
 	return h
 }
 
-func (h *shares) choose(s *trial, _ []float64) int {
+func (h *shares) choose(s *simulation, _ []float64) int {
 	sum := 0.0
 	for _, v := range h.of {
 		sum += v
@@ -86,7 +86,7 @@
 	return n
 }
 
-func (h *shares) sample(_ *trial, sampled []float64, _ time.Time) {
+func (h *shares) sample(_ *simulation, sampled []float64, _ time.Time) {
 	mean := 0.0
 	for _, l := range sampled {
 		mean += l / float64(len(sampled))
@@ -102,7 +102,7 @@
 	names []string
 }
 
-func newAware(s *trial, instances int) *aware {
+func newAware(s *simulation, instances int) *aware {
 	a := &aware{c: New(WithClock(s.clock), WithRandom(s.r.Float64), WithSamples(4*time.Second))}
 	all := map[string]int{}
 	for n := range instances {
@@ -113,7 +113,7 @@
 	return a
 }
 
-func (a *aware) choose(*trial, []float64) (n int) {
+func (a *aware) choose(*simulation, []float64) (n int) {
 	_, _ = fmt.Sscan(a.c.Choose(a.names, run), &n)
 	return n
 }
@@ -123,7 +123,7 @@
 	a.c.End(a.names[n], Outcome{Used: took, Expected: run, Answered: true})
 }
 
-func (a *aware) sample(_ *trial, sampled []float64, at time.Time) {
+func (a *aware) sample(_ *simulation, sampled []float64, at time.Time) {
 	for n, l := range sampled {
 		a.c.Sample(a.names[n], int(l), at)
 	}
@@ -135,8 +135,8 @@
 	loads []float64
 }
 
-// A trial plays hosts that send statements to instances.
-type trial struct {
+// A simulation runs hosts that send statements to instances.
+type simulation struct {
 	clock *clock.Fake
 	r     *rand.Rand
 	// hosts holds the policy of each host. All learn the load of the same moment, every
@@ -158,11 +158,11 @@
 	sent, ends time.Time
 }
 
-// lateness is the age of a sample when it arrives.
-const lateness = 50 * ms
+// sampleDelay is the age of a sample when it arrives.
+const sampleDelay = 50 * ms
 
-func newTrial(hosts, instances int, interval time.Duration, newPolicy func(s *trial, instances int) policy) *trial {
-	s := &trial{
+func newSimulation(hosts, instances int, interval time.Duration, newPolicy func(s *simulation, instances int) policy) *simulation {
+	s := &simulation{
 		clock: clock.NewFake(time.Unix(1000, 0)), r: rand.New(rand.NewPCG(1, 1)), interval: interval, use: use,
 		instances: make([][]statement, instances), loads: make([]float64, instances),
 	}
@@ -172,8 +172,9 @@
 	return s
 }
 
-// advance plays the given time. It returns the load of each instance in each window.
-func (s *trial) advance(d time.Duration) (windows [][]float64) {
+// advance runs the simulation for the given time. It returns the load of each instance in
+// each window.
+func (s *simulation) advance(d time.Duration) (windows [][]float64) {
 	sum := make([]float64, len(s.instances))
 	rate := s.use * slots * float64(len(s.instances)) / run.Seconds()
 	for t := time.Duration(0); t < d; t += ms {
@@ -198,7 +199,7 @@
 }
 
 // load returns how many statements run or wait at the instance.
-func (s *trial) load(n int) float64 {
+func (s *simulation) load(n int) float64 {
 	if n == 0 {
 		return float64(len(s.instances[0]) + s.held)
 	}
@@ -206,7 +207,7 @@
 }
 
 // serve ends statements of the instance that have run, and begins those that wait.
-func (s *trial) serve(n int, now time.Time) {
+func (s *simulation) serve(n int, now time.Time) {
 	free := slots
 	if n == 0 {
 		free -= s.held
@@ -228,7 +229,7 @@
 }
 
 // takeSamples takes a sample when it is due, and passes on those that have arrived.
-func (s *trial) takeSamples() {
+func (s *simulation) takeSamples() {
 	now := s.clock.Now()
 	if now.Sub(time.Unix(1000, 0))%s.interval == 0 {
 		taken := make([]float64, len(s.instances))
@@ -237,7 +238,7 @@
 		}
 		s.underway = append(s.underway, sampled{now, taken})
 	}
-	if len(s.underway) > 0 && now.Sub(s.underway[0].at) >= lateness {
+	if len(s.underway) > 0 && now.Sub(s.underway[0].at) >= sampleDelay {
 		for _, h := range s.hosts {
 			h.sample(s, s.underway[0].loads, s.underway[0].at)
 		}
@@ -269,13 +270,13 @@
 
 var policies = []struct {
 	name string
-	make func(s *trial, instances int) policy
+	make func(s *simulation, instances int) policy
 }{
-	{"least loaded", func(*trial, int) policy { return byFunc(leastLoaded) }},
-	{"power of two", func(*trial, int) policy { return byFunc(powerOfTwo) }},
-	{"shares by rate", func(_ *trial, n int) policy { return newShares(n) }},
-	{"at random", func(*trial, int) policy { return byFunc(atRandom) }},
-	{"staleness-aware", func(s *trial, n int) policy { return newAware(s, n) }},
+	{"least loaded", func(*simulation, int) policy { return byFunc(leastLoaded) }},
+	{"power of two", func(*simulation, int) policy { return byFunc(powerOfTwo) }},
+	{"shares by rate", func(_ *simulation, n int) policy { return newShares(n) }},
+	{"at random", func(*simulation, int) policy { return byFunc(atRandom) }},
+	{"staleness-aware", func(s *simulation, n int) policy { return newAware(s, n) }},
 }
 
 var intervals = []time.Duration{50 * ms, 500 * ms, 3 * time.Second}
@@ -290,9 +291,9 @@
 		for _, hosts := range []int{2, 8, 64} {
 			for _, interval := range intervals {
 				var results []float64
-				line := fmt.Sprintf("| %d | %d | %v |", instances, hosts, lateness+interval)
+				line := fmt.Sprintf("| %d | %d | %v |", instances, hosts, sampleDelay+interval)
 				for _, p := range policies {
-					s := newTrial(hosts, instances, interval, p.make)
+					s := newSimulation(hosts, instances, interval, p.make)
 					s.advance(2 * time.Second)
 					results = append(results, maxOverMean(s.advance(12*time.Second)))
 					line += fmt.Sprintf(" %.2f |", results[len(results)-1])
@@ -313,10 +314,10 @@
 // demand doubles, then another program takes three of the five slots of an instance.
 func TestNoOscillationAfterStep(t *testing.T) {
 	is := is.New(t)
-	// play returns the load and its deviation at the first instance, beginning 3 s after
+	// simulate returns the load and its deviation at the first instance, beginning 3 s after
 	// the demand doubled and 5 s after the slots were taken.
-	play := func(hosts int, interval time.Duration, p func(*trial, int) policy) (mean, deviation [2]float64) {
-		s := newTrial(hosts, 3, interval, p)
+	simulate := func(hosts int, interval time.Duration, p func(*simulation, int) policy) (mean, deviation [2]float64) {
+		s := newSimulation(hosts, 3, interval, p)
 		s.use = use / 2
 		s.advance(3 * time.Second)
 		s.use = use
@@ -330,13 +331,13 @@
 	}
 	for _, hosts := range []int{1, 2, 8, 64} {
 		for _, interval := range intervals {
-			line := fmt.Sprintf("| %d | %v |", hosts, lateness+interval)
+			line := fmt.Sprintf("| %d | %v |", hosts, sampleDelay+interval)
 			var mean, deviation, least [2]float64
 			for n, p := range policies {
 				if p.name == "at random" {
 					continue
 				}
-				mean, deviation = play(hosts, interval, p.make)
+				mean, deviation = simulate(hosts, interval, p.make)
 				if n == 0 {
 					least = deviation
 				}
--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -136,9 +136,9 @@
 	return i, nil
 }
 
-// Return starts a crashed instance again at its address, with its log and a new ID. It
+// Restart starts a crashed instance again at its address, with its log and a new ID. It
 // returns as a replica.
-func (g *Group) Return(old *Instance) (*Instance, error) {
+func (g *Group) Restart(old *Instance) (*Instance, error) {
 	l, err := net.Listen("tcp", old.Addr().String())
 	if err != nil {
 		return nil, fmt.Errorf("linegroup: %w", err)
--- a/internal/lineowner/replicamodel_test.go
+++ b/internal/lineowner/replicamodel_test.go
@@ -14,10 +14,10 @@
 // enter and leave the list. Absences have no bound in time: an instance that has crashed, or
 // that the elector does not reach, returns after any number of other steps or never. Logs are
 // prefixes of the primary's, the first promotion ends an exploration. Instances that are up
-// answer both hosts, unless they are dark: then they work and answer the other host only. No
-// rule enforces what is assumed about times: the other host sees each fence in the wait, both
-// see at once that a process has started again, and the elector counts an instance before it
-// receives the log or is settled.
+// answer both hosts, unless they are unreachable: then they work and answer the other host
+// only. No rule enforces what is assumed about times: the other host sees each fence in the
+// wait, both see at once that a process has started again, and the elector counts an instance
+// before it receives the log or is settled.
 
 // The instances: the primary, two replicas and one that may be added.
 const oldPrimary, replicaX, replicaY, addedZ, modelSize = 0, 1, 2, 3, 4
@@ -49,10 +49,10 @@
 
 // A replicaWorld is a state of the model. It is comparable.
 type replicaWorld struct {
-	exists, up, deaf, dark, fenced, listed bitset
-	log                                    [modelSize]uint8
-	demoted                                bool
-	acknowledged                           uint8
+	exists, up, deaf, unreachable, fenced, listed bitset
+	log                                           [modelSize]uint8
+	demoted                                       bool
+	acknowledged                                  uint8
 	// The elector samples the log of the primary after the silence of sampledAfter.
 	counted, seesListed, silent, sampledAfter, covered bitset
 	primarySeen                                        uint8
@@ -210,8 +210,8 @@
 		x.try(exists && !listed, 0, "list", i, func(w *replicaWorld) { w.listed.add(i) })
 		x.try(i != oldPrimary && up && !w.deaf.has(i), 1, "deafen", i, func(w *replicaWorld) { w.deaf.add(i) })
 		x.try(w.deaf.has(i), 0, "hear", i, func(w *replicaWorld) { w.deaf.drop(i) })
-		x.try(exists && !w.dark.has(i), 1, "darken", i, func(w *replicaWorld) { w.dark.add(i) })
-		x.try(w.dark.has(i), 0, "lighten", i, func(w *replicaWorld) { w.dark.drop(i) })
+		x.try(exists && !w.unreachable.has(i), 1, "disconnect", i, func(w *replicaWorld) { w.unreachable.add(i) })
+		x.try(w.unreachable.has(i), 0, "reconnect", i, func(w *replicaWorld) { w.unreachable.drop(i) })
 	}
 }
 
@@ -224,17 +224,17 @@
 		if i != oldPrimary && w.counted.has(i) && w.phase == phaseIdle {
 			x.noteCoverage(w, i)
 			gone := !w.seesListed.has(i)
-			expired := x.rules.expires && (w.dark.has(i) || !w.up.has(i))
+			expired := x.rules.expires && (w.unreachable.has(i) || !w.up.has(i))
 			x.try(gone && (w.covered.has(i) || expired), 0, "elector forgets", i, func(w *replicaWorld) { w.counted.drop(i) })
 		}
 	}
 	x.add("elector reads the list", 0, next, 0)
 }
 
-// poll records the status of the instance with the elector. It learns nothing from a dark
-// one, which may have ended or not.
+// poll records the status of the instance with the elector. It learns nothing from an
+// unreachable one, which may have ended or not.
 func (w *replicaWorld) poll(i int) {
-	if w.dark.has(i) {
+	if w.unreachable.has(i) {
 		return
 	}
 	w.silent.add(i)
@@ -294,7 +294,7 @@
 	w.overlaps |= w.exists &^ w.electing
 	w.oldEvidence = w.evidence
 	for s := bitset(1); s < 1<<modelSize; s++ {
-		if s&^(w.electing&w.up&^w.dark) == 0 {
+		if s&^(w.electing&w.up&^w.unreachable) == 0 {
 			x.fence(w, s)
 		}
 	}
@@ -318,7 +318,7 @@
 
 // mayOrder checks the fences and the list.
 func (x *replicaExplorer) mayOrder(w replicaWorld) bool {
-	enough := (w.chosen&w.up&w.fenced&^w.dark).len() >= x.rules.fences(w.electing.len()) || x.rules.unchecked
+	enough := (w.chosen&w.up&w.fenced&^w.unreachable).len() >= x.rules.fences(w.electing.len()) || x.rules.unchecked
 	return enough && !x.rules.added(w.seesListed, w.counted, w.electing)
 }
 
--- a/internal/promote/run_test.go
+++ b/internal/promote/run_test.go
@@ -30,11 +30,11 @@
 	if edits {
 		cl = newCluster(3, 2, m)
 	}
-	e := &explorer{cluster: cl, draw: d, cancel: make([]context.CancelFunc, 2), fates: 8}
+	e := &explorer{cluster: cl, draw: d, cancel: make([]context.CancelFunc, 2), lossOdds: 8}
 	if edits {
 		// Faults are rarer: several promotions must succeed before a record can be
 		// lost by an edit.
-		e.fates = 64
+		e.lossOdds = 64
 	}
 	step, steps := e.step, 60+d(140, "steps")
 	if edits {
@@ -68,9 +68,9 @@
 	cancel    []context.CancelFunc
 	promoters sync.WaitGroup
 	started   int
-	// fates is the number of fates of an order: it or its answer is lost in one
-	// of them each.
-	fates int
+	// lossOdds sets how often messages are lost: one of lossOdds orders, and the answer
+	// to another one.
+	lossOdds int
 }
 
 // step executes one randomly chosen event. The caller must hold the mutex of
@@ -193,13 +193,13 @@
 	o := cl.pending[i]
 	cl.pending = slices.Delete(cl.pending, i, i+1)
 	lost := func() (gypsumyard.InstanceStatus, error) { return gypsumyard.InstanceStatus{}, errLostAnswer }
-	fate := e.draw(e.fates, "fate")
-	if o.node.down || fate == 0 {
+	loss := e.draw(e.lossOdds, "loss")
+	if o.node.down || loss == 0 {
 		o.answer <- lost
 		return
 	}
 	status, err := o.do()
-	if fate == 1 {
+	if loss == 1 {
 		o.answer <- lost
 		return
 	}
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -117,7 +117,8 @@
 	}
 }
 
-// request queries the owners of the groups, one after the other, until the allocation lacks no token.
+// request queries the owners of the groups, one after the other, until the allocation lacks
+// no token.
 func (m *model) request(h *modelHost, g int, s *Allocation, targets []int) {
 	h.requesting[g] = false
 	for n, target := range targets[:min(len(targets), MaxRequests)] {
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -70,8 +70,8 @@
 	return number
 }
 
-// giveUp lets reads miss the data whose loss was accepted.
-func (h *history) giveUp(data map[string]bool) {
+// acceptLoss lets reads miss the data whose loss was accepted.
+func (h *history) acceptLoss(data map[string]bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for item, list := range h.acknowledgements {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -53,9 +53,9 @@
 	instances map[string]*proxy
 	// lost holds when the instances that have crashed for good did, by ID.
 	lost map[string]time.Time
-	// givenUp holds the data of acknowledged writes that only instances had whose loss the
-	// operator has accepted.
-	givenUp map[string]bool
+	// acceptedLosses holds the data of acknowledged writes that only instances had whose
+	// loss the operator has accepted.
+	acceptedLosses map[string]bool
 	// waits are the elections that waited at the end.
 	waits []*wait
 	// generations maps the generation of each promotion order to its holder.
@@ -84,7 +84,7 @@
 	// Isolated hosts are in different regions and do not know each other, so
 	// that each of them owns the group.
 	cl := &cluster{
-		t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, lost: map[string]time.Time{}, givenUp: map[string]bool{},
+		t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, lost: map[string]time.Time{}, acceptedLosses: map[string]bool{},
 		generations: map[uint64]string{}, history: h,
 	}
 	if eras {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -109,16 +109,16 @@
 // times meanwhile.
 func soak(t *testing.T, seed uint64, restores int) {
 	cl := newCluster(t, newHistory(), hosts, seed%isolatedEvery == 0, restores > 0)
-	cl.play(seed, recoveryTimeout, func(wg *sync.WaitGroup) {
+	cl.runWithFaults(seed, recoveryTimeout, func(wg *sync.WaitGroup) {
 		wg.Go(func() { cl.restoreStore(rand.New(rand.NewPCG(seed, 1<<32)), restores) })
 		wg.Go(func() { cl.withdrawKey(rand.New(rand.NewPCG(seed, 1<<33))) })
 		cl.injectFaults(rand.New(rand.NewPCG(seed, 0)))
 	})
 }
 
-// play runs clients while inject injects faults, and checks the guarantees. All routes must
-// be served within the time after it.
-func (cl *cluster) play(seed uint64, recovery time.Duration, inject func(*sync.WaitGroup)) {
+// runWithFaults runs clients while inject injects faults, and checks the guarantees. All
+// routes must be served within the time after it.
+func (cl *cluster) runWithFaults(seed uint64, recovery time.Duration, inject func(*sync.WaitGroup)) {
 	t, h := cl.t, cl.history
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -257,7 +257,7 @@
 		switch {
 		case n > 1:
 			cl.t.Errorf("%s took effect %d times", data, n)
-		case n == 0 && o == acknowledged && cl.givenUp[data]:
+		case n == 0 && o == acknowledged && cl.acceptedLosses[data]:
 		case n == 0 && o == acknowledged:
 			cl.t.Errorf("%s was %s but is missing", data, o)
 		case n == 1 && o == refused:
--- a/internal/soak/wait_test.go
+++ b/internal/soak/wait_test.go
@@ -38,7 +38,7 @@
 	for seed := range uint64(isolatedEvery) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			cl := newCluster(t, newHistory(), hosts, seed%isolatedEvery == 0, false)
-			cl.play(seed, 3*time.Second, func(wg *sync.WaitGroup) {
+			cl.runWithFaults(seed, 3*time.Second, func(wg *sync.WaitGroup) {
 				all := cl.group.Instances()
 				all[1].SetIsolated(true)
 				time.Sleep(time.Second)
@@ -132,7 +132,7 @@
 	} else {
 		timeout = acceptanceTimeout
 		cl.acceptLoss(w)
-		h.giveUp(cl.givenUp)
+		h.acceptLoss(cl.acceptedLosses)
 	}
 	if err := waitServed(h, timeout); err != nil {
 		cl.t.Errorf("after the wait: %v", err)
@@ -195,7 +195,7 @@
 		return
 	}
 	p := cl.proxyOf(old)
-	n, err := cl.group.Return(old)
+	n, err := cl.group.Restart(old)
 	if err == nil {
 		err = p.forwardAgain(n.Addr())
 	}
@@ -222,10 +222,10 @@
 	}
 	for data, running := range kept {
 		if !running {
-			cl.givenUp[data] = true
+			cl.acceptedLosses[data] = true
 		}
 	}
-	cl.t.Logf("the loss of %d writes is accepted", len(cl.givenUp))
+	cl.t.Logf("the loss of %d writes is accepted", len(cl.acceptedLosses))
 	if err := objects.PutLossAcceptance(cl.t.Context(), cl.store, groupName, w.Term, w.awaitedIDs()); err != nil {
 		cl.t.Error(err)
 	}
