lineowner: the names of rate limits follow package quota

Cause: quota.Share and quota.Terms became Allocation and Tolerance; the names here were the old ones. Change: names only.

--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -18,7 +18,7 @@
 	// quotaTick is the time between two searches for customers that lack tokens.
 	quotaTick = 50 * time.Millisecond
 	// idleQuotaTick is that time on a host that owns no group. It is below the pause after
-	// which a share takes the host for one that was suspended.
+	// which an allocation takes the host for one that was suspended.
 	idleQuotaTick = 500 * time.Millisecond
 	// unsupportedDelay is how long an owner is not asked that does not support quotas.
 	unsupportedDelay = 10 * time.Second
@@ -33,8 +33,8 @@
 	lostRetention = 10 * time.Minute
 )
 
-// defaultQuotaTerms hold unless WithQuota sets others.
-var defaultQuotaTerms = quota.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+// defaultQuotaTolerance hold unless WithQuota sets others.
+var defaultQuotaTolerance = quota.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
 // WithQuota sets how the rate limits of customers are checked: in any window a customer
 // may run (rate x window + burst) x (1 + overage) + slack operations. A window of zero
@@ -42,16 +42,16 @@
 func WithQuota(window time.Duration, overage, slack float64) Option {
 	return func(s *Service) {
 		if window > 0 {
-			s.quota.terms = quota.Tolerance{Window: window, Overage: overage, Slack: slack}
+			s.quota.tolerance = quota.Tolerance{Window: window, Overage: overage, Slack: slack}
 		}
 	}
 }
 
 // quotas is the part of the service that rate limits of customers need.
 type quotas struct {
-	terms quota.Tolerance
-	reach hostReach
-	order groupOrder
+	tolerance quota.Tolerance
+	reach     hostReach
+	order     groupOrder
 }
 
 // A groupOrder caches the names of the groups of a desired state, in order.
@@ -70,14 +70,14 @@
 	return o.names
 }
 
-// A groupQuota is a group's share of the rate limits.
+// A groupQuota is a group's part of the rate limits.
 type groupQuota struct {
-	// share is nil while the desired state has no customers. The group's mutex guards it.
-	share *quota.Allocation
-	// asking is set while other owners are asked. Its holder uses askAfter, which holds
+	// allocation is nil while the desired state has no customers. The group's mutex guards it.
+	allocation *quota.Allocation
+	// requesting is set while other owners are asked. Its holder uses requestAfter, which holds
 	// when each owner may be asked again, by group.
-	asking   atomic.Bool
-	askAfter map[string]time.Time
+	requesting   atomic.Bool
+	requestAfter map[string]time.Time
 
 	rejections, transfers logSampler
 }
@@ -115,30 +115,30 @@
 // reaches. The caller must hold g.mu.
 func (g *group) updateQuota(d *gypsumyard.DesiredState) {
 	if len(d.Customers) == 0 {
-		g.quota.share = nil
+		g.quota.allocation = nil
 		return
 	}
-	if g.quota.share == nil {
-		g.quota.share = quota.NewAllocation(g.service.quota.terms, g.clock)
+	if g.quota.allocation == nil {
+		g.quota.allocation = quota.NewAllocation(g.service.quota.tolerance, g.clock)
 	}
 	names := g.service.quota.order.groups(d)
 	if index, ok := slices.BinarySearch(names, g.name); ok {
-		g.quota.share.Configure(index, len(names), g.service.quota.reach.current())
+		g.quota.allocation.Configure(index, len(names), g.service.quota.reach.current())
 	}
 }
 
-// restartQuota resets the group's share when its ownership is regained. The caller must
+// restartQuota resets the group's allocation when its ownership is regained. The caller must
 // hold g.mu.
 func (g *group) restartQuota() {
-	if g.quota.share != nil {
-		g.quota.share.Restart()
+	if g.quota.allocation != nil {
+		g.quota.allocation.Restart()
 	}
 }
 
-func (g *group) quotaShare() *quota.Allocation {
+func (g *group) quotaAllocation() *quota.Allocation {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.quota.share
+	return g.quota.allocation
 }
 
 // charge charges an operation to the customer of its session. It fails if the customer is
@@ -148,11 +148,11 @@
 		return nil
 	}
 	l, ok := limitOf(g.service.lists.Desired(), j.KeyHolder)
-	share := g.quotaShare()
-	if !ok || share == nil {
+	allocation := g.quotaAllocation()
+	if !ok || allocation == nil {
 		return nil
 	}
-	c, wait := share.Take(j.KeyHolder, l)
+	c, wait := allocation.Take(j.KeyHolder, l)
 	if c == nil {
 		return g.overLimit(j, l, wait)
 	}
@@ -213,13 +213,13 @@
 	}
 	s.mu.Unlock()
 	g.mu.Lock()
-	share, owned := g.quota.share, g.ownedCtx.Err() == nil
+	allocation, owned := g.quota.allocation, g.ownedCtx.Err() == nil
 	g.mu.Unlock()
-	if share == nil || !owned {
+	if allocation == nil || !owned {
 		return nil, errNotOwner
 	}
 	d := s.lists.Desired()
-	granted := share.Give(q.Wanted, func(customer string) (quota.Limit, bool) { return limitOf(d, customer) })
+	granted := allocation.Give(q.Wanted, func(customer string) (quota.Limit, bool) { return limitOf(d, customer) })
 	if n := g.metrics.quota.given.count(granted); n > 0 {
 		g.logTransfer("tokens given to another owner", q.AskingDatabase, granted, n)
 	}
@@ -298,48 +298,48 @@
 // requests when it stops; they end early when the group is closed.
 func (g *group) tickQuota(d *gypsumyard.DesiredState) {
 	g.mu.Lock()
-	share, owned := g.quota.share, g.ownedCtx.Err() == nil
+	allocation, owned := g.quota.allocation, g.ownedCtx.Err() == nil
 	g.mu.Unlock()
-	if share == nil {
+	if allocation == nil {
 		return
 	}
-	share.Tick()
-	if !owned || len(share.Shortages()) == 0 || !g.quota.asking.CompareAndSwap(false, true) {
+	allocation.Tick()
+	if !owned || len(allocation.Shortages()) == 0 || !g.quota.requesting.CompareAndSwap(false, true) {
 		return
 	}
 	g.service.wg.Go(func() {
-		defer g.quota.asking.Store(false)
-		g.askOwners(share, d)
+		defer g.quota.requesting.Store(false)
+		g.requestFromOwners(allocation, d)
 	})
 }
 
-// askOwners asks the owners of the other groups, one after the other, until no customer
+// requestFromOwners asks the owners of the other groups, one after the other, until no customer
 // lacks tokens.
-func (g *group) askOwners(share *quota.Allocation, d *gypsumyard.DesiredState) {
+func (g *group) requestFromOwners(allocation *quota.Allocation, d *gypsumyard.DesiredState) {
 	names := g.service.quota.order.groups(d)
-	if g.quota.askAfter == nil {
-		g.quota.askAfter = map[string]time.Time{}
+	if g.quota.requestAfter == nil {
+		g.quota.requestAfter = map[string]time.Time{}
 	}
-	targets := share.Targets(share.Shortages())
+	targets := allocation.Targets(allocation.Shortages())
 	for _, index := range targets[:min(len(targets), quota.MaxRequests)] {
 		if index >= len(names) || g.ownedCtxErr() != nil {
 			return // The groups have changed.
 		}
 		other, at := names[index], g.clock.Now()
-		if at.Before(g.quota.askAfter[other]) {
+		if at.Before(g.quota.requestAfter[other]) {
 			continue
 		}
-		wanted := share.WantedFrom(index, share.Shortages())
+		wanted := allocation.WantedFrom(index, allocation.Shortages())
 		if len(wanted) == 0 {
 			continue
 		}
-		g.quota.askAfter[other] = at.Add(quota.RequestInterval)
+		g.quota.requestAfter[other] = at.Add(quota.RequestInterval)
 		granted, err := g.requestQuota(other, wanted)
 		if gypsumyard.ClassOf(err) == gypsumyard.ClassNotSupported && err != nil {
-			g.quota.askAfter[other] = at.Add(unsupportedDelay)
+			g.quota.requestAfter[other] = at.Add(unsupportedDelay)
 		}
 		g.metrics.quota.request(granted, err)
-		if tokens := share.Receive(wanted, granted, at); tokens > 0 {
+		if tokens := allocation.Receive(wanted, granted, at); tokens > 0 {
 			g.metrics.quota.received.add(tokens)
 			g.logTransfer("tokens received from another owner", other, granted, tokens)
 		}
--- a/internal/lineowner/quota_test.go
+++ b/internal/lineowner/quota_test.go
@@ -40,7 +40,7 @@
 		}
 		var list []*quota.Charge
 		for range int(full.Burst) {
-			if c, _ := g.quotaShare().Take(customer, full); c != nil {
+			if c, _ := g.quotaAllocation().Take(customer, full); c != nil {
 				list = append(list, c)
 			}
 		}
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -111,7 +111,7 @@
 		suspectLog:  newSuspectLog(),
 		done:        make(chan struct{}),
 		groups:      map[string]*group{},
-		quota:       quotas{terms: defaultQuotaTerms},
+		quota:       quotas{tolerance: defaultQuotaTolerance},
 	}
 	for _, o := range options {
 		o(s)
