--- a/internal/linecaller/keys.go
+++ b/internal/linecaller/keys.go
@@ -110,7 +110,7 @@
 	switch {
 	case ss.state != stateTransaction || ss.customer == ss.tx.customer:
 		return true
-	case ss.tx.handle == "":
+	case ss.tx.handle == "" && (ss.customer != "" || ss.mayBeAnonymous()):
 		ss.tx.customer = ss.customer // It was not opened at an instance yet.
 		return true
 	case ss.tx.customer == "" && opensTo(ss.desired, ss.database):
@@ -120,6 +120,12 @@
 	return false
 }
 
+// mayBeAnonymous reports whether the session's route exists and serves callers without a
+// key. A transaction goes on by the route that it began with, also after that was removed.
+func (ss *session) mayBeAnonymous() bool {
+	return !ss.desired.Keyed || ss.desired.Routes[ss.database].Open
+}
+
 // endCommitted rolls the open transaction back if the statement that is rejected is its
 // COMMIT, which ends it in any case.
 func (ss *session) endCommitted(text string) {
--- a/internal/linecaller/keys_test.go
+++ b/internal/linecaller/keys_test.go
@@ -540,3 +540,23 @@
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // It cannot fail with these arguments.
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// Guards against a statement that runs for nobody: its transaction began with a key, and one
+// desired state then removed the key and the route.
+func TestRouteRemovedWithKey(t *testing.T) {
+	f := newFixture(t)
+	f.set(7, map[string]string{testKey: "mill"})
+	c := f.dial("START orders " + testKey)
+	c.expect("READY")
+	c.send("QUERY a1 BEGIN")
+	c.expect("COMPLETE", "READY T")
+	d := f.keyed(8, nil)
+	delete(d.Routes, "orders")
+	f.lists.replaced.Store(d)
+	before := f.sent()
+	c.send("QUERY a2 WRITE a 1")
+	c.expect("ERROR ABORTED")
+	if n := f.sent() - before; n != 0 {
+		t.Errorf("%d statements were sent", n)
+	}
+}
--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -354,3 +355,67 @@
 		}
 	}
 }
+
+// Pattern: the first instance leads, the third has its commits, the second is behind. The
+// third starts again empty under its ID, the first stops answering, and another host, which
+// knows only the stored replica set and the list, takes over.
+//
+// Guards against a host that takes the former third instance for the one that is listed at
+// its address, counts one too few, and promotes the second.
+func TestTakeoverAfterEmptyRestart(t *testing.T) {
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	all := f.group.Instances()
+	f.writeWithout(h, all[1])
+	f.awaitLog(h, "replica set stored")
+	all[0].SetUnresponsive(true)
+	all[2].SetIsolated(true)
+	all[2].RestartEmpty()
+	h.list(all[0], all[1], all[2])
+	h.members.Assign(gypsumyard.Assignment{Host: "none"})
+	b := f.addHostWithList("host-b", all...)
+	f.eventually("a wait", func() bool { return b.awaits() > 0 })
+	time.Sleep(2 * time.Second) // Several attempts to elect.
+	if n := len(b.promoter.sent()); n != 0 {
+		t.Errorf("%d promotions were ordered, the log of the first instance is missing", n)
+	}
+}
+
+// Guards against an ended instance that counts until the next term, because a failure of
+// another kind between two refusals made its end look later than what was noted of the
+// primary's log.
+func TestCoverageAfterSecondRefusal(t *testing.T) {
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	f.eventually("primary", func() bool { _, err := f.write(h, "WRITE rug-1 a"); return err == nil })
+	h.mu.Lock()
+	g := h.groups[groupName]
+	h.mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, _ := g.provenPrimary()
+	var replicas []*instance
+	for _, i := range g.instances {
+		if i != p {
+			replicas = append(replicas, i)
+		}
+	}
+	ended, other := replicas[0], replicas[1]
+	now := g.clock.Now()
+	step := func() { now = now.Add(time.Millisecond) }
+	fail := func(err error) { step(); g.recordSilence(ended, now, false, err) }
+	check := func() { step(); p.sampledAt, other.sampledAt = now, now; g.noteCoverage() }
+
+	p.status.received.Offset++ // The other replica lacks it at first.
+	fail(syscall.ECONNREFUSED)
+	check()
+	fail(errors.New("timeout"))
+	fail(syscall.ECONNREFUSED)
+	other.status.received = p.status.received
+	for range 5 {
+		check()
+	}
+	if !ended.covered {
+		t.Error("the ended instance is not covered")
+	}
+}
--- a/internal/lineowner/balance.go
+++ b/internal/lineowner/balance.go
@@ -57,7 +57,8 @@
 	if g.balance == nil || s.connections < i.pool.openConnections()+ownControlConnections+clientConnections {
 		return
 	}
-	g.balance.Sample(i.id, max(s.busy-1, 0), at)
+	// An instance that overstates its load must not lose all reads.
+	g.balance.Sample(i.id, min(max(s.busy-1, 0), i.listed.Slots), at)
 }
 
 // addEstimates adds the estimated delays to the costs of a read's targets. A target that
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -177,6 +177,11 @@
 		if err != nil {
 			return nil, p, err
 		}
+		if reserved != nil && reserved.pool != u.instance.pool {
+			// The instance was listed anew, at another address, during the wait.
+			reserved.release()
+			reserved = nil
+		}
 		var freed <-chan struct{}
 		if reserved != nil {
 			u.conn, err = reserved.use(ctx)
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		stopped := i.stoppedAt()
-		if led && p != i && earlier(p.sampledAt, at).After(stopped) && p.status.term > i.afterEnd.term {
+		if led && p != i && earlier(p.sampledAt, at).After(stopped) && i.mustRenewAfterEnd(p, stopped) {
 			i.afterEnd, i.afterEndPrimary = p.replicaState(), p
 			i.afterEnd.sampledAt = earlier(p.sampledAt, at)
 		}
@@ -336,10 +336,23 @@
 	return replica{ID: i.id, Address: i.listed.Addr, Started: i.listed.Started.UnixMilli()}
 }
 
-// knowsReplica reports whether the stored instance, or one at its address, counts
-// already. The caller must hold g.mu.
+// mustRenewAfterEnd reports whether the primary's log as it was after the end of the
+// departed instance has to be taken anew: a later term may have truncated it, or the
+// instance turned out to have ended later. The caller must hold the group's mutex.
+func (i *instance) mustRenewAfterEnd(p *instance, stopped time.Time) bool {
+	if p.status.term == i.afterEnd.term {
+		return !i.afterEnd.sampledAt.After(stopped)
+	}
+	return p.status.term > i.afterEnd.term
+}
+
+// knowsReplica reports whether the stored instance counts already, or one at its address
+// that returned with its log under a new ID. A process that started again under the same ID
+// has no log, so the former one counts beside it. The caller must hold g.mu.
 func (g *group) knowsReplica(m replica) bool {
-	return slices.ContainsFunc(g.instances, func(i *instance) bool { return i.listed.Addr == m.Address })
+	return slices.ContainsFunc(g.instances, func(i *instance) bool {
+		return i.asReplica() == m || i.listed.Addr == m.Address && i.id != m.ID
+	})
 }
 
 // addDeparted adds an instance of the stored set that is not listed. The caller must
@@ -349,5 +362,8 @@
 	i := g.newInstance(gypsumyard.ListedInstance{ID: m.ID, Group: g.name, Addr: m.Address, Started: time.UnixMilli(m.Started)})
 	i.departure = &departure{since: g.clock.Now()}
 	i.storedVersion = g.replicas.set.version
+	if i.successor = g.listedAt(i); i.successor != nil {
+		i.retire()
+	}
 	g.instances = append(g.instances, i)
 }
--- a/internal/lineowner/status.go
+++ b/internal/lineowner/status.go
@@ -59,7 +59,7 @@
 		return s, fmt.Errorf("%w: role %q", line.ErrMalformed, f[0])
 	}
 	var numbers [statusFieldCount]uint64
-	for _, n := range []int{1, 3, 5, 6} {
+	for _, n := range []int{1, 3, 6} {
 		if numbers[n], err = strconv.ParseUint(f[n], 10, 64); err != nil {
 			return s, err
 		}
@@ -70,7 +70,10 @@
 	}
 	s.term, s.fencedTerm = gypsumyard.Term(numbers[1]), gypsumyard.Term(numbers[3])
 	s.lag = time.Duration(lag * float64(time.Millisecond))
-	s.busy, s.connections = int(numbers[5]), int(numbers[6])
+	s.connections = int(numbers[6])
+	// The load only serves to balance reads, so one that cannot be read is no reason to
+	// lose the status.
+	s.busy, _ = strconv.Atoi(f[5])
 	s.applied = a.position
 	s.received, err = line.ParsePosition(f[2])
 	return s, err
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -226,6 +226,16 @@
 	return b
 }
 
+// bucketOf returns the bucket of a charge as of now. Its limit may have changed since the
+// charge. The caller must hold the mutex.
+func (a *Allocation) bucketOf(c *Charge, now time.Time) *bucket {
+	if b := a.buckets[c.customer]; b != nil {
+		b.refill(now)
+		return b
+	}
+	return a.bucket(c.customer, c.limit, now)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -333,7 +343,7 @@
 		return 0, true
 	}
 	now := a.now()
-	b := a.bucket(c.customer, c.limit, now)
+	b := a.bucketOf(c, now)
 	missing := 0.0
 	for _, p := range c.received {
 		if !now.Before(p.expires) {
@@ -361,7 +371,7 @@
 	defer a.mu.Unlock()
 	if c.sent {
 		c.sent = false
-		a.bucket(c.customer, c.limit, a.now()).reserved += c.own
+		a.bucketOf(c, a.now()).reserved += c.own
 	}
 }
 
@@ -372,7 +382,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	b := a.bucket(c.customer, c.limit, now)
+	b := a.bucketOf(c, now)
 	if !c.sent {
 		b.reserved = max(b.reserved-c.own, 0)
 	}
--- a/internal/quota/allocation_test.go
+++ b/internal/quota/allocation_test.go
@@ -316,3 +316,29 @@
 	takeAll(s, l)
 	is.Equal(len(s.Shortages()), 1)
 }
+
+// Guards against operations that were queued before a limit was lowered and bring the old
+// one back when they are sent.
+func TestQueuedOperationsKeepLoweredLimit(t *testing.T) {
+	old, low := Limit{Rate: 10000, Burst: 10000}, Limit{Rate: 100, Burst: 100}
+	allocations, pass := newAllocations(1)
+	a := allocations[0]
+	var queued []*Charge
+	for range 90 {
+		c, _ := a.Take("c", old)
+		queued = append(queued, c)
+	}
+	takeAll(a, low)
+	n := 0
+	for k := range 500 { // Five seconds.
+		pass(10 * time.Millisecond)
+		n += takeAll(a, low)
+		if k%5 == 0 && len(queued) > 0 {
+			queued[0].Send()
+			queued = queued[1:]
+		}
+	}
+	if most := testTolerance.Bound(low); float64(n) > most {
+		t.Errorf("%d operations in a window, at most %v are allowed", n, most)
+	}
+}
