connshare, quota, balance: comments without trials

Cause: comments justified constants by figures of trials, which the design notes and measurements have. Change: the reason only.

--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -25,8 +25,7 @@
 	slowFrom, slowUntil = 2.0, 1.4
 	ignoredSlowness     = 1.4
 	// An instance fails if the share of its failures exceeds that of the best one by
-	// failingFrom, until failingUntil. With probeWeight, the share falls from 1 to
-	// failingUntil in eleven answers without a failure.
+	// failingFrom, until failingUntil.
 	failingFrom, failingUntil = 0.2, 0.02
 	ignoredFailures           = 0.05
 	// failureCost is the expected loss of time by a failure besides the run time: the
@@ -38,8 +37,7 @@
 	// An instance that is slow, failing or avoided is tried by one read at a time, at most
 	// once in probeInterval and with at most one of probeShare parts of an equal share of
 	// the reads. The limit is per host, and the probes of all hosts together must not load
-	// the instance: with one of ten reads of 64 hosts, they alone kept one of eight
-	// instances overloaded.
+	// the instance.
 	probeInterval = 100 * time.Millisecond
 	probeShare    = 4
 )
--- a/internal/connshare/allocator.go
+++ b/internal/connshare/allocator.go
@@ -10,14 +10,12 @@
 )
 
 const (
-	// halfLife is the time in which the weight of a past request halves. Of 2 s to 120 s,
-	// 15 s opens the fewest connections in trials, see docs/design/connections.md. A
-	// shorter one forgets customers with rare requests; a longer one adapts slowly when
-	// demand changes.
+	// halfLife is the time in which the weight of a past request halves. A shorter one
+	// forgets customers with rare requests; a longer one adapts slowly when demand changes.
 	halfLife = 15 * time.Second
 	// lastConnBonus is added to the binary logarithm of the worth of a customer's only
 	// connection, because a customer without one waits at each request. A higher bonus
-	// causes more evictions: with 2, 9% more connections are opened in all.
+	// causes more evictions.
 	lastConnBonus = 0.5
 	// maxAbsent is how many customers without a connection are remembered.
 	maxAbsent = 512
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -12,8 +12,7 @@
 const (
 	// Lifetime is how long after a request its tokens occupy capacity of the giver; later
 	// answers are discarded, and so are tokens for which the requester has had no room by
-	// then. The giver needs spare capacity for its refill in Lifetime + RequestInterval:
-	// with a Lifetime of 250 ms, bursts of a tenth of the rate were too small.
+	// then. The giver needs spare capacity for its refill in Lifetime + RequestInterval.
 	Lifetime = 150 * time.Millisecond
 	// RequestInterval is the least time between two requests to one owner.
 	RequestInterval = 250 * time.Millisecond
