lineowner: the test of a second refusal waits for all polls

A write is acknowledged with one replica, so the other one may not have been polled when the test takes the group's lock; an instance of unknown state is rightly no holder of the commits. 18 of 360 runs in six processes failed, each with the state unknown.

Change: the test waits until the states of all instances are known.

--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -391,6 +392,12 @@
 	h.mu.Lock()
 	g := h.groups[groupName]
 	h.mu.Unlock()
+	// A write needs only one replica: the other may not have been polled yet.
+	f.eventually("states of all instances", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return !slices.ContainsFunc(g.instances, func(i *instance) bool { return !i.statusKnown })
+	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, _ := g.provenPrimary()
