lineowner: a wait shows the instances that it awaits later

The log line and the gauge of the wait kept naming the first two; the operator accepted the loss of these, the third still counted and the group stayed unserved ("sufficient": false in the log).

--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
@@ -35,6 +36,10 @@
 	since time.Time
 	// declared indicates that requests which need the primary are rejected at once.
 	declared bool
+	// awaited holds the IDs of the instances shown to the operator as awaited, and shownAt
+	// the time since when.
+	awaited []string
+	shownAt time.Time
 }
 
 // errAwaitsInstances returns the error for requests that need a primary while the
@@ -75,6 +80,8 @@
 		g.replicas.mustRead = true // Another host may have removed an instance.
 	case !led && !g.wait.declared && now.Sub(g.wait.since) >= waitDeclareDelay:
 		g.declareWait(b)
+	case g.wait.mustShow(b, now):
+		g.showWait(b)
 	}
 	if g.wait.declared {
 		g.refreshLossAcceptance(now)
@@ -86,6 +93,21 @@
 // must hold g.mu.
 func (g *group) declareWait(b ballot) {
 	g.wait.declared = true
+	g.showWait(b)
+	g.broadcast()
+}
+
+// mustShow reports whether the wait is declared and awaits other instances than were shown.
+// An operator who accepts the loss of those shown would not end it. The caller must hold the
+// group's mutex.
+func (w *electionWait) mustShow(b ballot, now time.Time) bool {
+	return w.declared && now.Sub(w.shownAt) >= waitDeclareDelay && !slices.Equal(instanceIDs(b.absent()), w.awaited)
+}
+
+// showWait logs which instances the election waits for and sets the gauge. The caller must
+// hold g.mu.
+func (g *group) showWait(b ballot) {
+	g.wait.awaited, g.wait.shownAt = instanceIDs(b.absent()), g.clock.Now()
 	var awaited, answering []string
 	var longest gypsumyard.Position
 	for _, i := range b.remaining() {
@@ -104,7 +126,6 @@
 		"longest": longest.String(), "acknowledged": g.acknowledged.String(),
 	}).Warn("election waits for absent instances")
 	g.metrics.awaits(g.name, len(awaited))
-	g.broadcast()
 }
 
 // endWait ends the wait, if there is one. The caller must hold g.mu.
--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// Guards against a log line and a gauge that keep naming the first instances awaited: an
+// operator who accepted the loss of these would not end the wait.
+func TestWaitForFurtherInstance(t *testing.T) {
+	is := is.New(t)
+	f, h, _, behind := awaitedFixture(t)
+	is.Equal(len(f.awaitWait(h).Data["awaited"].([]string)), 2)
+	behind.SetUnresponsive(true)
+	f.eventually("the third instance in the gauge", func() bool { return h.awaits() == 3 })
+	is.Equal(len(f.awaitWait(h).Data["awaited"].([]string)), 3)
+	behind.SetUnresponsive(false)
+	f.eventually("the return of the third instance in the gauge", func() bool { return h.awaits() == 2 })
+}
+
 // Guards against a wait that ends with a restart of all hosts.
 func TestWaitOutlivesHosts(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,6 +38,7 @@
 	502:  "a host that was assigned the group and started again did not know of it, the others did",
 	595:  "the same",
 	6016: "elections that fence too few instances make another host replace a primary that works",
+	9009: "the log and the gauge of a wait did not name an instance that was lost after its start",
 }
 
 // hostBinary is the path of the host's executable.
