balance: probes for instances that a small penalty keeps reads from

Cause: TestUnevenInstances/failing failed 1 of 36 runs in six processes beside each other: the failing instance got 2 reads in 2 s and was never logged as failing. A share of failures between 0.05 and 0.09 gives a penalty below the 8 ms from which an instance counts as avoided. Others that are idle are still preferred for each read, so it gets none, is not probed either, and its fault is neither found nor disproved until its record is forgotten.

Change: an instance with any penalty that has got none of the last reads (four times the number of instances) counts as avoided, and is probed like the others.

Result: TestSmallPenaltyIsTriedAgain failed before and passes; TestUnevenInstances failed 0 of 80 runs in eight processes.

--- a/internal/balance/chooser.go
+++ b/internal/balance/chooser.go
@@ -44,7 +44,7 @@
 	slots int
 	// running counts the statements of this host on the instance.
 	running int
-	// lastBegan is the number of the last statement that began there.
+	// lastBegan is the number of the last statement that began there, other than a probe.
 	lastBegan uint64
 	// others and ownThen are how many statements of others and of this host ran there at
 	// sampledAt.
@@ -112,7 +112,10 @@
 		return
 	}
 	c.began++
-	i.lastBegan = c.began
+	if !i.probeOffered {
+		i.lastBegan = c.began
+	}
+	i.probeOffered = false
 	i.running++
 	c.recordHistory(i)
 }
@@ -188,7 +191,8 @@
 		if all {
 			penalty = 0
 		}
-		i.avoided = penalty > contention
+		// A small penalty is enough to keep all reads away while the others are idle.
+		i.avoided = penalty > contention || penalty > 0 && c.began-i.lastBegan >= probeShare*uint64(len(known))
 		out[n].Delay += penalty
 	}
 	if unseen > exactBelow {
--- a/internal/balance/chooser_test.go
+++ b/internal/balance/chooser_test.go
@@ -125,6 +125,22 @@
 	is.True(len(changes) == 1 && !changes[0].Found)
 }
 
+// Guards against an instance that gets no reads because of a few failures, counts neither as
+// failing nor as avoided, and so is not tried again.
+func TestSmallPenaltyIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	c, f := newChooser()
+	sendReads(c, f, time.Second, good)
+	for n := range 30 {
+		c.Begin("b")
+		c.End("b", Outcome{Used: run, Expected: run, Answered: n%10 != 9, Failed: n%10 == 9})
+	}
+	is.True(!c.instances["b"].failing)
+	is.True(c.instances["b"].penalty(f.Now(), c.best(f.Now()), run) > 0)
+	got, _, _ := sendReads(c, f, time.Second, good)
+	is.True(got["b"] >= 3)
+}
+
 // Guards against probes that run at the same time or too often, and a probe that has no
 // instance in good order for its retry.
 func TestProbesAreFew(t *testing.T) {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -79,13 +79,15 @@
 	ratios, outcomes int
 	learnedAt        time.Time
 	slow, failing    bool
-	// avoided indicates that the last estimate delayed reads so much that the instance
-	// may get hardly any, though it may not count as slow or failing yet.
+	// avoided indicates that the instance gets hardly any reads because of its penalty,
+	// though it may not count as slow or failing yet.
 	avoided bool
 	// offered is when the last probe was offered, offeredAfter how many reads were
 	// estimated since.
 	offered      time.Time
 	offeredAfter int
+	// probeOffered indicates that the next statement that begins there is the probe.
+	probeOffered bool
 }
 
 func (h *health) suspect() bool { return h.slow || h.failing }
@@ -259,7 +261,7 @@
 		if offered || i.running > 0 || i.offeredAfter < probeShare*len(known) || now.Sub(i.offered) < probeInterval {
 			continue
 		}
-		i.offered, i.offeredAfter, offered = now, 0, true
+		i.offered, i.offeredAfter, i.probeOffered, offered = now, 0, true, true
 		out[n].Probe = true
 	}
 }
