quota: operations wait briefly for tokens of other owners

Cause: on a deployment with 34 groups most groups have no part of a limit of 5 operations a second. An operation there was rejected with 100 ms to retry, tokens were fetched for its retry, and expired 150 ms later, mostly before it came; at the same time each operation made its group fetch tokens for 0.3 s of an expected demand of 3 a second, which expired too. At 8 groups small customers were rejected where only other owners had whole tokens.

Change: an operation without a token waits for up to 100 ms while other owners are asked at once, without slot or connection; at most four of one customer and group wait. Parts without capacity ask for these only, unless the next operation is expected before the tokens expire. A round of requests counts the owners that it asks, not those that it passes over. A part without refill no longer tells callers to return after an hour while requests pause.

TestOperationWaitsForTokens: 8 of 24 rejected before, 0 after.

--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -74,7 +74,7 @@
 	if r.Transaction != "" {
 		return g.continueTransaction(ctx, j, sink)
 	}
-	if err := g.charge(j); err != nil {
+	if err := g.charge(ctx, j); err != nil {
 		return gypsumyard.Result{}, err
 	}
 	defer g.refundUnsent(j)
--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -75,9 +75,10 @@
 	// allocation is nil while the desired state has no customers. The group's mutex guards it.
 	allocation *quota.Allocation
 	// requesting is set while other owners are asked. Its holder uses requestAfter, which holds
-	// when each owner may be asked again, by group.
-	requesting   atomic.Bool
-	requestAfter map[string]time.Time
+	// when each owner may be asked again, by group. needed is set when an operation has
+	// begun to wait since.
+	requesting, needed atomic.Bool
+	requestAfter       map[string]time.Time
 
 	rejections, transfers logSampler
 }
@@ -141,9 +142,10 @@
 	return g.quota.allocation
 }
 
-// charge charges an operation to the customer of its session. It fails if the customer is
-// over its limit.
-func (g *group) charge(j *job) error {
+// charge charges an operation to the customer of its session. If this owner has no token but
+// others may, it waits for theirs for up to quota.MaxWait. It fails if the customer is over
+// its limit.
+func (g *group) charge(ctx context.Context, j *job) error {
 	if j.KeyHolder == "" {
 		return nil
 	}
@@ -153,6 +155,11 @@
 		return nil
 	}
 	c, wait := allocation.Take(j.KeyHolder, l)
+	if c == nil {
+		if w := allocation.Await(j.KeyHolder, l); w != nil {
+			c, wait = g.awaitTokens(ctx, allocation, w)
+		}
+	}
 	if c == nil {
 		return g.overLimit(j, l, wait)
 	}
@@ -160,6 +167,34 @@
 	return nil
 }
 
+// awaitTokens asks other owners for tokens at once, and waits until the operation can be
+// charged or quota.MaxWait has passed.
+func (g *group) awaitTokens(ctx context.Context, a *quota.Allocation, w *quota.Waiter) (*quota.Charge, time.Duration) {
+	defer w.End()
+	t := g.clock.NewTimer(quota.MaxWait)
+	defer t.Stop()
+	for {
+		answers := a.Answers()
+		c, retryAfter, mayArrive := w.Take()
+		switch {
+		case c != nil:
+			g.metrics.quota.served.Inc(1)
+			return c, 0
+		case !mayArrive:
+			return nil, retryAfter
+		}
+		g.quota.needed.Store(true)
+		g.requestTokens(a)
+		select {
+		case <-answers:
+		case <-t.C():
+			return nil, retryAfter
+		case <-ctx.Done():
+			return nil, retryAfter
+		}
+	}
+}
+
 // overLimit returns the error for an operation over the limit.
 func (g *group) overLimit(j *job, l quota.Limit, wait time.Duration) error {
 	g.metrics.quota.rejected(j.KeyHolder)
@@ -260,7 +295,7 @@
 		}
 		s.mu.Unlock()
 		for _, g := range groups {
-			g.tickQuota(d)
+			g.tickQuota()
 		}
 		tick := quotaTick
 		if len(groups) == 0 {
@@ -294,9 +329,8 @@
 	}
 }
 
-// tickQuota starts asking other owners if customers lack tokens. The service waits for the
-// requests when it stops; they end early when the group is closed.
-func (g *group) tickQuota(d *gypsumyard.DesiredState) {
+// tickQuota starts asking other owners if customers lack tokens.
+func (g *group) tickQuota() {
 	g.mu.Lock()
 	allocation, owned := g.quota.allocation, g.ownedCtx.Err() == nil
 	g.mu.Unlock()
@@ -304,26 +338,38 @@
 		return
 	}
 	allocation.Tick()
-	if !owned || len(allocation.Shortages()) == 0 || !g.quota.requesting.CompareAndSwap(false, true) {
+	if owned && len(allocation.Shortages()) > 0 {
+		g.requestTokens(allocation)
+	}
+}
+
+// requestTokens starts asking other owners unless that goes on already. The service waits
+// for the requests when it stops; they end early when the group is closed.
+func (g *group) requestTokens(a *quota.Allocation) {
+	if !g.quota.requesting.CompareAndSwap(false, true) {
 		return
 	}
 	g.service.wg.Go(func() {
-		defer g.quota.requesting.Store(false)
-		g.requestFromOwners(allocation, d)
+		g.quota.needed.Store(false)
+		g.requestFromOwners(a, g.service.lists.Desired())
+		g.quota.requesting.Store(false)
+		if g.quota.needed.Swap(false) && g.ownedCtxErr() == nil {
+			g.requestTokens(a) // An operation has begun to wait after the round had passed some owners.
+		}
 	})
 }
 
 // requestFromOwners asks the owners of the other groups, one after the other, until no customer
-// lacks tokens.
+// lacks tokens or quota.MaxRequests were asked.
 func (g *group) requestFromOwners(allocation *quota.Allocation, d *gypsumyard.DesiredState) {
 	names := g.service.quota.order.groups(d)
 	if g.quota.requestAfter == nil {
 		g.quota.requestAfter = map[string]time.Time{}
 	}
-	targets := allocation.Targets(allocation.Shortages())
-	for _, index := range targets[:min(len(targets), quota.MaxRequests)] {
-		if index >= len(names) || g.ownedCtxErr() != nil {
-			return // The groups have changed.
+	asked := 0
+	for _, index := range allocation.Targets(allocation.Shortages()) {
+		if index >= len(names) || asked >= quota.MaxRequests || g.ownedCtxErr() != nil {
+			return // The groups may have changed.
 		}
 		other, at := names[index], g.clock.Now()
 		if at.Before(g.quota.requestAfter[other]) {
@@ -333,6 +379,7 @@
 		if len(wanted) == 0 {
 			continue
 		}
+		asked++
 		g.quota.requestAfter[other] = at.Add(quota.RequestInterval)
 		granted, err := g.requestQuota(other, wanted)
 		if gypsumyard.ClassOf(err) == gypsumyard.ClassNotSupported && err != nil {
--- a/internal/lineowner/quota_test.go
+++ b/internal/lineowner/quota_test.go
@@ -275,3 +275,26 @@
 	is.True(share <= 1.05)
 	is.True(float64(s.worst()) <= bound)
 }
+
+// Pattern: a customer below its limit whose whole demand is for one of four groups.
+//
+// Guards against operations that are rejected while other owners have tokens.
+func TestOperationWaitsForTokens(t *testing.T) {
+	is := is.New(t)
+	c := gypsumyard.CallerCustomer{Name: "small", Rate: 5, Burst: 5}
+	s := newQuotaSystem(t, c)
+	s.awaitServed()
+	time.Sleep(2 * time.Second) // The buckets fill up.
+	s.mu.Lock()
+	s.rejected = 0
+	s.mu.Unlock()
+	ctx, stop := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	perHost := map[string]float64{"g0": c.Rate * 0.8 / 3}
+	s.load(ctx, &wg, c.Name, func(group string) float64 { return max(perHost[group], 1e-3) })
+	time.Sleep(6 * time.Second)
+	stop()
+	wg.Wait()
+	t.Logf("%d operations, %d rejected", len(s.sent), s.rejected)
+	is.Equal(s.rejected, 0)
+}
--- a/internal/lineowner/quotametrics.go
+++ b/internal/lineowner/quotametrics.go
@@ -13,8 +13,10 @@
 
 // quotaMetrics holds the metrics of rate limits.
 type quotaMetrics struct {
-	scope                 tally.Scope
-	refunds               tally.Counter
+	scope   tally.Scope
+	refunds tally.Counter
+	// served counts operations that were charged after a wait for tokens of other owners.
+	served                tally.Counter
 	granted, none, failed tally.Counter
 	given, received       tokenCounter
 
@@ -36,6 +38,7 @@
 	return &quotaMetrics{
 		scope:      s,
 		refunds:    s.Counter("quota_refunds"),
+		served:     s.Counter("quota_waits_served"),
 		granted:    requests("granted"),
 		none:       requests("none"),
 		failed:     requests("failed"),
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -61,6 +61,7 @@
 	started  time.Time
 	tickedAt time.Time
 	sweptAt  time.Time
+	answers  chan struct{}
 }
 
 // A bucket holds one customer's tokens at one allocation.
@@ -87,6 +88,8 @@
 	// emptyAnswers counts the answers in a row that granted nothing.
 	emptyAnswers int
 	pausedUntil  time.Time
+	// waiting counts the operations that wait for tokens of other allocations.
+	waiting int
 }
 
 // A transfer is a number of tokens that were moved between allocations. Until it expires,
@@ -101,7 +104,7 @@
 	now := c.Now()
 	return &Allocation{
 		tolerance: t, clock: c, place: place{groups: 1, fraction: 1}, buckets: map[string]*bucket{},
-		started: now.Add(takeoverDelay), tickedAt: now, sweptAt: now,
+		started: now.Add(takeoverDelay), tickedAt: now, sweptAt: now, answers: make(chan struct{}),
 	}
 }
 
@@ -185,7 +188,7 @@
 
 // isIdle reports whether the bucket records nothing but its tokens.
 func (b *bucket) isIdle() bool {
-	return b.reserved <= epsilon && len(b.given)+len(b.received) == 0 && b.longDemand < idleDemand
+	return b.reserved <= epsilon && len(b.given)+len(b.received)+b.waiting == 0 && b.longDemand < idleDemand
 }
 
 // now returns the time. It restarts the buckets after a pause of the host, and applies a
@@ -310,25 +313,34 @@
 	b.lastTake = now
 	b.longDemand += 1 / longDemandWindow.Seconds()
 	b.demand = min(b.demand+1/demandWindow.Seconds(), max(l.Rate, 1/demandWindow.Seconds()))
+	if c := a.charge(b, customer, l); c != nil {
+		return c, 0
+	}
+	b.rejectedAt = now
+	return nil, a.retryAfter(b, now)
+}
+
+// charge charges one operation to the bucket. It returns nil if there is no whole token.
+// The caller must hold a.mu.
+func (a *Allocation) charge(b *bucket, customer string, l Limit) *Charge {
 	if b.available() < 1-epsilon {
-		b.rejectedAt = now
-		return nil, a.retryAfter(b, now)
+		return nil
 	}
-	c = &Charge{allocation: a, customer: customer, limit: l}
+	c := &Charge{allocation: a, customer: customer, limit: l}
 	c.own, c.received = b.spend(1)
 	b.reserved += c.own
-	return c, 0
+	return c
 }
 
-// retryAfter returns the time until the bucket has refilled, or less while other owners
-// may have tokens.
+// retryAfter returns the time until the bucket has refilled, or less if tokens of other
+// owners may arrive before that.
 func (a *Allocation) retryAfter(b *bucket, now time.Time) time.Duration {
 	d := time.Hour
 	if b.part.rate > 0 {
 		d = seconds((1 - b.available()) / b.part.rate)
 	}
-	if b.part.others > 0 && now.After(b.pausedUntil) {
-		d = min(d, exchangeDelay)
+	if b.part.others > 0 {
+		d = min(d, max(b.pausedUntil.Sub(now), exchangeDelay))
 	}
 	return max(d, time.Millisecond)
 }
--- a/internal/quota/efficiency_test.go
+++ b/internal/quota/efficiency_test.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// Pattern: the demand of a small customer is spread over many groups, most of which have no
+// part of its limit.
+//
+// Guards against operations that are rejected there although the customer is below its
+// limit: without a wait, at most 0.11 of them were served.
+func TestSmallLimitOverManyGroups(t *testing.T) {
+	for _, l := range []Limit{{Rate: 1, Burst: 1}, {Rate: 5, Burst: 5}, {Rate: 10, Burst: 10}} {
+		for _, groups := range []int{34, 300} {
+			t.Run(fmt.Sprintf("%v, %d groups", l, groups), func(t *testing.T) {
+				is := is.New(t)
+				m := newModel(7, l, groups, 10)
+				pick := func(time.Duration) int { return m.random.IntN(groups) }
+				m.arrivals(5*time.Second, l.Rate/1.6, pick)
+				sent, arrived := m.arrivals(60*time.Second, l.Rate/1.6, pick)
+				t.Logf("%d of %d served, at most %d in a window of %.0f, %d requests", sent, arrived, m.worst(), testTolerance.Bound(l), m.requests)
+				is.True(float64(sent) >= 0.95*float64(arrived))
+				is.True(float64(m.worst()) <= testTolerance.Bound(l))
+			})
+		}
+	}
+}
+
 // Guards against a burst after an idle time that is not served, at one group or at all.
 func TestBurstAfterIdleTime(t *testing.T) {
 	for name, p := range patterns {
--- a/internal/quota/exchange.go
+++ b/internal/quota/exchange.go
@@ -98,19 +98,31 @@
 	return list
 }
 
-// shortage returns how many tokens the customer lacks for the time that moved tokens last.
+// shortage returns how many tokens the customer lacks: for the operations that wait, and for
+// the demand that is expected while moved tokens last.
 func (b *bucket) shortage(now time.Time) float64 {
-	if b.part.others == 0 || now.Before(b.pausedUntil) {
+	if !b.mayReceive(now) {
 		return 0
 	}
+	missing := float64(b.waiting) - b.available()
+	if !b.canPrefetch(now) {
+		return missing
+	}
 	reserve := min(b.demand*reserveFor.Seconds(), b.part.capacity*reserveFraction)
-	missing := (b.expected(now)-b.part.rate)*requestFor.Seconds() + reserve - b.available()
+	missing = max(missing, (b.expected(now)-b.part.rate)*requestFor.Seconds()+reserve-b.available())
 	if !b.rejectedAt.IsZero() && now.Sub(b.rejectedAt) < pause {
 		missing = max(missing, 1-b.available())
 	}
 	return missing
 }
 
+// canPrefetch reports whether tokens are requested before operations need them. A part
+// without capacity cannot keep them: unless an operation is expected before they expire,
+// they would be lost.
+func (b *bucket) canPrefetch(now time.Time) bool {
+	return b.part.capacity > 0 || b.expected(now)*Lifetime.Seconds() >= 1
+}
+
 // expected returns the demand that is expected from now on. It falls as soon as several
 // operations have failed to arrive, so that an owner whose demand has moved elsewhere
 // neither requests tokens nor keeps its own.
@@ -158,6 +170,7 @@
 func (a *Allocation) Receive(wanted, granted []gypsumyard.QuotaTokens, requestedAt time.Time) (tokens float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.notifyWaiters()
 	now := a.now()
 	for _, w := range wanted {
 		b := a.buckets[w.Customer]
--- a/internal/quota/model_test.go
+++ b/internal/quota/model_test.go
@@ -41,6 +41,8 @@
 	requestedAt map[[2]int]time.Time
 	// requesting holds the groups for which an answer is awaited.
 	requesting map[int]bool
+	// waiting holds what to do when an answer has been received, by group.
+	waiting map[int][]func()
 }
 
 type event struct {
@@ -72,7 +74,7 @@
 	m.began = m.clock.Now()
 	m.ownerOf = func(_ *modelHost, g int) *modelHost { return m.hosts[g%hosts] }
 	for i := range hosts {
-		m.hosts = append(m.hosts, &modelHost{index: i, allocations: map[int]*Allocation{}, requestedAt: map[[2]int]time.Time{}, requesting: map[int]bool{}})
+		m.hosts = append(m.hosts, &modelHost{index: i, allocations: map[int]*Allocation{}, requestedAt: map[[2]int]time.Time{}, requesting: map[int]bool{}, waiting: map[int][]func(){}})
 	}
 	for g := range groups {
 		m.own(m.hosts[g%hosts], g)
@@ -121,7 +123,7 @@
 // no token.
 func (m *model) request(h *modelHost, g int, s *Allocation, targets []int) {
 	h.requesting[g] = false
-	for n, target := range targets[:min(len(targets), MaxRequests)] {
+	for n, target := range targets {
 		now := m.clock.Now()
 		pair := [2]int{g, target}
 		to := m.ownerOf(h, target)
@@ -152,6 +154,11 @@
 				if h.allocations[g] == s {
 					s.Receive(wanted, granted, now)
 				}
+				waiting := h.waiting[g]
+				h.waiting[g] = nil
+				for _, again := range waiting {
+					again()
+				}
 				next()
 			})
 		})
@@ -188,11 +195,58 @@
 		return
 	}
 	h := owners[m.random.IntN(len(owners))]
-	c, _ := h.allocations[g].Take("c", m.limit)
-	if c == nil {
+	a := h.allocations[g]
+	if c, _ := a.Take("c", m.limit); c != nil {
+		m.run(h, c, queue)
+		return
+	}
+	w := a.Await("c", m.limit)
+	if w == nil {
 		m.rejected++
 		return
 	}
+	m.await(h, g, a, w, queue)
+	if !h.requesting[g] {
+		m.request(h, g, a, a.Targets(a.Shortages()))
+	}
+}
+
+// await lets an operation wait for tokens.
+func (m *model) await(h *modelHost, g int, a *Allocation, w *Waiter, queue time.Duration) {
+	ended := false
+	end := func(c *Charge) {
+		ended = true
+		w.End()
+		if c == nil {
+			m.rejected++
+			return
+		}
+		m.run(h, c, queue)
+	}
+	var again func()
+	again = func() {
+		if ended {
+			return
+		}
+		switch c, _, mayArrive := w.Take(); {
+		case c != nil:
+			end(c)
+		case !mayArrive:
+			end(nil)
+		default:
+			h.waiting[g] = append(h.waiting[g], again)
+		}
+	}
+	again()
+	m.at(MaxWait, func() {
+		if !ended {
+			end(nil)
+		}
+	})
+}
+
+// run sends a charged operation after it has waited in a queue for the given time.
+func (m *model) run(h *modelHost, c *Charge, queue time.Duration) {
 	end := func() {
 		switch _, ok := c.Send(); {
 		case !ok, m.random.IntN(20) == 0 && queue > 0:
