lineowner: split electOnce; check answers before a planned drain

Cause: electOnce claimed, fenced, chose, waited and ordered in one function of 60 lines. A planned election that lacks fences found so only after it had held back writes to drain the primary, up to once per retry.

Change: choice and order are functions of their own. A planned election checks how many instances answer before the drain too.

Result: no change of behaviour otherwise; TestPlannedElectionNeedsFences, the tests of elections and of accepted losses pass.

--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -113,10 +113,7 @@
 	}
 	log.Info("election begins")
 	g.metrics.elections.Inc(1)
-	if why.planned {
-		defer g.drainPrimary(why.primary)()
-	}
-	chosen, err := g.electOnce(why.planned)
+	chosen, err := g.electOrReplace(why)
 	e := &g.election
 	e.behindSince, e.leaderlessSince, e.fencedSince = time.Time{}, time.Time{}, time.Time{}
 	if err != nil {
@@ -129,6 +126,31 @@
 	g.metrics.promotions.Inc(1)
 }
 
+// electOrReplace elects a primary. A planned election makes a primary that works stop, so it
+// is begun only if enough instances answer, both before the primary is drained and after.
+func (g *group) electOrReplace(why electionCause) (chosen *instance, err error) {
+	if !why.planned {
+		return g.electOnce()
+	}
+	if err := g.checkAnswering(); err != nil {
+		return nil, err
+	}
+	defer g.drainPrimary(why.primary)()
+	if err := g.checkAnswering(); err != nil {
+		return nil, err
+	}
+	return g.electOnce()
+}
+
+// checkAnswering returns an error if too few instances answer to hold an election.
+func (g *group) checkAnswering() error {
+	b := g.prepareBallot()
+	if n := g.countAnswering(b.remaining()); n < b.needed() {
+		return fmt.Errorf("%w: %d of %d answer, %d needed", errTooFewFenced, n, len(b.counted), b.needed())
+	}
+	return nil
+}
+
 func (g *group) setElecting(on bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -164,19 +186,10 @@
 }
 
 // electOnce claims a generation, fences enough instances, chooses the one with
-// the longest log and has the platform promote it. A planned election is not begun unless
-// enough instances answer just before: it makes a primary that works step down.
-func (g *group) electOnce(planned bool) (chosen *instance, err error) {
-	if planned {
-		b := g.prepareBallot()
-		if n := g.countAnswering(b.remaining()); n < b.needed() {
-			return nil, fmt.Errorf("%w: %d of %d answer, %d needed", errTooFewFenced, n, len(b.counted), b.needed())
-		}
-	}
-	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
-	defer cancel()
+// the longest log and has the platform promote it.
+func (g *group) electOnce() (chosen *instance, err error) {
 	claimedAt := g.clock.Now()
-	generation, err := g.acquireClaim(ctx)
+	generation, err := g.acquireClaim()
 	if err != nil {
 		return nil, err
 	}
@@ -188,20 +201,12 @@
 	}()
 	setRead := g.startReplicaSetRead()
 	b := g.prepareBallot()
-	term, needed := b.term, b.needed()
-	g.logInstances(term, generation, b.counted)
-	answers := g.fence(b.remaining(), term, needed)
-	if len(answers) < needed {
-		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(b.counted), needed)
-	}
-	best, err := chooseCandidate(answers)
+	g.logInstances(b.term, generation, b.counted)
+	answers := g.fence(b.remaining(), b.term, b.needed())
+	best, err := g.chooseFenced(b, answers, generation)
 	if err != nil {
 		return nil, err
 	}
-	g.log.WithFields(logrus.Fields{
-		"term": term, "generation": generation, "fenced": describeFenced(answers), "needed": needed,
-		"instance": best.instance.id, "received": best.status.received.String(), "accepted-loss": instanceIDs(b.lost),
-	}).Info("instance chosen to lead")
 	g.setElecting(true)
 	defer g.setElecting(false)
 	if err := g.clock.Sleep(g.ctx, g.fenceWaitFor(b.counted, answers)); err != nil {
@@ -213,22 +218,47 @@
 	if err := g.checkCounted(b.counted); err != nil {
 		return nil, err
 	}
-	if err := g.confirmElection(answers, term, needed, generation, claimedAt); err != nil {
+	if err := g.confirmElection(answers, b.term, b.needed(), generation, claimedAt); err != nil {
+		return nil, err
+	}
+	if ordered, err = g.orderPromotion(b, best, generation); err != nil {
+		return nil, err
+	}
+	return best, g.awaitPromoted(best, b.term)
+}
+
+// chooseFenced returns the instance to promote among those fenced, if they are enough.
+func (g *group) chooseFenced(b ballot, answers []fencedInstance, generation gypsumyard.Generation) (*instance, error) {
+	if len(answers) < b.needed() {
+		return nil, fmt.Errorf("%w: %d of %d, %d needed", errTooFewFenced, len(answers), len(b.counted), b.needed())
+	}
+	best, err := chooseCandidate(answers)
+	if err != nil {
 		return nil, err
 	}
-	o := gypsumyard.PromotionOrder{Group: g.name, Instance: best.instance.id, Holder: g.service.self, Generation: generation}
-	promoteCtx, cancelPromote := context.WithTimeout(g.ctx, promoteTimeout)
-	defer cancelPromote()
-	err = g.service.promotions.Promote(promoteCtx, o)
+	g.log.WithFields(logrus.Fields{
+		"term": b.term, "generation": generation, "fenced": describeFenced(answers), "needed": b.needed(),
+		"instance": best.instance.id, "received": best.status.received.String(), "accepted-loss": instanceIDs(b.lost),
+	}).Info("instance chosen to lead")
+	return best.instance, nil
+}
+
+// orderPromotion has the platform promote the instance. It reports whether the order may
+// have had an effect, also if it returns an error. An unknown outcome is no error.
+func (g *group) orderPromotion(b ballot, chosen *instance, generation gypsumyard.Generation) (ordered bool, err error) {
+	ctx, cancel := context.WithTimeout(g.ctx, promoteTimeout)
+	defer cancel()
+	o := gypsumyard.PromotionOrder{Group: g.name, Instance: chosen.id, Holder: g.service.self, Generation: generation}
+	err = g.service.promotions.Promote(ctx, o)
 	ordered = !errors.Is(err, gypsumyard.ErrConflict) // After a conflict the order had no effect.
 	g.log.WithFields(logrus.Fields{"instance": o.Instance, "generation": generation}).WithError(err).Info("promotion ordered")
 	if ordered {
-		g.noteLossOrdered(b, best.instance)
+		g.noteLossOrdered(b, chosen)
 	}
-	if err != nil && !errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
-		return nil, err
+	if errors.Is(err, gypsumyard.ErrOutcomeUnknown) {
+		err = nil
 	}
-	return best.instance, g.awaitPromoted(best.instance, term)
+	return ordered, err
 }
 
 // startReplicaSetRead reads the stored replica set in the background, beside the fences.
@@ -289,7 +319,9 @@
 // acquireClaim obtains a generation. It fails while another host may be
 // promoting: that host's promotion order may be in flight, and a new claim would
 // only force it to start over.
-func (g *group) acquireClaim(ctx context.Context) (gypsumyard.Generation, error) {
+func (g *group) acquireClaim() (gypsumyard.Generation, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, claimTimeout)
+	defer cancel()
 	v, latest, err := g.service.claims.latest(ctx, g.name)
 	if err != nil {
 		return 0, err
