lineowner: keep later acceptances; divide limits of removed groups

Cause: read in review. An election that completes drops the acceptance that was read last, although the operator may have written it after the one that the election used; it was never read again. A group that the desired state no longer names, served for open sessions, had the whole of each limit if its allocation was new. A statement with the handle of another session's transaction marked that as running for good.

Change: a completed election drops the acceptance that it used. A removed group has the part of one group more than the state names. The session is checked first.

--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -65,7 +65,7 @@
 	led := p != nil && now.Sub(at) <= leadershipMaxAge
 	unproven := owned && maybeUnproven && !led && g.claimedPrimary() != nil
 	if unproven && g.acceptsAllOthers(g.claimedPrimary()) {
-		g.excludeLost(ballot{lost: g.othersThan(g.claimedPrimary())}, true)
+		g.excludeLost(ballot{lost: g.othersThan(g.claimedPrimary())}, g.loss.accepted.version, true)
 	}
 	b := g.nextBallot()
 	lacks := owned && (why.reason != "" || unproven) && b.lacksFences()
--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -304,6 +304,26 @@
 	is.True(all[3].Contains(all[0].Position()))
 }
 
+// Guards against an acceptance that is forgotten because the operator wrote it while an
+// election went on that used an earlier one.
+func TestLaterAcceptanceIsKept(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	f.eventually("primary", func() bool { _, err := f.write(h, "WRITE rug-1 a"); return err == nil })
+	g := h.groups[groupName]
+	g.mu.Lock()
+	p, _ := g.provenPrimary()
+	g.loss.ordered, g.loss.used, g.loss.chosen = ballot{term: p.status.term, counted: g.instances}, 5, p
+	g.loss.accepted = lossAcceptance{version: 7, Term: p.status.term + 1, Instances: []string{"appraisal-3"}}
+	g.mu.Unlock()
+	g.completeLoss()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.Equal(g.loss.accepted.version, gypsumyard.Version(7))
+	is.True(g.loss.chosen == nil)
+}
+
 // Guards against the loss of commits that an instance holds whose loss was not accepted.
 func TestLossOfOthersIsNotAccepted(t *testing.T) {
 	is := is.New(t)
--- a/internal/lineowner/loss.go
+++ b/internal/lineowner/loss.go
@@ -54,8 +54,10 @@
 	// read is the version of the object that was read last.
 	read gypsumyard.Version
 	// ordered holds the ballot of a promotion that was ordered without the lost
-	// instances, and chosen the instance to be promoted. It is nil if there is none.
+	// instances, used the version of the acceptance that it relied on, and chosen the
+	// instance to be promoted. It is nil if there is none.
 	ordered ballot
+	used    gypsumyard.Version
 	chosen  *instance
 }
 
@@ -113,7 +115,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(b.lost) > 0 {
-		g.loss.ordered, g.loss.chosen = b, chosen
+		g.loss.ordered, g.loss.used, g.loss.chosen = b, g.loss.accepted.version, chosen
 	}
 }
 
@@ -129,16 +131,24 @@
 		return
 	}
 	if c.status.role == gypsumyard.RolePrimary && c.status.term == l.ordered.term {
-		g.excludeLost(l.ordered, len(l.ordered.remaining()) == 1)
+		g.excludeLost(l.ordered, l.used, len(l.ordered.remaining()) == 1)
+	}
+	l.dropAccepted(l.used)
+	l.ordered, l.chosen = ballot{}, nil
+}
+
+// dropAccepted forgets the acceptance of the version. A later one of the operator stays.
+func (l *lossState) dropAccepted(v gypsumyard.Version) {
+	if l.accepted.version == v {
+		l.accepted = lossAcceptance{}
 	}
-	l.accepted, l.ordered, l.chosen = lossAcceptance{}, ballot{}, nil
 }
 
 // excludeLost lets the lost instances of the ballot count no longer, and deletes the
-// acceptance. If others than the primary remain, the lost ones are treated like instances
+// acceptance that was used. If others than the primary remain, the lost ones are treated like instances
 // whose processes have ended: they count until one of the others has the log of the primary,
 // which may be the only one with some commits. The caller must hold g.mu.
-func (g *group) excludeLost(b ballot, atOnce bool) {
+func (g *group) excludeLost(b ballot, used gypsumyard.Version, atOnce bool) {
 	now := g.clock.Now()
 	for _, i := range b.lost {
 		if i.reachable {
@@ -148,9 +158,8 @@
 		g.log.WithFields(logrus.Fields{"instance": i.id, "received": i.status.received.String(), "at-once": atOnce}).
 			Warn("an operator accepted the loss of the instance")
 	}
-	v := g.loss.accepted.version
-	g.loss.accepted = lossAcceptance{}
-	g.wg.Go(func() { g.deleteLossAcceptance(v) })
+	g.loss.dropAccepted(used)
+	g.wg.Go(func() { g.deleteLossAcceptance(used) })
 	g.broadcast()
 }
 
--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -123,9 +123,14 @@
 		g.quota.allocation = quota.NewAllocation(g.service.quota.tolerance, g.clock)
 	}
 	names := g.service.quota.order.groups(d)
-	if index, ok := slices.BinarySearch(names, g.name); ok {
-		g.quota.allocation.Configure(index, len(names), g.service.quota.reach.current())
-	}
+	index, ok := slices.BinarySearch(names, g.name)
+	groups := len(names)
+	if !ok {
+		// A removed group still serves open sessions. As the only one it would have the
+		// whole limit.
+		index, groups = len(names), len(names)+1
+	}
+	g.quota.allocation.Configure(index, groups, g.service.quota.reach.current())
 }
 
 // restartQuota resets the group's allocation when its ownership is regained. The caller must
--- a/internal/lineowner/quota_test.go
+++ b/internal/lineowner/quota_test.go
@@ -194,6 +194,32 @@
 	is.Equal(r.current(), 1.0)
 }
 
+// Guards against a group that has the whole of each limit because the desired state, which
+// names other groups, does not name it any more.
+func TestRemovedGroupHasPartOfLimit(t *testing.T) {
+	is := is.New(t)
+	_, h := newLimitedFixture(t)
+	h.mu.Lock()
+	g := h.groups[groupName]
+	h.mu.Unlock()
+	d := *h.lists.Desired()
+	d.Groups = map[string]gypsumyard.Group{}
+	for _, name := range []string{"a", "b", "c"} {
+		d.Groups[name] = gypsumyard.Group{Name: name}
+	}
+	g.mu.Lock()
+	g.quota.allocation = nil
+	g.updateQuota(&d)
+	a := g.quota.allocation
+	g.mu.Unlock()
+	for range 500 {
+		a.Take("busy", quota.Limit{Rate: 1, Burst: 400})
+	}
+	others := a.Targets(a.Shortages())
+	slices.Sort(others)
+	is.Equal(others, []int{0, 1, 2})
+}
+
 // Pattern: a customer is over its limit at all hosts. A host is cut off from the others and
 // takes over their groups, as they take over its own; all reach the instances. Then the
 // hosts find each other again, and a group moves.
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -347,13 +347,12 @@
 func (g *group) lockTransaction(j *job) *transaction {
 	g.mu.Lock()
 	t := g.transactions[j.Transaction]
-	if t != nil {
-		t.running = true
-	}
-	g.mu.Unlock()
 	if t == nil || t.session != j.Session {
+		g.mu.Unlock()
 		return nil
 	}
+	t.running = true
+	g.mu.Unlock()
 	t.lock.Lock()
 	if t.ended {
 		t.lock.Unlock()
