soak: a customer with a rate limit

Cause: the soak knew keys and their withdrawal, but no limits, so nothing checked the bound over all hosts under kills, suspensions, cuts and restores.

--- a/internal/emulate/linegroup/group.go
+++ b/internal/emulate/linegroup/group.go
@@ -43,8 +43,8 @@
 	instances      []*Instance
 	executions     []Execution
 	acknowledged   []gypsumyard.Position
-	// checkUser, if set, is called for each execution, see CheckUsers.
-	checkUser func(Execution)
+	// observers are called for each execution.
+	observers []func(Execution)
 	// changed is broadcast when the state of an instance changes, such as its log
 	// or its fence.
 	changed    *sync.Cond
@@ -291,13 +291,18 @@
 // session of another user than userOf returns for the ID of the statement. It does not
 // check statements for which that is empty.
 func (g *Group) CheckUsers(userOf func(id string) string, fail func(format string, args ...any)) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.checkUser = func(e Execution) {
+	g.Observe(func(e Execution) {
 		if user := userOf(e.ID); user != "" && user != e.User {
 			fail("statement %s of user %s ran at %s in a session of user %s", e.ID, user, e.Instance, e.User)
 		}
-	}
+	})
+}
+
+// Observe calls f when an instance begins a further execution. f must not call the group.
+func (g *Group) Observe(f func(Execution)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.observers = append(g.observers, f)
 }
 
 // Acknowledged returns the positions of all acknowledged commits.
--- a/internal/emulate/linegroup/session.go
+++ b/internal/emulate/linegroup/session.go
@@ -246,8 +246,8 @@
 		mayWrite = i.role == gypsumyard.RolePrimary && (s.state == 'I' || s.readOnly || i.term == s.term)
 		e := Execution{i.id, id, text, i.positionAt(i.applied), s.user}
 		i.group.executions = append(i.group.executions, e)
-		if i.group.checkUser != nil {
-			i.group.checkUser(e)
+		for _, observe := range i.group.observers {
+			observe(e)
 		}
 		if dropped = i.dropResponses > 0; dropped {
 			i.dropResponses--
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -35,6 +35,8 @@
 	// late holds the writes that were sent too long after that.
 	revokedAt map[string]time.Time
 	late      map[string]bool
+	// limited holds when instances began operations of limitedClient.
+	limited []time.Time
 }
 
 type acknowledgement struct {
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -58,6 +58,8 @@
 	acceptedLosses map[string]bool
 	// waits are the elections that waited at the end.
 	waits []*wait
+	// isolated indicates that the hosts do not know each other.
+	isolated bool
 	// generations maps the generation of each promotion order to its holder.
 	generations    map[uint64]string
 	lastGeneration uint64
@@ -85,6 +87,7 @@
 	// that each of them owns the group.
 	cl := &cluster{
 		t: t, dir: t.TempDir(), store: memstore.New(), instances: map[string]*proxy{}, lost: map[string]time.Time{}, acceptedLosses: map[string]bool{},
+		isolated:    isolated,
 		generations: map[uint64]string{}, history: h,
 	}
 	if eras {
@@ -97,6 +100,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(cl.group.Close)
+	cl.group.Observe(h.noteExecution)
 	cl.server, err = objects.Start(cl.store, cl.promote)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/soak/keys_test.go
+++ b/internal/soak/keys_test.go
@@ -27,6 +27,9 @@
 		if withdrawn && t.Name == revokedClient {
 			t.APIKeys = nil
 		}
+		if t.Name == limitedClient {
+			t.RatePerS, t.Burst = limitOfClient.Rate, limitOfClient.Burst
+		}
 		list = append(list, t)
 	}
 	return &list
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -137,6 +137,7 @@
 	close(stop)
 	wg.Wait()
 	cl.check(h)
+	cl.checkLimit(h)
 	if t.Failed() && *logDir != "" {
 		saveLogs(t, cl, seed)
 	}
