lineowner: split the long functions of transactions and connections

Cause: beginTransaction, continueTransaction, acquire and awaitTransactionRoom each did several things in 50 to 70 lines, and the cost of an instance's load was computed in two places.

Change: BEGIN with the first statement, the end of a transaction whose connection fails, the choice of a connection and the wait for the end of a transaction are functions of their own; loadCost is used by both placements.

--- a/internal/lineowner/balance.go
+++ b/internal/lineowner/balance.go
@@ -76,7 +76,7 @@
 	for n, e := range estimates {
 		t := &targets[n]
 		i := g.instanceByID(t.Instance)
-		cost := t.Cost + time.Duration(float64(busyCost)*float64(i.running)/float64(max(i.listed.Slots, 1)))
+		cost := t.Cost + i.loadCost()
 		if n == 0 || cost < plainCost {
 			plain, plainCost = n, cost
 		}
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -182,19 +182,11 @@
 			reserved.release()
 			reserved = nil
 		}
-		var freed <-chan struct{}
-		if reserved != nil {
-			u.conn, err = reserved.use(ctx)
-			reserved = nil
-		} else {
-			u.conn, freed, err = u.instance.pool.get(ctx, j.KeyHolder, j.Settings)
-		}
-		if err == nil {
-			return u, p, nil
-		}
-		u.outcome = dialOutcome(ctx, j, err)
-		u.release()
+		freed, err := u.connect(ctx, reserved)
+		reserved = nil
 		switch {
+		case err == nil:
+			return u, p, nil
 		case !errors.Is(err, errNoMoreConns):
 			j.excluded[u.instance.id] = true
 			return nil, p, fmt.Errorf("%w: %w", errNoConnection, err)
@@ -209,6 +201,21 @@
 	}
 }
 
+// connect gets a connection for the request, the reserved one if there is one. If it
+// fails, the slot is released; freed is closed when another attempt may succeed.
+func (u *slotUse) connect(ctx context.Context, reserved *reservation) (freed <-chan struct{}, err error) {
+	if reserved != nil {
+		u.conn, err = reserved.use(ctx)
+	} else {
+		u.conn, freed, err = u.instance.pool.get(ctx, u.job.KeyHolder, u.job.Settings)
+	}
+	if err != nil {
+		u.outcome = dialOutcome(ctx, u.job, err)
+		u.release()
+	}
+	return freed, err
+}
+
 func opensTransaction(c gypsumyard.StatementClass) bool {
 	return c == gypsumyard.StatementBegin || c == gypsumyard.StatementBeginRead
 }
--- a/internal/lineowner/place.go
+++ b/internal/lineowner/place.go
@@ -65,6 +65,12 @@
 	return p, nil
 }
 
+// loadCost returns the cost of the load that this host puts on the instance. The caller must
+// hold the group's mutex.
+func (i *instance) loadCost() time.Duration {
+	return time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+}
+
 // readTargets returns the primary and the replicas that have applied the
 // position. Reads that run long enough to delay urgent requests avoid the
 // primary while a replica can serve them. The caller must hold g.mu.
@@ -79,7 +85,7 @@
 		}
 		t := gypsumyard.Target{Instance: i.id, Cost: i.roundTrip / 2, Reason: "replica holds the position"}
 		if g.balance == nil {
-			t.Cost += time.Duration(float64(busyCost) * float64(i.running) / float64(max(i.listed.Slots, 1)))
+			t.Cost += i.loadCost()
 		}
 		t.Cost += i.pool.openCost(j.KeyHolder)
 		if i.listed.FailureDomain != g.service.failureDomain {
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -69,6 +69,34 @@
 			g.releaseTransaction(u.instance, j.KeyHolder)
 		}
 	}()
+	a, retry, err := g.runFirstStatement(ctx, j, u, p)
+	if err != nil {
+		return res, retry, err
+	}
+	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: u.instance.id}
+	if a.state == 'I' {
+		g.returnConn(u, a)
+		return res, false, writeAnswer(sink, a)
+	}
+	keep = true
+	t := &transaction{
+		handle:   strconv.FormatUint(g.service.lastHandle.Add(1), 36),
+		session:  j.Session,
+		instance: u.instance,
+		conn:     u.conn,
+		readOnly: j.Class == gypsumyard.StatementBeginRead,
+		wrote:    j.writes(),
+	}
+	g.registerTransaction(t)
+	res.Transaction, res.Owner = t.handle, g.service.self
+	g.recordStatement(j, u, p.needed)
+	return res, false, writeAnswer(sink, a)
+}
+
+// runFirstStatement sends BEGIN and the first statement. If it fails, the connection has
+// been returned to its pool or closed, and retry reports whether the transaction may be
+// tried again from BEGIN.
+func (g *group) runFirstStatement(ctx context.Context, j *job, u *slotUse, p placement) (a answer, retry bool, err error) {
 	readOnly := j.Class == gypsumyard.StatementBeginRead
 	begin := string(line.Begin)
 	if readOnly {
@@ -80,56 +108,41 @@
 	switch {
 	case err != nil:
 		u.instance.pool.discard(u.conn)
-		return g.classifyBeginFailure(ctx, j, u, sent, err)
+		retry, err = g.classifyBeginFailure(ctx, j, u, sent, err)
+		return a, retry, err
 	case a.failure != nil:
 		g.returnConn(u, a)
 		j.excluded[u.instance.id] = readOnly
-		return res, true, notRun(a.failure)
+		return a, true, notRun(a.failure)
 	}
 	a, sent, err = g.run(ctx, j, u, "", j.commits())
-	if err != nil {
+	switch {
+	case err != nil && sent && j.commits():
 		u.instance.pool.discard(u.conn)
-		if sent && j.commits() {
-			return res, false, outcomeUnknown(err)
-		}
-		return g.classifyBeginFailure(ctx, j, u, sent, err)
-	}
-	if a.failure != nil && a.failure.Code.NotRun() && a.failure.Code != line.CodeUnknown {
+		return a, false, outcomeUnknown(err)
+	case err != nil:
+		u.instance.pool.discard(u.conn)
+		retry, err = g.classifyBeginFailure(ctx, j, u, sent, err)
+		return a, retry, err
+	case a.failure != nil && a.failure.Code.NotRun() && a.failure.Code != line.CodeUnknown:
 		// Nothing of the transaction has run yet, so it is retried from BEGIN.
 		u.conn.dirty = true
 		g.rollBack(u.instance, u.conn)
 		j.excluded[u.instance.id] = readOnly
-		return res, true, notRun(a.failure)
-	}
-	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: u.instance.id}
-	if a.state == 'I' {
-		g.returnConn(u, a)
-		return res, false, writeAnswer(sink, a)
+		return a, true, notRun(a.failure)
 	}
-	keep = true
-	t := &transaction{
-		handle:   strconv.FormatUint(g.service.lastHandle.Add(1), 36),
-		session:  j.Session,
-		instance: u.instance,
-		conn:     u.conn,
-		readOnly: readOnly,
-		wrote:    j.writes(),
-	}
-	g.registerTransaction(t)
-	res.Transaction, res.Owner = t.handle, g.service.self
-	g.recordStatement(j, u, p.needed)
-	return res, false, writeAnswer(sink, a)
+	return a, false, nil
 }
 
 // classifyBeginFailure classifies a connection failure at the start of a
 // transaction. Nothing that was run can have been committed: the connection is
 // closed, which rolls back.
-func (g *group) classifyBeginFailure(ctx context.Context, j *job, u *slotUse, sent bool, err error) (gypsumyard.Result, bool, error) {
+func (g *group) classifyBeginFailure(ctx context.Context, j *job, u *slotUse, sent bool, err error) (retry bool, _ error) {
 	j.excluded[u.instance.id] = j.reads()
 	fields := g.fields(j)
 	fields["instance"], fields["sent"] = u.instance.id, sent
 	g.log.WithFields(fields).WithError(err).Warn("connection failed at the start of a transaction")
-	return gypsumyard.Result{}, ctx.Err() == nil, notRun(err)
+	return ctx.Err() == nil, notRun(err)
 }
 
 // writes reports whether the statement itself writes.
@@ -200,18 +213,24 @@
 		return false, errCustomerTransactions
 	}
 	g.metrics.transactionWaits.Inc(1)
-	// Unlike await, this needs no poll: transactions end here.
+	return false, g.awaitTransactionEnd(ctx, j, p, primary)
+}
+
+// awaitTransactionEnd waits until the customer may open a transaction at one of the
+// targets, or the group has another primary. Unlike await, it needs no poll: transactions
+// end here.
+func (g *group) awaitTransactionEnd(ctx context.Context, j *job, p *placement, primary *instance) error {
 	for {
 		g.mu.Lock()
 		ready, changed := len(g.targetsWithRoom(j, p)) > 0 || g.claimedPrimary() != primary, g.changed
 		g.mu.Unlock()
 		if ready {
-			return false, nil
+			return nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return false, fmt.Errorf("wait for a transaction of the customer to end: %w", context.Cause(ctx))
+			return fmt.Errorf("wait for a transaction of the customer to end: %w", context.Cause(ctx))
 		}
 	}
 }
@@ -315,33 +334,39 @@
 	u.conn = t.conn
 	a, sent, err := g.run(ctx, j, u, "", j.commits())
 	if err != nil {
-		g.endTransaction(t, true)
-		fields := g.fields(j)
-		fields["instance"], fields["sent"] = t.instance.id, sent
-		g.log.WithFields(fields).WithError(err).Warn("connection failed in a transaction")
-		if sent && j.commits() {
-			return gypsumyard.Result{TxStatus: 'I'}, outcomeUnknown(err)
-		}
-		return gypsumyard.Result{TxStatus: 'I'}, notRun(err)
+		return gypsumyard.Result{TxStatus: 'I'}, g.breakTransaction(j, t, sent, err)
 	}
 	res = gypsumyard.Result{Position: a.position, TxStatus: a.state, Instance: t.instance.id}
 	if a.failure != nil {
 		g.log.WithFields(g.fields(j)).WithField("instance", t.instance.id).WithError(a.failure).Info("instance rejected statement")
 	}
-	if a.state == 'I' {
-		t.conn.dirty = a.failure != nil
-		g.endTransaction(t, false)
-		if t.wrote && j.commits() && a.failure == nil {
-			if err := g.confirmCommit(ctx, t.instance, a.position); err != nil {
-				return res, err
-			}
-		}
+	if a.state != 'I' {
+		res.Transaction, res.Owner = t.handle, g.service.self
 		return res, writeAnswer(sink, a)
 	}
-	res.Transaction, res.Owner = t.handle, g.service.self
+	t.conn.dirty = a.failure != nil
+	g.endTransaction(t, false)
+	if t.wrote && j.commits() && a.failure == nil {
+		if err := g.confirmCommit(ctx, t.instance, a.position); err != nil {
+			return res, err
+		}
+	}
 	return res, writeAnswer(sink, a)
 }
 
+// breakTransaction ends a transaction whose connection has failed, and returns the error
+// for its caller.
+func (g *group) breakTransaction(j *job, t *transaction, sent bool, err error) error {
+	g.endTransaction(t, true)
+	fields := g.fields(j)
+	fields["instance"], fields["sent"] = t.instance.id, sent
+	g.log.WithFields(fields).WithError(err).Warn("connection failed in a transaction")
+	if sent && j.commits() {
+		return outcomeUnknown(err)
+	}
+	return notRun(err)
+}
+
 // lockTransaction returns the open transaction with its lock held, or nil if it
 // has ended or belongs to another session.
 func (g *group) lockTransaction(j *job) *transaction {
