member: rank owners without copying the candidates

Cause: each change of the membership makes each host rank all hosts for all databases. The ranking copied each candidate several times and hashed the best one anew in each comparison.

Change: the loops over the candidates use their indexes and keep the highest weight.

--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -32,11 +32,12 @@
 // also while hosts of an earlier version, which state no capacity, are among them.
 func newRanking(candidates []candidate, key string) ranking {
 	r := ranking{key: rendezvous.HashKey(key)}
-	for _, c := range candidates {
-		if c.host.Millicores <= 0 {
+	for i := range candidates {
+		m := candidates[i].host.Millicores
+		if m <= 0 {
 			return ranking{key: r.key}
 		}
-		r.weighted = r.weighted || c.host.Millicores != candidates[0].host.Millicores
+		r.weighted = r.weighted || m != candidates[0].host.Millicores
 	}
 	return r
 }
@@ -46,26 +47,26 @@
 	if !r.weighted {
 		return cmp.Compare(rendezvous.Weight(b.hash, r.key), rendezvous.Weight(a.hash, r.key))
 	}
-	return cmp.Compare(r.score(b), r.score(a))
+	return cmp.Compare(r.score(&b), r.score(&a))
 }
 
 // score returns the weighted rendezvous score of a candidate. The weight is the square of
 // the capacity: the load of one database cannot be divided, so a share in proportion to
 // the capacity would still give databases to hosts that are too small for them.
-func (r ranking) score(c candidate) float64 {
+func (r ranking) score(c *candidate) float64 {
 	return weight(c) / -math.Log(r.uniform(c))
 }
 
 // scoreBound returns what the score does not exceed. It needs no logarithm and rules
 // out most candidates of a large region.
-func (r ranking) scoreBound(c candidate) float64 {
+func (r ranking) scoreBound(c *candidate) float64 {
 	return weight(c) / (1 - r.uniform(c))
 }
 
-func weight(c candidate) float64 { return float64(c.host.Millicores) * float64(c.host.Millicores) }
+func weight(c *candidate) float64 { return float64(c.host.Millicores) * float64(c.host.Millicores) }
 
 // uniform returns the candidate's hash for the key as a number between 0 and 1.
-func (r ranking) uniform(c candidate) float64 {
+func (r ranking) uniform(c *candidate) float64 {
 	const buckets = 1 << 52
 	return (float64(rendezvous.Weight(c.hash, r.key)>>12) + 0.5) / buckets
 }
@@ -77,19 +78,38 @@
 		return gypsumyard.Host{}, false
 	}
 	r := newRanking(candidates, key)
-	if !r.weighted {
-		return slices.MinFunc(candidates, r.compare).host, true
+	best := r.topByHash
+	if r.weighted {
+		best = r.topByScore
 	}
-	best, bestScore := 0, 0.0
-	for i, c := range candidates {
-		if r.scoreBound(c) <= bestScore {
+	return candidates[best(candidates)].host, true
+}
+
+// topByHash returns the index of the candidate with the highest weight. Like topByScore it
+// copies no candidate: each change of the view ranks all hosts for each database.
+func (r ranking) topByHash(candidates []candidate) (best int) {
+	var most uint64
+	for i := range candidates {
+		if w := rendezvous.Weight(candidates[i].hash, r.key); w > most {
+			best, most = i, w
+		}
+	}
+	return best
+}
+
+// topByScore returns the index of the candidate with the highest score.
+func (r ranking) topByScore(candidates []candidate) (best int) {
+	most := 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if r.scoreBound(c) <= most {
 			continue
 		}
-		if s := r.score(c); s > bestScore {
-			best, bestScore = i, s
+		if s := r.score(c); s > most {
+			best, most = i, s
 		}
 	}
-	return candidates[best].host, true
+	return best
 }
 
 // topCandidates returns the n candidates that rank highest for the key, highest first.
