listcheck, cmd: check of the lists before they are put

Cause: operators asked for a check of a configuration before it is sent; check-state did it for the platform's state only.

Change: `gypsumyard plans check FILE [--against FILE] [--format json]` finds entries that are rejected, names given twice, missing and unused plans and databases, shares of a database above 1 and an instance of two databases, and shows differences field by field without secrets.

--- a/cmd/gypsumyard/plans.go
+++ b/cmd/gypsumyard/plans.go
@@ -51,6 +51,7 @@
 				Name: "wait", Usage: "wait until an edit is in force on all hosts of the region",
 				ArgsUsage: "OBJECT VERSION", Flags: append(hostFlags(), wait), Action: waitEntry,
 			},
+			checkListsCommand(),
 		},
 	}
 }
