--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -118,7 +118,7 @@
 		member.WithSeeds(s.Seeds...))
 	h.owner = lineowner.New(store(gypsumyard.ReasonClaim), claimPrefix, client.For(gypsumyard.ReasonPromotion),
 		lineowner.WithClock(h.clock), lineowner.WithLogger(h.logger("owner")), lineowner.WithMetrics(h.scope), lineowner.WithEras(eras),
-		lineowner.WithDrainTimeout(s.DrainTimeout), lineowner.WithQuota(s.Quota.Window, s.Quota.Overage, s.Quota.Slack),
+		lineowner.WithDrainTimeout(s.DrainTimeout), lineowner.WithQuota(s.Quota),
 		lineowner.WithLossAcceptances(store(gypsumyard.ReasonClaim), lossPrefix), lineowner.WithUnevenInstances(s.InstancesMisreport))
 	dispatcher := dispatch.New(dispatch.WithClock(h.clock), dispatch.WithLogger(h.logger("dispatch")), dispatch.WithMetrics(h.scope))
 	h.caller = linecaller.New(s.CallerAddr, linecaller.WithClock(h.clock), linecaller.WithLogger(h.logger("caller")),
--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -32,16 +32,15 @@
 	lostRetention = 10 * time.Minute
 )
 
-// defaultQuotaTolerance hold unless WithQuota sets others.
+// defaultQuotaTolerance holds unless WithQuota sets another one.
 var defaultQuotaTolerance = quota.Tolerance{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 
-// WithQuota sets how the rate limits of customers are checked: in any window a customer
-// may run (rate x window + burst) x (1 + overage) + slack operations. A window of zero
-// keeps the default.
-func WithQuota(window time.Duration, overage, slack float64) Option {
+// WithQuota sets how the rate limits of customers are checked. A window of zero keeps the
+// default.
+func WithQuota(t quota.Tolerance) Option {
 	return func(s *Service) {
-		if window > 0 {
-			s.quota.tolerance = quota.Tolerance{Window: window, Overage: overage, Slack: slack}
+		if t.Window > 0 {
+			s.quota.tolerance = t
 		}
 	}
 }
--- a/internal/lineowner/quotasystem_test.go
+++ b/internal/lineowner/quotasystem_test.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/gypsumyard/gypsumyard/internal/line"
+	"github.com/gypsumyard/gypsumyard/internal/quota"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 )
 
@@ -109,8 +110,8 @@
 	return list
 }
 
-// quotaWindow is the window of the tests with several hosts.
-const quotaWindow = 2 * time.Second
+// quotaTolerance is that of the tests with several hosts.
+var quotaTolerance = quota.Tolerance{Window: 2 * time.Second, Overage: 0.1, Slack: 20}
 
 // newQuotaSystem starts three hosts, of which the first owns groups g0 and g3, the second
 // g1, and the third g2.
@@ -149,7 +150,7 @@
 	peers := &quotaPeers{&fakePeers{Stub: kerneltest.New("peer")}, s, name}
 	log, _ := logtest.NewNullLogger()
 	h := &quotaHost{system: s, members: members}
-	h.Service = New(memstore.New(), "claims/", &fakePromoter{}, WithClock(clock.Boot()), WithLogger(log), WithQuota(quotaWindow, 0.1, 20))
+	h.Service = New(memstore.New(), "claims/", &fakePromoter{}, WithClock(clock.Boot()), WithLogger(log), WithQuota(quotaTolerance))
 	k, err := kernel.New(lists, members, peers, h.Service)
 	if err == nil {
 		err = k.Start(s.t.Context())
@@ -230,7 +231,7 @@
 	defer s.mu.Unlock()
 	slices.Sort(s.sent)
 	for first, last := 0, 0; last < len(s.sent); last++ {
-		for s.sent[last]-s.sent[first] >= quotaWindow {
+		for s.sent[last]-s.sent[first] >= quotaTolerance.Window {
 			first++
 		}
 		most = max(most, last-first+1)
