balance: bound the probes of all instances together

Each of two instances in doubt got up to one of twelve reads; at 225 reads a second, half the usual rate of the test, 57 of 449 went to them.

Change: the limit of one of twelve reads (three instances) holds for all probes together; the instance whose last probe is the longest ago comes first.

--- a/internal/balance/chooser.go
+++ b/internal/balance/chooser.go
@@ -35,8 +35,9 @@
 	sampleAge time.Duration
 	// run is the moving average of the run times in seconds.
 	run float64
-	// began counts the statements.
-	began uint64
+	// began counts the statements, sinceProbe the reads estimated since the last probe.
+	began      uint64
+	sinceProbe int
 }
 
 // An instance is what is known of one instance.
--- a/internal/balance/chooser_test.go
+++ b/internal/balance/chooser_test.go
@@ -141,6 +141,26 @@
 	is.True(got["b"] >= 3)
 }
 
+// Guards against a tenth of the reads, or more, that are probes where two of three
+// instances are slow or failing.
+func TestProbesOfSeveralInstancesAreFew(t *testing.T) {
+	is := is.New(t)
+	c, f := newChooser()
+	outcome := func(name string, n int) Outcome {
+		switch {
+		case name == "b":
+			return Outcome{Used: 5 * run, Expected: run, Answered: true}
+		case name == "c" && n%2 == 0:
+			return Outcome{Failed: true}
+		}
+		return good(name, n)
+	}
+	sendReads(c, f, 2*time.Second, outcome)
+	got, _, _ := sendReads(c, f, 4*time.Second, outcome)
+	is.True(got["b"] > 8 && got["c"] > 8)
+	is.True(got["b"]+got["c"] < 800/10)
+}
+
 // Guards against probes that run at the same time or too often, and a probe that has no
 // instance in good order for its retry.
 func TestProbesAreFew(t *testing.T) {
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -35,9 +35,9 @@
 	// with the time constant forgetIn.
 	keepFor, forgetIn = 2 * time.Second, 2 * time.Second
 	// An instance that is slow, failing or avoided is tried by one read at a time, at most
-	// once in probeInterval and with at most one of probeShare parts of an equal share of
-	// the reads. The limit is per host, and the probes of all hosts together must not load
-	// the instance.
+	// once in probeInterval. All probes together are at most one of probeShare parts of an
+	// equal share of the reads, so that few reads are slow if several instances are. The
+	// limits are per host, and the probes of all hosts together must not load the instance.
 	probeInterval = 100 * time.Millisecond
 	probeShare    = 4
 )
@@ -82,10 +82,8 @@
 	// avoided indicates that the instance gets hardly any reads because of its penalty,
 	// though it may not count as slow or failing yet.
 	avoided bool
-	// offered is when the last probe was offered, offeredAfter how many reads were
-	// estimated since.
-	offered      time.Time
-	offeredAfter int
+	// offered is when the last probe was offered.
+	offered time.Time
 	// probeOffered indicates that the next statement that begins there is the probe.
 	probeOffered bool
 }
@@ -245,23 +243,26 @@
 	return true
 }
 
-// offerProbe marks a slow, failing or avoided instance as the one to try, if it was not
-// tried for a while and the read has another one that is in good order for a retry.
+// offerProbe marks a slow, failing or avoided instance as the one to try, if none was tried
+// for a while and the read has another one that is in good order for a retry. Of several it
+// takes the one whose last probe is the longest ago.
 func (c *Chooser) offerProbe(now time.Time, known []*instance, out []Estimate) {
-	good := func(i *instance) bool { return !i.suspect() && !i.avoided }
-	if !slices.ContainsFunc(known, good) {
+	c.sinceProbe++
+	if c.sinceProbe < probeShare*len(known) {
 		return
 	}
-	offered := false
+	next, hasGood := -1, false
 	for n, i := range known {
-		if good(i) {
-			continue
-		}
-		i.offeredAfter++
-		if offered || i.running > 0 || i.offeredAfter < probeShare*len(known) || now.Sub(i.offered) < probeInterval {
-			continue
+		switch {
+		case !i.suspect() && !i.avoided:
+			hasGood = true
+		case i.running > 0 || now.Sub(i.offered) < probeInterval:
+		case next < 0 || i.offered.Before(known[next].offered):
+			next = n
 		}
-		i.offered, i.offeredAfter, i.probeOffered, offered = now, 0, true, true
-		out[n].Probe = true
+	}
+	if next >= 0 && hasGood {
+		known[next].offered, known[next].probeOffered, c.sinceProbe = now, true, 0
+		out[next].Probe = true
 	}
 }
