quota, lineowner: waits for tokens that end with their chance

Where no owner may be asked before the wait ends, an operation waited for 100 ms in vain, with hosts of an earlier version each time. A wait whose request ended was reported as over the limit. A wait that began between two rounds could be missed, one that timed out did not look at its bucket again, and one that outlived a lower limit put the earlier one into force. A removed group had a part of each limit beside the others, which have the whole. Requests could start a goroutine while the service stopped.

Change: a wait ends at once if no owner may be asked in time, takes again when its own refill is due and at its end, returns the cause of a request that ended, also when ownership is lost, and uses the bucket's limit. A removed group has no part. No goroutine is added after Stop.

--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -74,12 +74,12 @@
 	if r.Transaction != "" {
 		return g.continueTransaction(ctx, j, sink)
 	}
-	if err := g.charge(ctx, j); err != nil {
+	waitCtx, release := g.ownershipContext(ctx)
+	defer release()
+	if err := g.charge(waitCtx, j); err != nil {
 		return gypsumyard.Result{}, err
 	}
 	defer g.refundUnsent(j)
-	waitCtx, release := g.ownershipContext(ctx)
-	defer release()
 	for {
 		res, retry, err := g.attempt(ctx, waitCtx, j, sink)
 		if !retry {
--- a/internal/lineowner/quota.go
+++ b/internal/lineowner/quota.go
@@ -72,11 +72,12 @@
 type groupQuota struct {
 	// allocation is nil while the desired state has no customers. The group's mutex guards it.
 	allocation *quota.Allocation
-	// requesting is set while other owners are asked. Its holder uses requestAfter, which holds
-	// when each owner may be asked again, by group. needed is set when an operation has
-	// begun to wait since.
-	requesting, needed atomic.Bool
-	requestAfter       map[string]time.Time
+	// requesting is set while other owners are asked, requestAgain when an operation has
+	// begun to wait since that began.
+	requesting, requestAgain atomic.Bool
+	// requestAfter holds when each owner may be asked again, by group.
+	requestMu    sync.Mutex
+	requestAfter map[string]time.Time
 
 	rejections, transfers logSampler
 }
@@ -122,13 +123,10 @@
 	}
 	names := g.service.quota.order.groups(d)
 	index, ok := slices.BinarySearch(names, g.name)
-	groups := len(names)
 	if !ok {
-		// A removed group still serves open sessions. As the only one it would have the
-		// whole limit.
-		index, groups = len(names), len(names)+1
+		index = quota.NoIndex // A removed group still serves open sessions.
 	}
-	g.quota.allocation.Configure(index, groups, g.service.quota.reach.current())
+	g.quota.allocation.Configure(index, len(names), g.service.quota.reach.current())
 }
 
 // restartQuota resets the group's allocation when its ownership is regained. The caller must
@@ -160,7 +158,10 @@
 	c, wait := allocation.Take(j.KeyHolder, l)
 	if c == nil {
 		if w := allocation.Await(j.KeyHolder, l); w != nil {
-			c, wait = g.awaitTokens(ctx, allocation, w)
+			var err error
+			if c, wait, err = g.awaitTokens(ctx, allocation, w); err != nil {
+				return err
+			}
 		}
 	}
 	if c == nil {
@@ -171,30 +172,36 @@
 }
 
 // awaitTokens asks other owners for tokens at once, and waits until the operation can be
-// charged or quota.MaxWait has passed.
-func (g *group) awaitTokens(ctx context.Context, a *quota.Allocation, w *quota.Waiter) (*quota.Charge, time.Duration) {
+// charged. It returns no charge after quota.MaxWait, or as soon as no owner may be asked
+// before that.
+func (g *group) awaitTokens(ctx context.Context, a *quota.Allocation, w *quota.Waiter) (*quota.Charge, time.Duration, error) {
 	defer w.End()
-	t := g.clock.NewTimer(quota.MaxWait)
-	defer t.Stop()
+	deadline := g.clock.Now().Add(quota.MaxWait)
 	for {
 		answers := a.Answers()
 		c, retryAfter, mayArrive := w.Take()
-		switch {
-		case c != nil:
-			g.metrics.quota.served.Inc(1)
-			return c, 0
-		case !mayArrive:
-			return nil, retryAfter
+		if c != nil {
+			g.metrics.quota.waitsServed.Inc(1)
+			return c, 0, nil
 		}
-		g.quota.needed.Store(true)
-		g.requestTokens(a)
+		now, next := g.clock.Now(), g.nextRequest(a, w)
+		if !mayArrive || !now.Before(deadline) || next.After(deadline) && !g.quota.requesting.Load() {
+			return nil, retryAfter, nil
+		}
+		if !next.After(now) {
+			g.quota.requestAgain.Store(true)
+			g.requestTokens(a)
+			next = deadline
+		}
+		t := g.clock.NewTimer(min(earlier(next, deadline).Sub(now), retryAfter))
 		select {
 		case <-answers:
 		case <-t.C():
-			return nil, retryAfter
 		case <-ctx.Done():
-			return nil, retryAfter
+			t.Stop()
+			return nil, 0, notRun(context.Cause(ctx))
 		}
+		t.Stop()
 	}
 }
 
--- a/internal/lineowner/quotaexchange.go
+++ b/internal/lineowner/quotaexchange.go
@@ -96,44 +96,79 @@
 // requestTokens starts asking other owners unless that goes on already. The service waits
 // for the requests when it stops; they end early when the group is closed.
 func (g *group) requestTokens(a *quota.Allocation) {
-	if !g.quota.requesting.CompareAndSwap(false, true) {
+	s := g.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || !g.quota.requesting.CompareAndSwap(false, true) {
 		return
 	}
-	g.service.wg.Go(func() {
-		g.quota.needed.Store(false)
-		g.requestFromOwners(a, g.service.lists.Desired())
+	s.wg.Go(func() {
+		g.quota.requestAgain.Store(false)
+		g.requestFromOwners(a, s.lists.Desired())
 		g.quota.requesting.Store(false)
-		if g.quota.needed.Swap(false) && g.ownedCtxErr() == nil {
-			g.requestTokens(a) // An operation has begun to wait after the round had passed some owners.
+		if g.quota.requestAgain.Load() && g.ownedCtxErr() == nil {
+			g.requestTokens(a) // This round may have passed owners that the operation needs.
 		}
 	})
 }
 
+// nextRequest returns the earliest time at which an owner may be asked that has a part of
+// the customer's limit.
+func (g *group) nextRequest(a *quota.Allocation, w *quota.Waiter) (next time.Time) {
+	names := g.service.quota.order.groups(g.service.lists.Desired())
+	g.quota.requestMu.Lock()
+	defer g.quota.requestMu.Unlock()
+	for n, index := range a.Targets([]gypsumyard.QuotaTokens{{Customer: w.Customer(), Tokens: 1}}) {
+		if index >= len(names) {
+			continue // The groups have changed.
+		}
+		if at := g.quota.requestAfter[names[index]]; n == 0 || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// mayRequest reports whether the owner may be asked now. If so, it may not again before
+// quota.RequestInterval has passed.
+func (g *group) mayRequest(other string, now time.Time) bool {
+	g.quota.requestMu.Lock()
+	defer g.quota.requestMu.Unlock()
+	if now.Before(g.quota.requestAfter[other]) {
+		return false
+	}
+	if g.quota.requestAfter == nil {
+		g.quota.requestAfter = map[string]time.Time{}
+	}
+	g.quota.requestAfter[other] = now.Add(quota.RequestInterval)
+	return true
+}
+
+// pauseRequests lets the owner not be asked for a time.
+func (g *group) pauseRequests(other string, until time.Time) {
+	g.quota.requestMu.Lock()
+	defer g.quota.requestMu.Unlock()
+	g.quota.requestAfter[other] = until
+}
+
 // requestFromOwners asks the owners of the other groups, one after the other, until no customer
 // lacks tokens or quota.MaxRequests were asked.
 func (g *group) requestFromOwners(allocation *quota.Allocation, d *gypsumyard.DesiredState) {
 	names := g.service.quota.order.groups(d)
-	if g.quota.requestAfter == nil {
-		g.quota.requestAfter = map[string]time.Time{}
-	}
 	asked := 0
 	for _, index := range allocation.Targets(allocation.Shortages()) {
 		if index >= len(names) || asked >= quota.MaxRequests || g.ownedCtxErr() != nil {
 			return // The groups may have changed.
 		}
 		other, at := names[index], g.clock.Now()
-		if at.Before(g.quota.requestAfter[other]) {
-			continue
-		}
 		wanted := allocation.WantedFrom(index, allocation.Shortages())
-		if len(wanted) == 0 {
+		if len(wanted) == 0 || !g.mayRequest(other, at) {
 			continue
 		}
 		asked++
-		g.quota.requestAfter[other] = at.Add(quota.RequestInterval)
 		granted, err := g.requestQuota(other, wanted)
 		if gypsumyard.ClassOf(err) == gypsumyard.ClassNotSupported && err != nil {
-			g.quota.requestAfter[other] = at.Add(unsupportedDelay)
+			g.pauseRequests(other, at.Add(unsupportedDelay))
 		}
 		g.metrics.quota.request(granted, err)
 		if tokens := allocation.Receive(wanted, granted, at); tokens > 0 {
--- a/internal/lineowner/quotametrics.go
+++ b/internal/lineowner/quotametrics.go
@@ -15,8 +15,8 @@
 type quotaMetrics struct {
 	scope   tally.Scope
 	refunds tally.Counter
-	// served counts operations that were charged after a wait for tokens of other owners.
-	served                tally.Counter
+	// waitsServed counts operations that were charged after a wait for tokens of other owners.
+	waitsServed           tally.Counter
 	granted, none, failed tally.Counter
 	given, received       tokenCounter
 
@@ -36,15 +36,15 @@
 		return s.Tagged(map[string]string{"outcome": outcome}).Counter("quota_transfer_requests")
 	}
 	return &quotaMetrics{
-		scope:      s,
-		refunds:    s.Counter("quota_refunds"),
-		served:     s.Counter("quota_waits_served"),
-		granted:    requests("granted"),
-		none:       requests("none"),
-		failed:     requests("failed"),
-		given:      tokenCounter{counter: s.Counter("quota_tokens_given")},
-		received:   tokenCounter{counter: s.Counter("quota_tokens_received")},
-		rejections: map[string]tally.Counter{},
+		scope:       s,
+		refunds:     s.Counter("quota_refunds"),
+		waitsServed: s.Counter("quota_waits_served"),
+		granted:     requests("granted"),
+		none:        requests("none"),
+		failed:      requests("failed"),
+		given:       tokenCounter{counter: s.Counter("quota_tokens_given")},
+		received:    tokenCounter{counter: s.Counter("quota_tokens_received")},
+		rejections:  map[string]tally.Counter{},
 	}
 }
 
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -191,10 +191,12 @@
 
 // Stop ends the service and aborts work in flight.
 func (s *Service) Stop(context.Context) error {
+	s.mu.Lock()
+	s.stopping = true // No goroutine is added to wg from now on.
+	s.mu.Unlock()
 	s.cancel()
 	s.wg.Wait()
 	s.mu.Lock()
-	s.stopping = true
 	groups := s.groups
 	s.groups = map[string]*group{}
 	s.mu.Unlock()
--- a/internal/quota/allocation.go
+++ b/internal/quota/allocation.go
@@ -34,13 +34,17 @@
 	// firstTokens is what a new owner starts with at most: its predecessor may have
 	// spent the rest.
 	firstTokens = 1
-	// exchangeDelay is after what time a caller is told to retry while other owners may
-	// still have tokens. They arrive within it, and last for longer.
+	// exchangeDelay is the least time after which a caller is told to retry if other owners
+	// have parts of the limit: they may have tokens then.
 	exchangeDelay = 100 * time.Millisecond
 	// epsilon absorbs rounding errors of sums of tokens.
 	epsilon = 1e-9
 )
 
+// NoIndex is the index of a group that is not among those which divide the limits. It has no
+// part of any limit and uses tokens of the others.
+const NoIndex = -1
+
 // An Allocation is the part of all customers' limits that belongs to one group. Its
 // methods may be called concurrently.
 type Allocation struct {
@@ -108,8 +112,8 @@
 	}
 }
 
-// Configure sets the number of groups, the index of this one in the order of their names,
-// and the fraction of the limits that belongs to the hosts which this one reaches. It must
+// Configure sets the number of groups, the index of this one in the order of their names or
+// NoIndex, and the fraction of the limits that belongs to the hosts which this one reaches. It must
 // be called before the first use, and again at each change. A higher fraction takes effect
 // after riseDelay.
 func (a *Allocation) Configure(index, groups int, fraction float64) {
@@ -303,8 +307,8 @@
 	sent       bool
 }
 
-// Take charges one operation. If the customer is over its limit, it returns no charge
-// and the time until the bucket has refilled.
+// Take charges one operation. If there is no token, it returns no charge and the time after
+// which there may be one.
 func (a *Allocation) Take(customer string, l Limit) (c *Charge, retryAfter time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/quota/allocation_test.go
+++ b/internal/quota/allocation_test.go
@@ -342,3 +342,22 @@
 		t.Errorf("%d operations in a window, at most %v are allowed", n, most)
 	}
 }
+
+// Guards against an operation that waits through a change of the limit and puts the earlier
+// limit into force again.
+func TestWaiterKeepsLoweredLimit(t *testing.T) {
+	is := is.New(t)
+	f := clock.NewFake(time.Unix(1e9, 0))
+	a := NewAllocation(testTolerance, f)
+	a.Configure(0, 4, 1)
+	high, low := Limit{Rate: 100, Burst: 100}, Limit{Rate: 1, Burst: 1}
+	for c, _ := a.Take("c", high); c != nil; c, _ = a.Take("c", high) {
+	}
+	w := a.Await("c", high)
+	is.True(w != nil)
+	defer w.End()
+	a.Take("c", low)
+	f.Advance(500 * time.Millisecond)
+	c, _, _ := w.Take()
+	is.True(c == nil) // A refill of 25 a second would have given several tokens.
+}
--- a/internal/quota/tolerance.go
+++ b/internal/quota/tolerance.go
@@ -61,6 +61,9 @@
 // partOf returns the part of a customer's limit for a place.
 func (t Tolerance) partOf(customer string, l Limit, at place) part {
 	burst := max(l.Burst, 1)
+	if at.index == NoIndex {
+		return part{others: t.holders(l, at.groups)}
+	}
 	if at.groups <= 1 {
 		// There is nobody to transfer to.
 		return part{rate: l.Rate * at.fraction, capacity: burst * at.fraction}
--- a/internal/quota/wait.go
+++ b/internal/quota/wait.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// MaxWait is how long an operation may wait for tokens of other allocations. It
-	// covers a request to each of several owners, and is well below what callers notice.
+	// MaxWait is how long an operation may wait for tokens of other allocations. It covers
+	// requests to several owners that answer, and is short beside the time that callers allow.
 	MaxWait = 100 * time.Millisecond
 	// maxWaiting is how many operations of one customer wait at a time. More of them mean
 	// that the customer exceeds its limit, and that further ones would wait in vain.
@@ -39,7 +39,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	b := a.bucket(w.customer, w.limit, now)
+	b := a.buckets[w.customer] // Its limit may have changed since the wait began.
+	if b == nil {
+		b = a.bucket(w.customer, w.limit, now)
+	}
+	b.refill(now)
 	if c := a.charge(b, w.customer, w.limit); c != nil {
 		b.rejectedAt = time.Time{} // No tokens are missing any more.
 		return c, 0, false
@@ -47,6 +51,9 @@
 	return nil, a.retryAfter(b, now), b.mayReceive(now)
 }
 
+// Customer returns whose operation it is.
+func (w *Waiter) Customer() string { return w.customer }
+
 // End ends the wait.
 func (w *Waiter) End() {
 	a := w.allocation
