lineowner: the acceptance that an election uses is part of its ballot

Cause: the version was taken when the promotion was ordered; a read in flight may have replaced it since the ballot was made.

Change: the ballot holds it. Names of the wait and of elections are plainer. A test covers a handle of another session's transaction.

--- a/internal/lineowner/awaited.go
+++ b/internal/lineowner/awaited.go
@@ -36,10 +36,10 @@
 	since time.Time
 	// declared indicates that requests which need the primary are rejected at once.
 	declared bool
-	// awaited holds the IDs of the instances shown to the operator as awaited, and shownAt
+	// awaited holds the IDs of the instances reported to the operator as awaited, and reportedAt
 	// the time since when.
-	awaited []string
-	shownAt time.Time
+	awaited    []string
+	reportedAt time.Time
 }
 
 // errAwaitsInstances returns the error for requests that need a primary while the
@@ -65,7 +65,7 @@
 	led := p != nil && now.Sub(at) <= leadershipMaxAge
 	unproven := owned && maybeUnproven && !led && g.claimedPrimary() != nil
 	if unproven && g.acceptsAllOthers(g.claimedPrimary()) {
-		g.excludeLost(ballot{lost: g.othersThan(g.claimedPrimary())}, g.loss.accepted.version, true)
+		g.excludeLost(ballot{lost: g.othersThan(g.claimedPrimary()), acceptance: g.loss.accepted.version}, true)
 	}
 	b := g.nextBallot()
 	lacks := owned && (why.reason != "" || unproven) && b.lacksFences()
@@ -80,8 +80,8 @@
 		g.replicas.mustRead = true // Another host may have removed an instance.
 	case !led && !g.wait.declared && now.Sub(g.wait.since) >= waitDeclareDelay:
 		g.declareWait(b)
-	case g.wait.mustShow(b, now):
-		g.showWait(b)
+	case g.wait.mustReport(b, now):
+		g.reportWait(b)
 	}
 	if g.wait.declared {
 		g.refreshLossAcceptance(now)
@@ -93,21 +93,21 @@
 // must hold g.mu.
 func (g *group) declareWait(b ballot) {
 	g.wait.declared = true
-	g.showWait(b)
+	g.reportWait(b)
 	g.broadcast()
 }
 
-// mustShow reports whether the wait is declared and awaits other instances than were shown.
-// An operator who accepts the loss of those shown would not end it. The caller must hold the
+// mustReport reports whether the wait is declared and awaits other instances than were
+// reported. An operator who accepts the loss of those reported would not end it. The caller must hold the
 // group's mutex.
-func (w *electionWait) mustShow(b ballot, now time.Time) bool {
-	return w.declared && now.Sub(w.shownAt) >= waitDeclareDelay && !slices.Equal(instanceIDs(b.absent()), w.awaited)
+func (w *electionWait) mustReport(b ballot, now time.Time) bool {
+	return w.declared && now.Sub(w.reportedAt) >= waitDeclareDelay && !slices.Equal(instanceIDs(b.absent()), w.awaited)
 }
 
-// showWait logs which instances the election waits for and sets the gauge. The caller must
+// reportWait logs which instances the election waits for and sets the gauge. The caller must
 // hold g.mu.
-func (g *group) showWait(b ballot) {
-	g.wait.awaited, g.wait.shownAt = instanceIDs(b.absent()), g.clock.Now()
+func (g *group) reportWait(b ballot) {
+	g.wait.awaited, g.wait.reportedAt = instanceIDs(b.absent()), g.clock.Now()
 	var awaited, answering []string
 	var longest gypsumyard.Position
 	for _, i := range b.remaining() {
--- a/internal/lineowner/awaited_test.go
+++ b/internal/lineowner/awaited_test.go
@@ -311,10 +311,14 @@
 	f := newFixture(t, 3)
 	h := f.addHost("host-1", nil)
 	f.eventually("primary", func() bool { _, err := f.write(h, "WRITE rug-1 a"); return err == nil })
+	h.mu.Lock()
 	g := h.groups[groupName]
+	h.mu.Unlock()
 	g.mu.Lock()
 	p, _ := g.provenPrimary()
-	g.loss.ordered, g.loss.used, g.loss.chosen = ballot{term: p.status.term, counted: g.instances}, 5, p
+	g.loss.accepted = lossAcceptance{version: 5, Term: p.status.term + 1, Instances: []string{"appraisal-2"}}
+	g.loss.ordered, g.loss.chosen = g.nextBallot(), p
+	g.loss.ordered.term = p.status.term
 	g.loss.accepted = lossAcceptance{version: 7, Term: p.status.term + 1, Instances: []string{"appraisal-3"}}
 	g.mu.Unlock()
 	g.completeLoss()
--- a/internal/lineowner/ballot.go
+++ b/internal/lineowner/ballot.go
@@ -13,6 +13,8 @@
 	// counted are the instances that count, lost those of them whose loss an operator
 	// has accepted for the term.
 	counted, lost []*instance
+	// acceptance is the version of the operator's acceptance that it relies on.
+	acceptance gypsumyard.Version
 }
 
 // prepareBallot returns the ballot of an election that begins now.
@@ -33,6 +35,7 @@
 		}
 	}
 	b.term++
+	b.acceptance = g.loss.accepted.version
 	for _, i := range b.counted {
 		if !i.reachable && g.loss.accepts(b.term, i.id) {
 			b.lost = append(b.lost, i)
--- a/internal/lineowner/customers_test.go
+++ b/internal/lineowner/customers_test.go
@@ -291,3 +291,24 @@
 	j.KeyHolder = "customer-1"
 	is.Equal(j.queue(), "readings customer-1")
 }
+
+// Guards against a session that marks the transaction of another one as running, so that it
+// is never rolled back as idle.
+func TestHandleOfAnotherSession(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, 3)
+	h := f.addHost("host-1", nil)
+	f.eventually("the group", func() bool { _, err := f.write(h, "WRITE rug-1 a"); return err == nil })
+	h.mu.Lock()
+	g := h.groups[groupName]
+	h.mu.Unlock()
+	open := &transaction{handle: "1", session: "s1"}
+	g.mu.Lock()
+	g.transactions[open.handle] = open
+	g.mu.Unlock()
+	is.True(g.lockTransaction(&job{Request: &gypsumyard.Request{Session: "s2", Transaction: "1"}}) == nil)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	is.True(!open.running)
+	delete(g.transactions, open.handle)
+}
--- a/internal/lineowner/elect.go
+++ b/internal/lineowner/elect.go
@@ -113,7 +113,7 @@
 	}
 	log.Info("election begins")
 	g.metrics.elections.Inc(1)
-	chosen, err := g.electOrReplace(why)
+	chosen, err := g.runElection(why)
 	e := &g.election
 	e.behindSince, e.leaderlessSince, e.fencedSince = time.Time{}, time.Time{}, time.Time{}
 	if err != nil {
@@ -126,9 +126,9 @@
 	g.metrics.promotions.Inc(1)
 }
 
-// electOrReplace elects a primary. A planned election makes a primary that works stop, so it
-// is begun only if enough instances answer, both before the primary is drained and after.
-func (g *group) electOrReplace(why electionCause) (chosen *instance, err error) {
+// runElection elects a primary. A planned election replaces a working one, so it is begun
+// only if enough instances answer, both before the primary is drained and after.
+func (g *group) runElection(why electionCause) (chosen *instance, err error) {
 	if !why.planned {
 		return g.electOnce()
 	}
--- a/internal/lineowner/loss.go
+++ b/internal/lineowner/loss.go
@@ -54,10 +54,8 @@
 	// read is the version of the object that was read last.
 	read gypsumyard.Version
 	// ordered holds the ballot of a promotion that was ordered without the lost
-	// instances, used the version of the acceptance that it relied on, and chosen the
-	// instance to be promoted. It is nil if there is none.
+	// instances, and chosen the instance to be promoted. chosen is nil if there is none.
 	ordered ballot
-	used    gypsumyard.Version
 	chosen  *instance
 }
 
@@ -115,7 +113,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(b.lost) > 0 {
-		g.loss.ordered, g.loss.used, g.loss.chosen = b, g.loss.accepted.version, chosen
+		g.loss.ordered, g.loss.chosen = b, chosen
 	}
 }
 
@@ -131,9 +129,9 @@
 		return
 	}
 	if c.status.role == gypsumyard.RolePrimary && c.status.term == l.ordered.term {
-		g.excludeLost(l.ordered, l.used, len(l.ordered.remaining()) == 1)
+		g.excludeLost(l.ordered, len(l.ordered.remaining()) == 1)
 	}
-	l.dropAccepted(l.used)
+	l.dropAccepted(l.ordered.acceptance)
 	l.ordered, l.chosen = ballot{}, nil
 }
 
@@ -148,7 +146,7 @@
 // acceptance that was used. If others than the primary remain, the lost ones are treated like instances
 // whose processes have ended: they count until one of the others has the log of the primary,
 // which may be the only one with some commits. The caller must hold g.mu.
-func (g *group) excludeLost(b ballot, used gypsumyard.Version, atOnce bool) {
+func (g *group) excludeLost(b ballot, atOnce bool) {
 	now := g.clock.Now()
 	for _, i := range b.lost {
 		if i.reachable {
@@ -158,8 +156,8 @@
 		g.log.WithFields(logrus.Fields{"instance": i.id, "received": i.status.received.String(), "at-once": atOnce}).
 			Warn("an operator accepted the loss of the instance")
 	}
-	g.loss.dropAccepted(used)
-	g.wg.Go(func() { g.deleteLossAcceptance(used) })
+	g.loss.dropAccepted(b.acceptance)
+	g.wg.Go(func() { g.deleteLossAcceptance(b.acceptance) })
 	g.broadcast()
 }
 
