--- a/internal/listcheck/compare.go
+++ b/internal/listcheck/compare.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/gypsumyard/gypsumyard/internal/statecheck"
 )
@@ -14,11 +15,15 @@
 const secret = "(secret)"
 
 // isSecret reports whether the values of a field must not be shown.
-func isSecret(field string) bool { return field == "password" || field == "verifier" }
+// The decoder ignores the case of names.
+func isSecret(field string) bool {
+	return strings.EqualFold(field, "password") || strings.EqualFold(field, "verifier")
+}
 
 // Compare returns what differs from the old lists, field by field, ordered by list and name.
 // An entry that was added or removed is one difference.
 func (l *Lists) Compare(old *Lists) (list []statecheck.Difference) {
+	list = []statecheck.Difference{}
 	for _, k := range kinds {
 		names := slices.AppendSeq(slices.Collect(maps.Keys(old.raw[k])), maps.Keys(l.raw[k]))
 		slices.Sort(names)
@@ -60,22 +65,34 @@
 		}
 		return list
 	}
-	c, isList := from.([]any)
-	if d, ok := to.([]any); ok && isList {
-		for n := range max(len(c), len(d)) {
-			list = appendDifferences(list, at+"["+strconv.Itoa(n)+"]", field, element(c, n), element(d, n))
+	c, isNamed := byName(from)
+	if d, ok := byName(to); ok && isNamed {
+		names := slices.AppendSeq(slices.Collect(maps.Keys(c)), maps.Keys(d))
+		slices.Sort(names)
+		for _, n := range slices.Compact(names) {
+			list = appendDifferences(list, at+"["+strconv.Quote(n)+"]", field, c[n], d[n])
 		}
 		return list
 	}
 	return append(list, statecheck.Difference{Path: at, From: format(field, from), To: format(field, to)})
 }
 
-// element returns an element of the list, or nil beyond its end.
-func element(list []any, n int) any {
-	if n < len(list) {
-		return list[n]
+// byName returns the elements of a list of names, or of objects with names, by name. It
+// reports false for other values, and if two elements have the same name.
+func byName(v any) (elements map[string]any, ok bool) {
+	list, ok := v.([]any)
+	elements = map[string]any{}
+	for _, e := range list {
+		name, isName := e.(string)
+		if o, isObject := e.(map[string]any); isObject {
+			name, isName = o["name"].(string)
+		}
+		if _, repeated := elements[name]; !isName || repeated {
+			return nil, false
+		}
+		elements[name] = e
 	}
-	return nil
+	return elements, ok
 }
 
 // format returns a value as JSON, or "" if it is missing. Secrets within are not shown.
--- a/internal/listcheck/listcheck.go
+++ b/internal/listcheck/listcheck.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -21,6 +22,7 @@
 	KindMissingPlan     statecheck.Kind = "missing-plan"
 	KindMissingDatabase statecheck.Kind = "missing-database"
 	KindNoDatabases     statecheck.Kind = "customer-without-databases"
+	KindTwice           statecheck.Kind = "database-listed-twice"
 	KindUnusedPlan      statecheck.Kind = "unused-plan"
 	KindUnusedDatabase  statecheck.Kind = "unused-database"
 	KindShares          statecheck.Kind = "shares-above-one"
@@ -53,6 +55,9 @@
 	if err := d.Decode(&l.raw); err != nil {
 		return nil, fmt.Errorf("decode lists: %w", err)
 	}
+	if l.raw == nil {
+		return nil, errors.New("decode lists: want an object")
+	}
 	for k := range l.raw {
 		if _, err := planlist.ParseKind(string(k)); err != nil {
 			return nil, fmt.Errorf("decode lists: %w", err)
@@ -71,7 +76,8 @@
 	return l, nil
 }
 
-// repeatedFields returns the paths of names that the next value gives twice.
+// repeatedFields returns the paths of names that the next value gives twice. The names of
+// fields, other than those of entries, are equal regardless of case.
 func repeatedFields(d *json.Decoder, at string) (paths []string, err error) {
 	t, err := d.Token()
 	if err != nil {
@@ -89,10 +95,14 @@
 				return nil, err
 			}
 			in = strings.TrimPrefix(at+"."+name.(string), ".") // Names are strings.
-			if seen[in] {
+			key := in
+			if strings.Contains(at, ".") {
+				key = strings.ToLower(in)
+			}
+			if seen[key] {
 				paths = append(paths, in)
 			}
-			seen[in] = true
+			seen[key] = true
 		}
 		inner, err := repeatedFields(d, in)
 		if err != nil {
@@ -142,19 +152,28 @@
 		if len(customer.Databases) == 0 {
 			c.add(KindNoDatabases, statecheck.Warning, at+".databases", "the customer may use no database")
 		}
-		for _, d := range customer.Databases {
+		used := slices.Compact(slices.Sorted(slices.Values(customer.Databases)))
+		if len(used) < len(customer.Databases) {
+			c.add(KindTwice, statecheck.Warning, at+".databases", "a database is listed twice")
+		}
+		for _, d := range used {
 			users[d] = append(users[d], name)
 			if !c.holds(planlist.Databases, d) {
 				c.add(KindMissingDatabase, statecheck.Error, at+".databases", "there is no database %q", d)
 			}
 		}
 	}
+	// Rejected customers may use anything.
+	complete := len(l.customers) == len(l.raw[planlist.Customers])
 	for _, name := range slices.Sorted(maps.Keys(l.plans)) {
-		if !usedPlans[name] {
+		if complete && !usedPlans[name] {
 			c.add(KindUnusedPlan, statecheck.Warning, path(planlist.Plans, name), "no customer has the plan")
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.databases)) {
+		if complete && len(users[name]) == 0 {
+			c.add(KindUnusedDatabase, statecheck.Warning, path(planlist.Databases, name), "no customer may use the database")
+		}
 		c.checkShares(l, name, users[name])
 	}
 	c.checkInstances(l)
@@ -169,17 +188,12 @@
 
 // checkShares checks that the shares of a database's customers can all be guaranteed.
 func (l *Lists) checkShares(of *Lists, database string, users []string) {
-	at := path(planlist.Databases, database)
-	if len(users) == 0 {
-		l.add(KindUnusedDatabase, statecheck.Warning, at, "no customer may use the database")
-		return
-	}
 	total := 0.0
 	for _, u := range users {
 		total += of.plans[of.customers[u].Plan].Share
 	}
 	if total > maxSharesTotal {
-		l.add(KindShares, statecheck.Warning, at, "the shares of its %d customers add up to %.3g: not all can be guaranteed", len(users), total)
+		l.add(KindShares, statecheck.Warning, path(planlist.Databases, database), "the shares of its %d customers add up to %.3g: not all can be guaranteed", len(users), total)
 	}
 }
 
--- a/internal/listcheck/listcheck_test.go
+++ b/internal/listcheck/listcheck_test.go
@@ -38,6 +38,9 @@
 		{"unknown plan", `"plan": "basic"`, `"plan": "Basic"`, "error customers.mill.plan missing-plan,warning plans.basic unused-plan"},
 		{"unknown database", `["rugs"]`, `["rugs", "tiles"]`, "error customers.mill.databases missing-database"},
 		{"no database", `["rugs"]`, `[]`, "warning customers.mill.databases customer-without-databases,warning databases.rugs unused-database"},
+		{"rejected customer", `"plan": "basic"`, `"plan": ""`, "error customers.mill rejected"},
+		{"database twice", `["rugs"]`, `["rugs", "rugs"]`, "warning customers.mill.databases database-listed-twice"},
+		{"field in two cases", `"share": 0.5`, `"share": 0.5, "Share": 0.6`, "error plans.basic.Share repeated-field"},
 		{"name given twice", `"share": 0.5`, `"share": 0.4, "share": 0.5`, "error plans.basic.share repeated-field"},
 		{"shares", `"customers": {`, `"customers": {"a": {"name": "a", "plan": "basic", "databases": ["rugs"], "logins": [{"name": "a", "verifier": "SCRAM-SHA-256$x"}]},
 			"b": {"name": "b", "plan": "basic", "databases": ["rugs"], "logins": [{"name": "a", "verifier": "SCRAM-SHA-256$x"}]}, `, "warning databases.rugs shares-above-one"},
@@ -55,7 +58,7 @@
 // Guards against text that is no list and passes as an empty one.
 func TestParseRejects(t *testing.T) {
 	is := is.New(t)
-	for _, text := range []string{"", "[]", "{", `{"routes": {}}`, `{"plans": 1}`} {
+	for _, text := range []string{"", "null", "[]", "{", `{"routes": {}}`, `{"plans": 1}`} {
 		_, err := Parse([]byte(text))
 		is.True(err != nil)
 	}
@@ -66,18 +69,19 @@
 	is := is.New(t)
 	old, err := Parse([]byte(valid))
 	is.NoErr(err)
-	text := strings.NewReplacer(`"share": 0.5`, `"share": 0.25`, `"password": "p"`, `"password": "q"`, `["rugs"]`, `["rugs", "tiles"]`,
+	text := strings.NewReplacer(`"share": 0.5`, `"share": 0.25`, `"password": "p"`, `"Password": "q"`, `["rugs"]`, `["rugs", "tiles"]`,
 		`"plans": {`, `"plans": {"large": {}, `, `{"name": "a", "verifier": "SCRAM-SHA-256$x"}`, `{"name": "a", "verifier": "SCRAM-SHA-256$y"}, {"name": "b", "verifier": "SCRAM-SHA-256$z"}`).Replace(valid)
 	l, err := Parse([]byte(text))
 	is.NoErr(err)
 	is.Equal(l.Compare(old), []statecheck.Difference{
 		{Path: "plans.basic.share", From: "0.5", To: "0.25"},
 		{Path: "plans.large", From: "", To: statecheck.Present},
-		{Path: "customers.mill.databases[1]", From: "", To: `"tiles"`},
-		{Path: "customers.mill.logins[0].verifier", From: `"(secret)"`, To: `"(secret)"`},
-		{Path: "customers.mill.logins[1]", From: "", To: `{"name":"b","verifier":"(secret)"}`},
-		{Path: "databases.rugs.password", From: `"(secret)"`, To: `"(secret)"`},
+		{Path: `customers.mill.databases["tiles"]`, From: "", To: `"tiles"`},
+		{Path: `customers.mill.logins["a"].verifier`, From: `"(secret)"`, To: `"(secret)"`},
+		{Path: `customers.mill.logins["b"]`, From: "", To: `{"name":"b","verifier":"(secret)"}`},
+		{Path: "databases.rugs.Password", From: "", To: `"(secret)"`},
+		{Path: "databases.rugs.password", From: `"(secret)"`, To: ""},
 	})
-	is.Equal(len(old.Compare(old)), 0)
+	is.Equal(old.Compare(old), []statecheck.Difference{}) // Not nil, which means that nothing was compared.
 	is.Equal(old.Compare(l)[1], statecheck.Difference{Path: "plans.large", From: statecheck.Present, To: ""})
 }
--- a/internal/soak/limits_test.go
+++ b/internal/soak/limits_test.go
@@ -34,6 +34,11 @@
 // them grants the whole limit: they are not checked.
 func (cl *cluster) checkLimit(h *history) {
 	cl.t.Helper()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.limited) == 0 {
+		cl.t.Errorf("no operation of %s was seen", limitedClient)
+	}
 	slices.SortFunc(h.limited, time.Time.Compare)
 	most := 0
 	for first, last := 0, 0; last < len(h.limited); last++ {
--- a/internal/soak/wait_test.go
+++ b/internal/soak/wait_test.go
@@ -142,9 +142,10 @@
 }
 
 // checkWait checks that the host waits rightly: all awaited instances are lost for good, and
-// two were lost so shortly one after the other that no primary could be seen to hold the
-// commits of the first. Those lost later, while no instance leads, are awaited too. It checks
-// that the host has the gauge and rejects writes promptly.
+// either the first two or the last two were lost so shortly one after the other that no
+// primary could be seen to hold the commits of the first. Those lost after the first two are
+// awaited because nothing leads. It checks that the host has the gauge and rejects writes
+// promptly.
 func (cl *cluster) checkWait(w *wait) {
 	var lost []time.Time
 	cl.mu.Lock()
@@ -175,15 +176,12 @@
 	}
 }
 
-// coveragePrevented reports whether two of the losses were at most coverageTimeout apart.
+// coveragePrevented reports whether the first two or the last two of the losses were at most
+// coverageTimeout apart.
 func coveragePrevented(lost []time.Time) bool {
 	slices.SortFunc(lost, time.Time.Compare)
-	for n := 1; n < len(lost); n++ {
-		if lost[n].Sub(lost[n-1]) <= coverageTimeout {
-			return true
-		}
-	}
-	return false
+	n := len(lost)
+	return n >= 2 && (lost[1].Sub(lost[0]) <= coverageTimeout || lost[n-1].Sub(lost[n-2]) <= coverageTimeout)
 }
 
 func (h *process) readMetrics() string {
