catalog: tell who confirmed the desired state, and when

On-call could not tell a host whose transfers of the desired state never end from one that is confirmed by hosts which are late themselves: a failed pull was logged at a level that is off, and nothing held the age of the last confirmation.

One line when the copy has not been confirmed for longer than the time allowed, with what was asked and the last errors, and one when it is again; size and duration of each transfer; counters of questions by source and outcome; gauges of the age and of the number in force. No decision depends on them.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -151,8 +151,9 @@
 }
 
 // applyList merges a complete list of the store at the given version: copies that
-// are missing from it have been removed. A list of an earlier era is ignored.
-func (c *objectCache) applyList(prefix string, list []gypsumyard.Object, at gypsumyard.Version) {
+// are missing from it have been removed. A list of an earlier era is ignored. It
+// returns how many of the objects are newer than the copies.
+func (c *objectCache) applyList(prefix string, list []gypsumyard.Object, at gypsumyard.Version) (n int) {
 	listed := map[string]bool{}
 	for _, o := range list {
 		listed[o.Name] = true
@@ -160,10 +161,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.Era() < c.completeVersions[prefix].Era() {
-		return
+		return 0
 	}
 	for _, o := range list {
-		c.applyObject(o)
+		if c.applyObject(o) {
+			n++
+		}
 	}
 	for name, o := range c.objects {
 		present := !o.Deleted || o.withheld != nil
@@ -174,6 +177,7 @@
 	c.completeVersions[prefix] = max(c.completeVersions[prefix], at)
 	c.rebuild()
 	c.checkReady()
+	return n
 }
 
 // applyObject replaces the copy of one object if o supersedes it, and reports
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -32,6 +32,7 @@
 			return
 		}
 		if err := s.pullFromPeer(); err != nil {
+			s.answers.noteFailed(sourcePeer, err)
 			s.log.WithError(err).Debug("pull of newer objects from a peer failed")
 		}
 	}
@@ -87,9 +88,14 @@
 	if err != nil {
 		return fmt.Errorf("from %s: %w", from.Name, err)
 	}
-	s.applyUpdate(u, after, from.Name)
+	s.applyUpdate(u, after, from.Name, sent)
 	s.notePeerProof(sent, u)
-	s.contact.notePeer(from.Name, sent, s.peerValidity(u))
+	validity := s.peerValidity(u)
+	s.contact.notePeer(from.Name, sent, validity)
+	if validity == 0 {
+		return fmt.Errorf("from %s: its copies, complete up to %v, are not confirmed", from.Name, u.Complete)
+	}
+	s.answers.noteConfirmed(sourcePeer, from.Name, sent, u.Complete)
 	return nil
 }
 
@@ -109,10 +115,14 @@
 	return others
 }
 
-// applyUpdate merges what a peer has. The copies were complete up to after.
-func (s *Service) applyUpdate(u gypsumyard.ObjectUpdate, after gypsumyard.Version, from string) {
+// applyUpdate merges what a peer has sent in answer to a question that was sent at the
+// given time. The copies were complete up to after.
+func (s *Service) applyUpdate(u gypsumyard.ObjectUpdate, after gypsumyard.Version, from string, sent time.Time) {
+	took := s.clock.Since(sent)
 	if n := s.Apply(u.Objects); n > 0 {
-		s.log.WithFields(logrus.Fields{"member": from, "objects": n, "complete": u.Complete}).Info("newer objects from a peer")
+		s.log.WithFields(logrus.Fields{
+			"member": from, "objects": n, "complete": u.Complete, "bytes": valueBytes(u.Objects), "took": took.String(),
+		}).Info("newer objects from a peer")
 	}
 	if u.Complete.Era() >= s.latestEra() && u.Complete.Era() > 0 {
 		s.eras.Learn(u.Complete.Era(), u.EraAge)
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/era"
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 )
 
 // expireInterval is the time between two checks for removed entries whose grace
@@ -43,8 +44,11 @@
 	store  StoreFor
 	eras   gypsumyard.Eras
 	kernel *kernel.Kernel
+	scope  tally.Scope
 	// cadence is how often the desired state is asked for.
 	cadence cadence
+	// applyTimeout is how soon a new desired state must be in force.
+	applyTimeout time.Duration
 
 	stopping context.Context
 	stop     context.CancelFunc
@@ -52,6 +56,7 @@
 	done     chan struct{}
 
 	contact   *contact
+	answers   *answerLog
 	proof     proof
 	peerCheck peerCheck
 	// revokeTimeout is how soon a withdrawn key must not be accepted, or zero if that
@@ -77,12 +82,15 @@
 // WithLogger sets the logger.
 func WithLogger(l logrus.FieldLogger) Option { return func(s *Service) { s.log = l } }
 
+// WithMetrics sets the scope in which metrics are reported.
+func WithMetrics(m tally.Scope) Option { return func(s *Service) { s.scope = m } }
+
 // WithEras sets the tracker of the store's era, which the store's client updates.
 func WithEras(e gypsumyard.Eras) Option { return func(s *Service) { s.eras = e } }
 
 // WithApplyTimeout sets how soon a new desired state must be in force.
 func WithApplyTimeout(d time.Duration) Option {
-	return func(s *Service) { s.cadence = newCadence(d) }
+	return func(s *Service) { s.applyTimeout = d }
 }
 
 // WithRevokeTimeout sets how soon after its withdrawal a key must not be accepted on any
@@ -103,15 +111,18 @@
 			changes:          make(chan struct{}),
 			ready:            make(chan struct{}),
 		},
-		store:   store,
-		eras:    era.NewTracker(),
-		cadence: newCadence(defaultApplyTimeout),
-		done:    make(chan struct{}),
+		store:        store,
+		eras:         era.NewTracker(),
+		scope:        tally.NoopScope,
+		applyTimeout: defaultApplyTimeout,
+		done:         make(chan struct{}),
 	}
 	s.current.Store(&snapshot{})
 	for _, o := range options {
 		o(s)
 	}
+	s.cadence = newCadence(s.applyTimeout)
+	s.answers = newAnswerLog(s.clock, s.log, s.scope, s.applyTimeout)
 	s.contact = newContact(s.clock, s.log, names, s.cadence)
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
@@ -150,6 +161,7 @@
 	for s.clock.Sleep(s.stopping, expireInterval) == nil {
 		s.expireRemoved()
 		s.logProof()
+		s.answers.report(s.Desired())
 	}
 }
 
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -67,6 +67,7 @@
 		}
 		if err != nil {
 			s.contact.noteUnreachable(prefix, err)
+			s.noteReadFailed(prefix, err)
 		} else if !answered {
 			answered = true
 			s.awaitWatchers(prefix)
@@ -132,13 +133,37 @@
 	if err != nil {
 		return err
 	}
+	took := s.clock.Since(sent)
 	s.contact.noteAnswer(prefix)
-	s.Apply(events)
+	n := s.Apply(events)
 	s.setCompleteVersion(prefix, v)
 	s.noteConfirmed(prefix, sent)
+	s.noteRead(prefix, sent, took, n, events)
 	return nil
 }
 
+// noteRead records that the store has answered a call for a prefix that was sent at the
+// given time, with n objects that were newer than the copies.
+func (s *Service) noteRead(prefix string, sent time.Time, took time.Duration, n int, objects []gypsumyard.Object) {
+	if prefix != s.names.desiredPrefix() {
+		return
+	}
+	complete := s.completeVersion(prefix)
+	s.answers.noteConfirmed(sourceStore, sourceStore, sent, complete)
+	if n > 0 {
+		s.log.WithFields(logrus.Fields{
+			"prefix": prefix, "objects": n, "complete": complete, "bytes": valueBytes(objects), "took": took.String(), "watcher": s.isWatcher(),
+		}).Info("newer objects from the store")
+	}
+}
+
+// noteReadFailed records that a call to the store for a prefix failed.
+func (s *Service) noteReadFailed(prefix string, err error) {
+	if prefix == s.names.desiredPrefix() {
+		s.answers.noteFailed(sourceStore, err)
+	}
+}
+
 // watchTimeout returns the bound on the next watch. The first watch of a watcher after
 // a failed call is short: the other hosts soon stop to rely on their copies, and a
 // watch confirms them only when it ends.
@@ -251,9 +276,11 @@
 			if l.version.Era() < s.latestEra() {
 				return fmt.Errorf("list %s: %w: version %v is of an earlier era", prefix, gypsumyard.ErrUnavailable, l.version)
 			}
+			took := s.clock.Since(l.sent)
 			s.contact.noteAnswer(prefix)
-			s.applyList(prefix, l.objects, l.version)
+			n := s.applyList(prefix, l.objects, l.version)
 			s.noteConfirmed(prefix, l.sent)
+			s.noteRead(prefix, l.sent, took, n, l.objects)
 			return nil
 		case <-t.C():
 			if calls < maxConcurrentLists {
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -111,7 +111,7 @@
 	store := func(r gypsumyard.CallReason) gypsumyard.Store { return client.For(r) }
 	names := catalog.ObjectNames{Desired: platform.DesiredStateObject, Instances: platform.InstancePrefix, Hosts: hostPrefix}
 	h.registry = catalog.NewRegistry(store(gypsumyard.ReasonRegistration), client.For(gypsumyard.ReasonHosts), hostPrefix, s.Host, eras, h.logger("registry"))
-	h.lists = catalog.New(store, platform.Decoder{}, names, s.Host.Region, catalog.WithClock(h.clock), catalog.WithLogger(h.logger("lists")),
+	h.lists = catalog.New(store, platform.Decoder{}, names, s.Host.Region, catalog.WithClock(h.clock), catalog.WithLogger(h.logger("lists")), catalog.WithMetrics(h.scope),
 		catalog.WithEras(eras), catalog.WithApplyTimeout(s.ApplyTimeout), catalog.WithRevokeTimeout(s.RevokeTimeout))
 	peers := peer.New(s.Host, peerSecret(s), peer.WithClock(h.clock), peer.WithLogger(h.logger("peer")), peer.WithMetrics(h.scope))
 	h.members = member.New(s.Host, member.WithClock(h.clock), member.WithLogger(h.logger("members")), member.WithMetrics(h.scope),
