peer: fetch large values in parts that are not fetched twice

A host that pulls the desired state from another one gave it 500 ms, and a connection without a whole frame for 500 ms is closed. 690 KB take 0.55 s at 10 Mbit/s: the pull never ended, began again with the first byte, and what was given up went on to fill the link, so that the read of the store which should help had no room either. Heartbeats waited behind the value on the same connection, so hosts suspected those that had the new state.

A query now leaves out values of more than 32 KB, and the host fetches these in parts of 32 KB, one at a time, each with a bound of a second. Parts that have arrived are kept when one does not, also for another host, and belong together by version, length and checksum. A host holds a value that is being fetched while a newer one replaces it, so changes in quick succession do not starve a slow host. The other bounds are for the next reply and not for the whole answer. Hosts of before get and send whole values as before.

TestLargeObjectIsNotSent demanded that a host of today gets an update without the value; TestLargeObject demands the value, and the former for older hosts.

--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -1,7 +1,6 @@
 package catalog
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -20,8 +19,6 @@
 	// pull is made, and pullIntervalMin the least pause before it.
 	pullMargin      = 300 * time.Millisecond
 	pullIntervalMin = 100 * time.Millisecond
-	// pullTimeout bounds one pull from another host.
-	pullTimeout = 500 * time.Millisecond
 )
 
 // pullLoop pulls newer objects from other hosts periodically until the service
@@ -78,13 +75,11 @@
 		return nil
 	}
 	from := others[rand.IntN(len(others))]
-	ctx, cancel := context.WithTimeout(s.stopping, pullTimeout)
-	defer cancel()
 	s.mu.Lock()
 	after := s.minCompleteVersionLocked()
 	s.mu.Unlock()
 	sent := s.clock.Now()
-	u, err := peers.FetchObjects(ctx, from, after)
+	u, err := peers.FetchObjects(s.stopping, from, after)
 	if err != nil {
 		return fmt.Errorf("from %s: %w", from.Name, err)
 	}
--- a/internal/peer/gossip_client.go
+++ b/internal/peer/gossip_client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -37,7 +38,9 @@
 type gossipCall struct {
 	replies []*peerpb.Reply
 	bytes   int
-	done    chan struct{}
+	// progress receives when a reply has arrived, unless it is full.
+	progress chan struct{}
+	done     chan struct{}
 }
 
 func (g *gossipClient) fail(err error) {
@@ -92,6 +95,10 @@
 		return fmt.Errorf("%w: reply over %d bytes", errMalformed, fetchBudget)
 	}
 	c.replies = append(c.replies, r)
+	select {
+	case c.progress <- struct{}{}:
+	default:
+	}
 	if r.Last {
 		delete(g.calls, id)
 		close(c.done)
@@ -99,9 +106,12 @@
 	return nil
 }
 
+// errNoReply indicates that the next reply to a call has not arrived in time.
+var errNoReply = errors.New("no reply in time")
+
 // startCall queues a call for sending.
 func (g *gossipClient) startCall(ctx context.Context, p *peerpb.Call) (id uint64, c *gossipCall, err error) {
-	c = &gossipCall{done: make(chan struct{})}
+	c = &gossipCall{progress: make(chan struct{}, 1), done: make(chan struct{})}
 	g.mu.Lock()
 	g.lastID++
 	id = g.lastID
@@ -126,15 +136,30 @@
 	delete(g.calls, id)
 }
 
-// awaitReplies returns the replies to a call.
-func (g *gossipClient) awaitReplies(ctx context.Context, id uint64, c *gossipCall) ([]*peerpb.Reply, error) {
-	select {
-	case <-c.done:
-	case <-g.done:
-		return nil, g.cause()
-	case <-ctx.Done():
-		g.removeCall(id)
-		return nil, context.Cause(ctx)
+// awaitReplies returns the replies to a call. It fails if no reply arrives for as long as
+// t runs, which may be nil.
+func (g *gossipClient) awaitReplies(ctx context.Context, id uint64, c *gossipCall, t gypsumyard.Timer) ([]*peerpb.Reply, error) {
+	var silent <-chan time.Time
+	if t != nil {
+		silent = t.C()
+	}
+	for finished := false; !finished; {
+		select {
+		case <-c.done:
+			finished = true
+		case <-c.progress:
+			if t != nil {
+				t.Reset(queryTimeout)
+			}
+		case <-g.done:
+			return nil, g.cause()
+		case <-silent:
+			g.removeCall(id)
+			return nil, errNoReply
+		case <-ctx.Done():
+			g.removeCall(id)
+			return nil, context.Cause(ctx)
+		}
 	}
 	last := c.replies[len(c.replies)-1]
 	if err := decodeError(last.Error); err != nil {
--- a/internal/peer/gossip_server.go
+++ b/internal/peer/gossip_server.go
@@ -72,7 +72,7 @@
 func (g *gossipServer) serve(id uint64, c *peerpb.Call) {
 	objects, last := g.runCall(c)
 	for _, o := range objects {
-		if !g.reply(id, &peerpb.Reply{Object: encodeObject(o)}) {
+		if !g.reply(id, &peerpb.Reply{Object: o}) {
 			return
 		}
 	}
@@ -82,7 +82,7 @@
 
 // runCall runs one call. It returns the objects of the answer and the last
 // reply.
-func (g *gossipServer) runCall(c *peerpb.Call) (objects []gypsumyard.Object, last *peerpb.Reply) {
+func (g *gossipServer) runCall(c *peerpb.Call) (objects []*peerpb.Object, last *peerpb.Reply) {
 	last = &peerpb.Reply{}
 	err := g.dispatchCall(c, &objects, last)
 	last.Error = encodeError(err)
@@ -90,7 +90,7 @@
 }
 
 // dispatchCall runs the call and adds its results to the objects and the last reply.
-func (g *gossipServer) dispatchCall(c *peerpb.Call, objects *[]gypsumyard.Object, last *peerpb.Reply) (err error) {
+func (g *gossipServer) dispatchCall(c *peerpb.Call, objects *[]*peerpb.Object, last *peerpb.Reply) (err error) {
 	defer g.service.recoverPanic(&err)
 	switch b := c.GetBody().(type) {
 	case *peerpb.Call_Object:
@@ -98,10 +98,13 @@
 	case *peerpb.Call_Query:
 		var u gypsumyard.ObjectUpdate
 		u, err = g.newerObjects(b.Query)
-		*objects = u.Objects
+		*objects = g.encodeObjects(u.Objects, b.Query.GetMaxValueBytes())
 		last.CompleteEra, last.CompleteRevision = uint32(u.Complete.Era()), u.Complete.Revision()
 		last.ValidForNs, last.EraAgeNs = int64(u.ValidFor), int64(u.EraAge)
 		last.ProofAgeNs = encodeProofAge(u.ProofAge, u.Proven)
+	case *peerpb.Call_Value:
+		q := b.Value
+		last.Part, err = g.service.held.part(valueID{q.GetName(), decodeVersion(q.GetEra(), q.GetRevision())}, q.GetOffset())
 	case *peerpb.Call_Probe:
 		last.Status, err = g.probe(b.Probe)
 	case *peerpb.Call_Released:
@@ -134,12 +137,30 @@
 	if err != nil {
 		return u, err
 	}
-	return withoutLarge(lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision()))), nil
+	u = lists.Newer(decodeVersion(q.GetAfterEra(), q.GetAfterRevision()))
+	if q.GetMaxValueBytes() == 0 {
+		u = withoutLarge(u)
+	}
+	return u, nil
+}
+
+// encodeObjects encodes the objects of an update. Values longer than most bytes are left
+// out, and held for the host that asks, unless most is zero.
+func (g *gossipServer) encodeObjects(list []gypsumyard.Object, most uint64) []*peerpb.Object {
+	encoded := make([]*peerpb.Object, len(list))
+	for n, o := range list {
+		encoded[n] = encodeObject(o)
+		if most > 0 && uint64(len(o.Value)) > most {
+			encoded[n].Value, encoded[n].Size, encoded[n].Sum = nil, uint64(len(o.Value)), g.service.held.hold(o)
+		}
+	}
+	return encoded
 }
 
 // withoutLarge removes the objects that do not fit a message, which would break the
 // stream with the heartbeats on it: a desired state with very many customers. The update
-// then proves nothing, so that the asking host reads the store itself.
+// then proves nothing, so that the asking host reads the store itself. It is for hosts
+// that cannot fetch values in parts.
 func withoutLarge(u gypsumyard.ObjectUpdate) gypsumyard.ObjectUpdate {
 	large := func(o gypsumyard.Object) bool { return len(o.Value) > maxObjectBytes }
 	if slices.ContainsFunc(u.Objects, large) {
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -29,6 +29,7 @@
 			}
 		}
 		s.evictRemotes(now)
+		s.held.expire()
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -64,6 +64,11 @@
 
 	sent, executed, panics tally.Counter
 
+	// held are the values that other hosts may fetch in parts, partial those that this
+	// host has not fetched to their end.
+	held    *heldValues
+	partial *partialValues
+
 	listener             net.Listener
 	dialer               func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	connectionSlots      chan struct{}
@@ -127,6 +132,7 @@
 	for _, o := range options {
 		o(s)
 	}
+	s.held, s.partial = newHeldValues(s.clock), newPartialValues()
 	s.sent = s.metrics.Counter("peer_requests_sent")
 	s.executed = s.metrics.Counter("peer_requests_executed")
 	s.panics = s.metrics.Counter("peer_panics")
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -9,17 +9,39 @@
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 )
 
+// queryTimeout bounds each wait of a query: for the connection, and for the next reply.
+// The whole query has no bound, since the objects may be many.
+const queryTimeout = 500 * time.Millisecond
+
 // call sends a call to a host over Gossip and returns the replies.
 func (s *Service) call(ctx context.Context, to gypsumyard.Host, p *peerpb.Call) (replies []*peerpb.Reply, err error) {
-	g, err := s.remote(to).connectGossip(ctx)
+	g, id, c, err := s.startCall(ctx, to, p)
 	if err != nil {
 		return nil, err
 	}
-	id, c, err := g.startCall(ctx, p)
+	return g.awaitReplies(ctx, id, c, nil)
+}
+
+// query is call with queryTimeout.
+func (s *Service) query(ctx context.Context, to gypsumyard.Host, q *peerpb.ListQuery) (replies []*peerpb.Reply, err error) {
+	startCtx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	g, id, c, err := s.startCall(startCtx, to, &peerpb.Call{Body: &peerpb.Call_Query{Query: q}})
 	if err != nil {
 		return nil, err
 	}
-	return g.awaitReplies(ctx, id, c)
+	t := s.clock.NewTimer(queryTimeout)
+	defer t.Stop()
+	return g.awaitReplies(ctx, id, c, t)
+}
+
+func (s *Service) startCall(ctx context.Context, to gypsumyard.Host, p *peerpb.Call) (g *gossipClient, id uint64, c *gossipCall, err error) {
+	g, err = s.remote(to).connectGossip(ctx)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	id, c, err = g.startCall(ctx, p)
+	return g, id, c, err
 }
 
 // PushObjects sends objects of the lists to a host.
@@ -35,18 +57,26 @@
 }
 
 // FetchObjects returns what the host's copies add to copies that are complete up to
-// after.
+// after. It has no bound of its own while the answer arrives. Parts of large values that
+// have arrived when it fails are not fetched again.
 func (s *Service) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (u gypsumyard.ObjectUpdate, err error) {
 	defer annotate(&err, "fetch objects from", from)
-	q := &peerpb.ListQuery{AfterRevision: after.Revision(), AfterEra: uint32(after.Era())}
-	replies, err := s.call(ctx, from, &peerpb.Call{Body: &peerpb.Call_Query{Query: q}})
+	q := &peerpb.ListQuery{AfterRevision: after.Revision(), AfterEra: uint32(after.Era()), MaxValueBytes: partBytes}
+	replies, err := s.query(ctx, from, q)
 	if err != nil {
 		return u, err
 	}
 	for _, r := range replies {
-		if r.Object != nil {
-			u.Objects = append(u.Objects, decodeObject(r.Object))
+		if r.Object == nil {
+			continue
+		}
+		o := decodeObject(r.Object)
+		if r.Object.GetSize() > 0 {
+			if o.Value, err = s.fetchValue(ctx, from, r.Object); err != nil {
+				return gypsumyard.ObjectUpdate{}, err
+			}
 		}
+		u.Objects = append(u.Objects, o)
 	}
 	last := replies[len(replies)-1]
 	u.Complete = decodeVersion(last.CompleteEra, last.CompleteRevision)
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 )
 
 // fakeLists is a fake of the service "lists".
@@ -68,17 +69,24 @@
 }
 
 // Guards against an object that is too large for a message and breaks the stream, on which
-// the heartbeats are, and against an update without it that is taken for complete.
-func TestLargeObjectIsNotSent(t *testing.T) {
+// the heartbeats are, and against an update without it that is taken for complete. Hosts
+// from before values were fetched in parts get what fits, hosts of today all.
+func TestLargeObject(t *testing.T) {
 	is := is.New(t)
 	objects := []gypsumyard.Object{{Name: "a", Value: make([]byte, maxObjectBytes)}, {Name: "b", Value: make([]byte, 10<<20)}}
 	lists := &fakeLists{newer: objects, done: make(chan struct{})}
 	_, b := startHost(t, "b", newFakeOwner(nil), lists)
 	a, _ := startHost(t, "a")
 	for range 2 {
+		replies, err := a.query(t.Context(), b, &peerpb.ListQuery{})
+		is.NoErr(err)
+		is.Equal(len(replies), 2)
+		is.Equal(decodeObject(replies[0].Object), objects[0])
+		is.True(proto.Equal(replies[1], &peerpb.Reply{Last: true})) // It proves nothing.
 		got, err := a.FetchObjects(t.Context(), b, 0)
 		is.NoErr(err)
-		is.Equal(got, gypsumyard.ObjectUpdate{Objects: objects[:1]})
+		is.Equal(got.Objects, objects)
+		is.Equal(got.Complete, gypsumyard.NewVersion(2, 2))
 	}
 }
 
