catalog: no read of the store beside a transfer that ends in time

A host whose last answer from a peer was no longer valid read the store, also while it was receiving the new desired state from a peer. Both shared its link, so each took twice as long, and after changes in quick succession a watch of the store returns all versions since.

The peers' client reports the progress of a transfer. While it goes on and ends within the time for which an answer is valid, at the rate so far, the host leaves the watch to others; otherwise it reads the store at once.

--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -79,7 +79,8 @@
 	after := s.minCompleteVersionLocked()
 	s.mu.Unlock()
 	sent := s.clock.Now()
-	u, err := peers.FetchObjects(s.stopping, from, after)
+	u, err := peers.FetchObjects(gypsumyard.WithProgress(s.stopping, s.transfer.note), from, after)
+	s.transfer.end()
 	if err != nil {
 		return fmt.Errorf("from %s: %w", from.Name, err)
 	}
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -56,6 +56,7 @@
 	done     chan struct{}
 
 	contact   *contact
+	transfer  *transfer
 	answers   *answerLog
 	proof     proof
 	peerCheck peerCheck
@@ -124,6 +125,7 @@
 	s.cadence = newCadence(s.applyTimeout)
 	s.answers = newAnswerLog(s.clock, s.log, s.scope, s.applyTimeout)
 	s.contact = newContact(s.clock, s.log, names, s.cadence)
+	s.transfer = &transfer{clock: s.clock, limit: s.cadence.validity}
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -183,7 +183,9 @@
 // watchers. A watch can miss changes and the loss of its history without an error,
 // so if all hosts watched, all would have to renew their watches often. After a
 // restore of the store each host first lists the store itself. While the desired
-// state cannot be read, a host that is not a watcher does not try the instances.
+// state cannot be read, a host that is not a watcher does not try the instances. Nor does a
+// host read the store beside a transfer from a peer that ends in time: both would share its
+// link.
 func (s *Service) delegatesWatch(prefix string) bool {
 	if !s.standsIn(prefix) {
 		return false
@@ -194,7 +196,7 @@
 	if prefix == s.names.desiredPrefix() && s.proofIsLate() {
 		return false
 	}
-	return s.contact.peerValidFor() > 0 || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
+	return s.contact.peerValidFor() > 0 || s.transfer.endsInTime() || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
 }
 
 // standsIn reports whether this host has copies and is not a watcher, so that it
--- a/internal/peer/peers.go
+++ b/internal/peer/peers.go
@@ -66,17 +66,8 @@
 	if err != nil {
 		return u, err
 	}
-	for _, r := range replies {
-		if r.Object == nil {
-			continue
-		}
-		o := decodeObject(r.Object)
-		if r.Object.GetSize() > 0 {
-			if o.Value, err = s.fetchValue(ctx, from, r.Object); err != nil {
-				return gypsumyard.ObjectUpdate{}, err
-			}
-		}
-		u.Objects = append(u.Objects, o)
+	if u.Objects, err = s.receiveObjects(ctx, from, replies); err != nil {
+		return u, err
 	}
 	last := replies[len(replies)-1]
 	u.Complete = decodeVersion(last.CompleteEra, last.CompleteRevision)
--- a/internal/peer/values.go
+++ b/internal/peer/values.go
@@ -163,8 +163,32 @@
 	k.values[v.id.name] = v
 }
 
+// receiveObjects returns the objects of the replies to a query, with the values that were
+// left out.
+func (s *Service) receiveObjects(ctx context.Context, from gypsumyard.Host, replies []*peerpb.Reply) (list []gypsumyard.Object, err error) {
+	var progress gypsumyard.Progress
+	for _, r := range replies {
+		progress.Size += int64(min(r.Object.GetSize(), maxValueBytes))
+	}
+	for _, r := range replies {
+		if r.Object == nil {
+			continue
+		}
+		o := decodeObject(r.Object)
+		if r.Object.GetSize() > 0 {
+			if o.Value, err = s.fetchValue(ctx, from, r.Object, progress); err != nil {
+				return nil, err
+			}
+			progress.Arrived += int64(len(o.Value))
+		}
+		list = append(list, o)
+	}
+	return list, nil
+}
+
 // fetchValue returns the value that p announces, from the host that has announced it.
-func (s *Service) fetchValue(ctx context.Context, from gypsumyard.Host, p *peerpb.Object) (data []byte, err error) {
+// before is the progress of the whole transfer before this value.
+func (s *Service) fetchValue(ctx context.Context, from gypsumyard.Host, p *peerpb.Object, before gypsumyard.Progress) (data []byte, err error) {
 	if p.GetSize() > maxValueBytes {
 		return nil, fmt.Errorf("%w: value of %d bytes", errMalformed, p.GetSize())
 	}
@@ -172,7 +196,11 @@
 	if v.data == nil {
 		v.data = make([]byte, 0, v.size)
 	}
-	for uint64(len(v.data)) < v.size {
+	for {
+		gypsumyard.ReportProgress(ctx, gypsumyard.Progress{Arrived: before.Arrived + int64(len(v.data)), Size: before.Size})
+		if uint64(len(v.data)) == v.size {
+			break
+		}
 		if err := s.fetchPart(ctx, from, v); err != nil {
 			s.partial.keep(v)
 			return nil, fmt.Errorf("fetch %s, %d of %d bytes have arrived: %w", v.id.name, len(v.data), v.size, err)
--- a/internal/peer/values_test.go
+++ b/internal/peer/values_test.go
@@ -41,7 +41,7 @@
 		is.NoErr(a.fetchPart(t.Context(), hostB, v))
 	}
 	a.partial.keep(v)
-	_, err := a.fetchValue(t.Context(), hostC, p)
+	_, err := a.fetchValue(t.Context(), hostC, p, gypsumyard.Progress{})
 	is.True(err != nil) // Host c does not hold it.
 
 	later := o
@@ -50,7 +50,7 @@
 	v = a.partial.take(p)
 	is.Equal(len(v.data), 2*partBytes)
 	a.partial.keep(v)
-	got, err := a.fetchValue(t.Context(), hostC, p)
+	got, err := a.fetchValue(t.Context(), hostC, p, gypsumyard.Progress{})
 	is.NoErr(err)
 	is.True(bytes.Equal(got, o.Value))
 	is.Equal(len(a.partial.take(p).data), 0) // Nothing is left of a transfer that has ended.
@@ -78,13 +78,13 @@
 		a.partial.keep(v)
 	}
 	wrong := announce(o, p.Sum+1)
-	_, err := a.fetchValue(t.Context(), host, wrong)
+	_, err := a.fetchValue(t.Context(), host, wrong, gypsumyard.Progress{})
 	is.True(errors.Is(err, errMalformed))
 	wrong = announce(o, p.Sum)
 	wrong.Size = maxValueBytes + 1
-	_, err = a.fetchValue(t.Context(), host, wrong)
+	_, err = a.fetchValue(t.Context(), host, wrong, gypsumyard.Progress{})
 	is.True(errors.Is(err, errMalformed))
-	got, err := a.fetchValue(t.Context(), host, p)
+	got, err := a.fetchValue(t.Context(), host, p, gypsumyard.Progress{})
 	is.NoErr(err)
 	is.True(bytes.Equal(got, o.Value))
 }
