httpcall, catalog: bound a response by its pauses, not by its length

A host behind a slow link that started while the desired state was large never learned it: a call to the store had two seconds in all, a watch less, and a list was made again every 400 ms in which the one before had not ended, up to five times at once over the same link. None ended, and the pull from other hosts, which began beside them, took its share.

The deadline of a call now bounds the wait for the response to begin. A list is made again only if nothing has arrived for 400 ms. A host does not pull while an answer of the store arrives that ends in time.

--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -28,6 +28,9 @@
 		if s.clock.Sleep(s.stopping, s.pullPause()) != nil {
 			return
 		}
+		if s.storeTransfer.endsInTime() {
+			continue // Both would share the link.
+		}
 		if err := s.pullFromPeer(); err != nil {
 			s.answers.noteFailed(sourcePeer, err)
 			s.log.WithError(err).Debug("pull of newer objects from a peer failed")
@@ -79,8 +82,8 @@
 	after := s.minCompleteVersionLocked()
 	s.mu.Unlock()
 	sent := s.clock.Now()
-	u, err := peers.FetchObjects(gypsumyard.WithProgress(s.stopping, s.transfer.note), from, after)
-	s.transfer.end()
+	u, err := peers.FetchObjects(gypsumyard.WithProgress(s.stopping, s.peerTransfer.note), from, after)
+	s.peerTransfer.end()
 	if err != nil {
 		return fmt.Errorf("from %s: %w", from.Name, err)
 	}
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -55,8 +55,11 @@
 	work     sync.WaitGroup
 	done     chan struct{}
 
-	contact   *contact
-	transfer  *transfer
+	contact *contact
+	// peerTransfer and storeTransfer follow what arrives from a peer, and of the desired
+	// state from the store.
+	peerTransfer, storeTransfer *transfer
+
 	answers   *answerLog
 	proof     proof
 	peerCheck peerCheck
@@ -125,7 +128,8 @@
 	s.cadence = newCadence(s.applyTimeout)
 	s.answers = newAnswerLog(s.clock, s.log, s.scope, s.applyTimeout)
 	s.contact = newContact(s.clock, s.log, names, s.cadence)
-	s.transfer = &transfer{clock: s.clock, limit: s.cadence.validity}
+	s.peerTransfer = &transfer{clock: s.clock, limit: s.cadence.validity}
+	s.storeTransfer = &transfer{clock: s.clock, limit: s.cadence.validity}
 	s.stopping, s.stop = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/catalog/transfer.go
+++ b/internal/catalog/transfer.go
@@ -10,8 +10,8 @@
 // maxTransferPause is the pause after which a transfer does not count as going on.
 const maxTransferPause = time.Second
 
-// A transfer follows the transfer of large values from a peer, to tell whether it ends
-// in time or this host has to read the store as well.
+// A transfer follows the arrival of large values from a peer or from the store, to tell
+// whether it ends in time or this host has to ask the other one as well.
 type transfer struct {
 	clock gypsumyard.Clock
 	// limit is how long a transfer may take.
@@ -52,7 +52,7 @@
 		return false
 	}
 	arrived := t.progress.Arrived - t.first.Arrived
-	if arrived == 0 {
+	if arrived <= 0 {
 		return true // It has just begun.
 	}
 	perByte := float64(t.last.Sub(t.began)) / float64(arrived)
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -41,9 +41,9 @@
 	// to learn who watches it, and watcherCheckInterval the time between two checks.
 	firstPullTimeout     = 700 * time.Millisecond
 	watcherCheckInterval = 50 * time.Millisecond
-	// listRetryInterval is the time without an answer after which a list call is
-	// repeated, since a store that recovers does not answer calls from before. Up
-	// to maxConcurrentLists calls are in flight.
+	// listRetryInterval is the time in which nothing has arrived after which a list
+	// call is repeated, since a store that recovers does not answer calls from before.
+	// Up to maxConcurrentLists calls are in flight.
 	listRetryInterval  = 400 * time.Millisecond
 	maxConcurrentLists = 5
 )
@@ -122,8 +122,10 @@
 	if list || after == 0 || after.Era() < s.latestEra() {
 		return s.list(prefix)
 	}
-	ctx, cancel := context.WithTimeout(s.stopping, s.watchTimeout(prefix, previous != nil))
+	ctx := gypsumyard.WithProgress(s.stopping, func(p gypsumyard.Progress) { s.noteStoreProgress(prefix, p) })
+	ctx, cancel := context.WithTimeout(ctx, s.watchTimeout(prefix, previous != nil))
 	defer cancel()
+	defer s.endStoreProgress(prefix)
 	sent := s.clock.Now()
 	events, v, err := s.store(s.callReason(prefix)).Watch(ctx, prefix, after)
 	if errors.Is(err, gypsumyard.ErrHistoryGone) {
@@ -157,6 +159,20 @@
 	}
 }
 
+// noteStoreProgress records how far an answer of the store has got.
+func (s *Service) noteStoreProgress(prefix string, p gypsumyard.Progress) {
+	if prefix == s.names.desiredPrefix() {
+		s.storeTransfer.note(p)
+	}
+}
+
+// endStoreProgress records that no answer of the store arrives any more.
+func (s *Service) endStoreProgress(prefix string) {
+	if prefix == s.names.desiredPrefix() {
+		s.storeTransfer.end()
+	}
+}
+
 // noteReadFailed records that a call to the store for a prefix failed.
 func (s *Service) noteReadFailed(prefix string, err error) {
 	if prefix == s.names.desiredPrefix() {
@@ -196,7 +212,7 @@
 	if prefix == s.names.desiredPrefix() && s.proofIsLate() {
 		return false
 	}
-	return s.contact.peerValidFor() > 0 || s.transfer.endsInTime() || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
+	return s.contact.peerValidFor() > 0 || s.peerTransfer.endsInTime() || prefix == s.names.Instances && s.contact.isUnreachable(s.names.desiredPrefix())
 }
 
 // standsIn reports whether this host has copies and is not a watcher, so that it
@@ -256,8 +272,16 @@
 // list replaces the copies with the objects that the store lists. It uses the
 // first answer if several calls are in flight.
 func (s *Service) list(prefix string) error {
-	ctx, cancel := context.WithCancel(s.stopping)
+	progress := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(gypsumyard.WithProgress(s.stopping, func(p gypsumyard.Progress) {
+		s.noteStoreProgress(prefix, p)
+		select {
+		case progress <- struct{}{}:
+		default:
+		}
+	}))
 	defer cancel()
+	defer s.endStoreProgress(prefix)
 	answers := make(chan listResult, maxConcurrentLists)
 	store := s.store(s.callReason(prefix))
 	call := func() {
@@ -284,6 +308,8 @@
 			s.noteConfirmed(prefix, l.sent)
 			s.noteRead(prefix, l.sent, took, n, l.objects)
 			return nil
+		case <-progress:
+			t.Reset(listRetryInterval)
 		case <-t.C():
 			if calls < maxConcurrentLists {
 				calls++
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 )
@@ -27,6 +28,9 @@
 	Body []byte
 	// MaxResponseBytes bounds the size of the response body.
 	MaxResponseBytes int64
+	// MaxPause, if not zero, bounds the pauses while the response arrives. The deadline
+	// of the context then applies to its beginning only.
+	MaxPause time.Duration
 	// ResponseHeader, if not nil, is set to the header of the response, whatever
 	// its status.
 	ResponseHeader *http.Header
@@ -37,6 +41,20 @@
 // effect, and with ErrOutcomeUnknown otherwise. The error of a response to decode
 // that is longer than its bound also wraps a TooLongError.
 func Do(ctx context.Context, client *http.Client, c Call, out any) error {
+	if c.MaxPause == 0 {
+		return do(ctx, client, c, nil, out)
+	}
+	t := newTransfer(ctx, c.MaxPause)
+	defer t.close()
+	err := do(t.ctx, client, c, t, out)
+	if cause := context.Cause(t.ctx); err != nil && cause != nil && !errors.Is(err, cause) {
+		err = fmt.Errorf("%w: %w", err, cause)
+	}
+	return err
+}
+
+// do is Do within the context. t is nil if the context bounds the whole call.
+func do(ctx context.Context, client *http.Client, c Call, t *transfer, out any) error {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.Method, c.URL, bytes.NewReader(c.Body))
@@ -57,7 +75,10 @@
 	if c.ResponseHeader != nil {
 		*c.ResponseHeader = resp.Header
 	}
-	data, err := ReadBody(resp.Body, c.MaxResponseBytes)
+	if t != nil {
+		t.begin()
+	}
+	data, err := ReadBody(&body{Reader: resp.Body, call: t, ctx: ctx, size: resp.ContentLength}, c.MaxResponseBytes)
 	if err != nil && !errors.As(err, new(*TooLongError)) {
 		return callError(c.Method, true, err)
 	}
