platform, httpcall: one odd entry does not hide the other instances

A value nested over 10,000 levels makes the JSON decoder reject the whole page of the list, and the whole response to a watch: no host learned of instances any more, and one that started served nothing. Entries with slots of 1e300, which become another integer on each kind of machine, 2.5 slots, port 0, an address of no host, a start in no year, or a name with a line end, which would be written into START, named instances to use. None ended a process.

If a response cannot be decoded, values that others have written and that are nested too deeply are decoded as a string, so only their objects are malformed. An entry is checked against what an instance can have. Errors that are logged are cut.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -218,7 +218,7 @@
 	}
 	i, err := c.decoder.Instance(n.Object)
 	if err != nil {
-		c.log.WithField("version", n.Version).WithError(err).Warn("cannot decode entry of instance")
+		c.log.WithFields(logrus.Fields{"object": n.Name, "version": n.Version, "error": shortened(err)}).Warn("cannot decode entry of instance, ignoring it")
 		return
 	}
 	n.instance = &i
@@ -256,11 +256,16 @@
 
 // logFaulty logs that a desired state cannot be decoded.
 func (c *objectCache) logFaulty(o gypsumyard.Object, err error) {
+	c.log.WithFields(logrus.Fields{"version": o.Version, "error": shortened(err), "bytes": len(err.Error())}).Warn("cannot decode desired state, ignoring it")
+}
+
+// shortened returns the text of a decoding error, up to maxLoggedFaults.
+func shortened(err error) string {
 	text := err.Error()
 	if len(text) > maxLoggedFaults {
 		text = text[:maxLoggedFaults] + "..."
 	}
-	c.log.WithFields(logrus.Fields{"version": o.Version, "error": text, "bytes": len(err.Error())}).Warn("cannot decode desired state, ignoring it")
+	return text
 }
 
 func (c *objectCache) applyDesired(o gypsumyard.Object) {
--- a/internal/httpcall/call.go
+++ b/internal/httpcall/call.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -26,6 +25,10 @@
 	Header http.Header
 	// Body is the JSON body, or nil for none.
 	Body []byte
+	// ValueLevel, if not zero, is the level of nesting of the values in the response that
+	// others have written. One that is nested too deeply to be decoded is decoded as a
+	// string.
+	ValueLevel int
 	// MaxResponseBytes bounds the size of the response body.
 	MaxResponseBytes int64
 	// MaxPause, if not zero, bounds the pauses while the response arrives. The deadline
@@ -91,7 +94,7 @@
 	if err != nil {
 		return callError(c.Method, true, err)
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := decode(data, c.ValueLevel, out); err != nil {
 		return callError(c.Method, true, err)
 	}
 	return nil
