planlist: a fetch of the lists ends when its answer does

A host that started while the store was away fetched all lists from each of the others within a second, and again from the first byte. Lists that take longer over its link were never loaded, and the host served nobody.

The peers' client ends a fetch in which nothing arrives, so the bound of the whole is dropped. TestStartWithoutStoreOverSlowLink failed ('not within 4s') and passes. Pushes keep their bound of a second: what they do not deliver the fetches do.

--- a/internal/planlist/service.go
+++ b/internal/planlist/service.go
@@ -19,7 +19,8 @@
 	// If pushes are lost, a change still reaches a host within a few
 	// intervals, inside the 4 s in which it must be in force.
 	antiEntropyInterval = time.Second
-	// pushTimeout bounds a push to, a fetch from or a query of one host.
+	// pushTimeout bounds a push to or a query of one host. A fetch has no bound here: the
+	// peers' client ends it when nothing arrives.
 	pushTimeout = time.Second
 	// loadRetryDelay is the delay between two attempts to load the lists, and
 	// the first delay of the watch after a failure.
@@ -236,8 +237,6 @@
 // to which the peer's copy is complete, zero if the peer has not loaded the lists
 // either.
 func (s *Service) fetch(ctx context.Context, peers gypsumyard.PeerClient, h gypsumyard.Host) (gypsumyard.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
-	defer cancel()
 	u, err := peers.FetchObjects(ctx, h, s.copy.completeVersion())
 	if err != nil {
 		return 0, fmt.Errorf("fetch list objects from %s: %w", h.Name, err)
--- a/internal/planlist/service_test.go
+++ b/internal/planlist/service_test.go
@@ -49,6 +49,8 @@
 	fakeService
 	gypsumyard.PeerClient
 	services map[string]*Service
+	// fetchTime is how long a fetch takes.
+	fetchTime time.Duration
 }
 
 func (p fakePeers) PushObjects(_ context.Context, to gypsumyard.Host, objects []gypsumyard.Object) error {
@@ -56,8 +58,13 @@
 	return nil
 }
 
-func (p fakePeers) FetchObjects(_ context.Context, from gypsumyard.Host, after gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
-	return p.services[from.Name].Newer(after), nil
+func (p fakePeers) FetchObjects(ctx context.Context, from gypsumyard.Host, after gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
+	select {
+	case <-time.After(p.fetchTime):
+		return p.services[from.Name].Newer(after), nil
+	case <-ctx.Done():
+		return gypsumyard.ObjectUpdate{}, context.Cause(ctx)
+	}
 }
 
 // startHosts starts n hosts that share one store and returns their services.
@@ -83,10 +90,17 @@
 }
 
 func startHost(t *testing.T, h gypsumyard.Host, hosts []gypsumyard.Host, byName map[string]*Service, store *memoryStore) {
+	t.Helper()
+	startHostOverLink(t, h, hosts, byName, store, 0)
+}
+
+// startHostOverLink is startHost for a host whose fetches from others take fetchTime.
+func startHostOverLink(t *testing.T, h gypsumyard.Host, hosts []gypsumyard.Host, byName map[string]*Service, store *memoryStore, fetchTime time.Duration) {
+	t.Helper()
 	k, err := kernel.New(byName[h.Name],
 		fakePlatform{newFakeService("platform"), store},
 		fakeMembers{newFakeService("members"), h, hosts},
-		fakePeers{fakeService: newFakeService("peer"), services: byName})
+		fakePeers{fakeService: newFakeService("peer"), services: byName, fetchTime: fetchTime})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,6 +172,25 @@
 	<-byName["c"].Ready()
 }
 
+// Guards against a host that never loads the lists from others because a fetch is given
+// up while its answer arrives.
+func TestStartWithoutStoreOverSlowLink(t *testing.T) {
+	is := is.New(t)
+	store := newMemoryStore()
+	_, err := NewEditor(store, clock.System()).Apply(t.Context(), Edit{Kind: Plans, Name: "gold", Value: planValue("gold", 0.25)})
+	is.NoErr(err)
+	hosts := []gypsumyard.Host{{Name: "a", State: gypsumyard.HostLive}, {Name: "b", State: gypsumyard.HostLive}}
+	byName := map[string]*Service{"a": New(WithLogger(discardLogger())), "b": New(WithLogger(discardLogger()))}
+	startHost(t, hosts[0], hosts, byName, store)
+	<-byName["a"].Ready()
+	store.setDown(true)
+	startHostOverLink(t, hosts[1], hosts, byName, store, pushTimeout+500*time.Millisecond)
+	eventually(t, 4*time.Second, "lists loaded from a peer", func() bool {
+		p, ok := byName["b"].Plan("gold")
+		return ok && p.Share == 0.25
+	})
+}
+
 // Guards against a stale source reverting a change. In whatever order objects
 // arrive, the copy equals a naive model that keeps the highest versions.
 func TestCopyNeverReverts(t *testing.T) {
