--- a/internal/planlist/service_test.go
+++ b/internal/planlist/service_test.go
@@ -181,7 +181,7 @@
 	is.NoErr(err)
 	hosts := []gypsumyard.Host{{Name: "a", State: gypsumyard.HostLive}, {Name: "b", State: gypsumyard.HostLive}}
 	byName := map[string]*Service{"a": New(WithLogger(discardLogger())), "b": New(WithLogger(discardLogger()))}
-	startHost(t, hosts[0], hosts, byName, store)
+	startHost(t, hosts[0], hosts[:1], byName, store) // It does not push to host b.
 	<-byName["a"].Ready()
 	store.setDown(true)
 	startHostOverLink(t, hosts[1], hosts, byName, store, pushTimeout+500*time.Millisecond)
