catalog: an answer of the store confirms copies as of its beginning

What the answer says is as old as its beginning, and since a response may now arrive for seconds, a change made meanwhile would have been in force that much later, on this host and on those that pull from it.

An answer to a watch counts from its first byte, and from its deadline at the latest, which a host that was suspended sees late; an answer to a list counts from its question.

--- a/internal/catalog/contact.go
+++ b/internal/catalog/contact.go
@@ -58,13 +58,14 @@
 	}
 }
 
-// noteAnswer records that the store has confirmed the copies of a prefix.
-func (c *contact) noteAnswer(prefix string) {
+// noteAnswer records that the store has confirmed the copies of a prefix. at is when it
+// did so, which is earlier than now by the time that its answer took to arrive.
+func (c *contact) noteAnswer(prefix string, at time.Time) {
 	c.mu.Lock()
 	before := c.unreachable[prefix]
 	c.unreachable[prefix] = false
 	c.lastAnswer = c.clock.Now()
-	c.confirmedUntil[prefix] = c.lastAnswer.Add(c.validity[prefix])
+	c.confirmedUntil[prefix] = at.Add(c.validity[prefix])
 	c.mu.Unlock()
 	if before {
 		c.log.WithField("prefix", prefix).Info("store regained")
--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -212,8 +212,8 @@
 	}
 	is.Equal(desiredNumber(young), int64(4))
 	is.Equal(len(young.Instances("g")), 1)
-	old.contact.noteAnswer(names.desiredPrefix())
-	old.contact.noteAnswer(names.Instances)
+	old.contact.noteAnswer(names.desiredPrefix(), time.Now())
+	old.contact.noteAnswer(names.Instances, time.Now())
 	u := old.Newer(at(2, 41))
 	is.Equal(u.Complete, at(2, 41))
 	young.Apply(u.Objects)
--- a/internal/catalog/transfer_test.go
+++ b/internal/catalog/transfer_test.go
@@ -1,11 +1,14 @@
 package catalog
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
+	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
 	"github.com/matryer/is"
 )
 
@@ -38,3 +41,44 @@
 	tr.end()
 	is.True(!tr.endsInTime())
 }
+
+// slowStore is a store whose answers take some time to arrive once they have begun.
+type slowStore struct {
+	*memstore.Store
+	takes atomic.Int64
+}
+
+func (s *slowStore) arrive(ctx context.Context) {
+	gypsumyard.ReportProgress(ctx, gypsumyard.Progress{Arrived: 1})
+	time.Sleep(time.Duration(s.takes.Load()))
+}
+
+func (s *slowStore) Watch(ctx context.Context, prefix string, after gypsumyard.Version) ([]gypsumyard.Object, gypsumyard.Version, error) {
+	list, v, err := s.Store.Watch(ctx, prefix, after)
+	s.arrive(ctx)
+	return list, v, err
+}
+
+func (s *slowStore) List(ctx context.Context, prefix string) ([]gypsumyard.Object, gypsumyard.Version, error) {
+	list, v, err := s.Store.List(ctx, prefix)
+	s.arrive(ctx)
+	return list, v, err
+}
+
+// Guards against hosts that rely on a copy for too long because the store's answer, which
+// takes long to arrive, counts from its end.
+func TestAnswerCountsFromItsBeginning(t *testing.T) {
+	const takes = time.Second
+	store := &slowStore{Store: memstore.New()}
+	put(t, store.Store, names.Desired, "1")
+	store.takes.Store(int64(takes))
+	s := startFor(t, forAll(store), nil, "a", []string{"a"}, WithApplyTimeout(5*time.Second))
+	valid := s.cadence.validity
+	var longest time.Duration
+	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		longest = max(longest, s.contact.validFor())
+	}
+	if longest == 0 || longest > valid-takes {
+		t.Fatalf("copies count for %v when answers have arrived, want up to %v", longest, valid-takes)
+	}
+}
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -122,8 +122,15 @@
 	if list || after == 0 || after.Era() < s.latestEra() {
 		return s.list(prefix)
 	}
-	ctx := gypsumyard.WithProgress(s.stopping, func(p gypsumyard.Progress) { s.noteStoreProgress(prefix, p) })
-	ctx, cancel := context.WithTimeout(ctx, s.watchTimeout(prefix, previous != nil))
+	timeout := s.watchTimeout(prefix, previous != nil)
+	var began time.Time
+	ctx := gypsumyard.WithProgress(s.stopping, func(p gypsumyard.Progress) {
+		if began.IsZero() {
+			began = s.clock.Now()
+		}
+		s.noteStoreProgress(prefix, p)
+	})
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	defer s.endStoreProgress(prefix)
 	sent := s.clock.Now()
@@ -136,7 +143,10 @@
 		return err
 	}
 	took := s.clock.Since(sent)
-	s.contact.noteAnswer(prefix)
+	if began.IsZero() {
+		began = s.clock.Now()
+	}
+	s.contact.noteAnswer(prefix, earlier(began, sent.Add(timeout)))
 	n := s.Apply(events)
 	s.setCompleteVersion(prefix, v)
 	s.noteConfirmed(prefix, sent)
@@ -144,6 +154,13 @@
 	return nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // noteRead records that the store has answered a call for a prefix that was sent at the
 // given time, with n objects that were newer than the copies.
 func (s *Service) noteRead(prefix string, sent time.Time, took time.Duration, n int, objects []gypsumyard.Object) {
@@ -303,7 +320,7 @@
 				return fmt.Errorf("list %s: %w: version %v is of an earlier era", prefix, gypsumyard.ErrUnavailable, l.version)
 			}
 			took := s.clock.Since(l.sent)
-			s.contact.noteAnswer(prefix)
+			s.contact.noteAnswer(prefix, l.sent)
 			n := s.applyList(prefix, l.objects, l.version)
 			s.noteConfirmed(prefix, l.sent)
 			s.noteRead(prefix, l.sent, took, n, l.objects)
