peer: do not fetch a large value that this host holds

A host sends each object above the version up to which the copies of the one that asks are complete, and that is no higher than the completeness of its own instances, which a watcher learns with its next answer, after two seconds or less. Until then each pull fetched the same value again.

A host that holds the version gets the object without its value. It stays in the update, since planlist asks others whether they hold an object that way. TestLargeDesiredStateIsFetchedOnce failed (1.9 MB for a state of 1 MB) and passes; TestHeldValueIsNotFetched.

--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -99,6 +99,15 @@
 	return n
 }
 
+// Holds reports whether the copy of the object is of the version, or of a later one of
+// the same era.
+func (c *objectCache) Holds(name string, v gypsumyard.Version) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.objects[name]
+	return o != nil && o.Version.Era() == v.Era() && o.Version >= v
+}
+
 // Newer returns the copies that are newer than after, and the version up to
 // which the copies are complete.
 func (c *objectCache) Newer(after gypsumyard.Version) (list []gypsumyard.Object, complete gypsumyard.Version) {
--- a/internal/catalog/slowlink_test.go
+++ b/internal/catalog/slowlink_test.go
@@ -45,8 +45,18 @@
 	t    *testing.T
 	rate int
 	// mu is held while a chunk passes. Waiters get it in turn.
-	mu   sync.Mutex
-	free time.Time
+	mu     sync.Mutex
+	free   time.Time
+	passed int
+}
+
+// take returns how many bytes have passed since it was last called.
+func (l *slowLink) take() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.passed
+	l.passed = 0
+	return n
 }
 
 // proxy returns the address at which the host reaches the given one through the link.
@@ -99,6 +109,7 @@
 	if now := time.Now(); l.free.Before(now) {
 		l.free = now
 	}
+	l.passed += n
 	l.free = l.free.Add(time.Duration(n) * time.Second / time.Duration(l.rate))
 	time.Sleep(time.Until(l.free))
 }
@@ -125,6 +136,8 @@
 	server   *objects.Server
 	watchers []gypsumyard.Host
 	running  []*runningHost
+	// slow is the link of the host that startSlow has started.
+	slow *slowLink
 }
 
 const watchers = 3
@@ -216,6 +229,7 @@
 func (f *fleet) startSlow() *runningHost {
 	f.t.Helper()
 	l := &slowLink{t: f.t, rate: linkRate}
+	f.slow = l
 	at, err := loopback.FreeAddress()
 	f.must(err)
 	self := gypsumyard.Host{Name: "slow", Addr: at, Region: "region", State: gypsumyard.HostLive}
@@ -297,6 +311,23 @@
 	}
 }
 
+// Guards against a host that fetches a value again which it has, because the host that it
+// asks does not know yet that nothing else has changed.
+func TestLargeDesiredStateIsFetchedOnce(t *testing.T) {
+	f := newFleet(t)
+	h := f.startSlow()
+	f.await(h, 1, applyTimeout)
+	for number := int64(2); number <= 3; number++ {
+		f.slow.take()
+		f.setState(int(number), largeState)
+		f.await(h, number, applyTimeout)
+		time.Sleep(3 * time.Second) // Some pulls later.
+		if n := f.slow.take(); n > largeState*3/2 {
+			t.Fatalf("%d bytes have arrived for a state of %d bytes", n, largeState)
+		}
+	}
+}
+
 // Guards against hosts that suspect each other because heartbeats wait behind a large
 // object on the same connection.
 func TestHeartbeatsPassDuringLargeTransfer(t *testing.T) {
--- a/internal/peer/peers_test.go
+++ b/internal/peer/peers_test.go
@@ -19,6 +19,7 @@
 	applied []gypsumyard.Object
 	after   gypsumyard.Version
 	newer   []gypsumyard.Object
+	held    map[string]gypsumyard.Version
 	done    chan struct{}
 }
 
@@ -33,6 +34,11 @@
 	return len(objects)
 }
 
+func (r *fakeLists) Holds(name string, v gypsumyard.Version) bool {
+	held, ok := r.held[name]
+	return ok && held >= v
+}
+
 func (r *fakeLists) Newer(after gypsumyard.Version) gypsumyard.ObjectUpdate {
 	r.after = after
 	return gypsumyard.ObjectUpdate{
@@ -90,6 +96,23 @@
 	}
 }
 
+// Guards against a large value that is fetched although this host holds it, and against an
+// object that is missing in the update for that reason.
+func TestHeldValueIsNotFetched(t *testing.T) {
+	is := is.New(t)
+	objects := []gypsumyard.Object{
+		{Name: "a", Version: gypsumyard.NewVersion(2, 7), Value: randomValue(2 * partBytes)},
+		{Name: "b", Version: gypsumyard.NewVersion(2, 8), Value: randomValue(2 * partBytes)},
+		{Name: "c", Version: gypsumyard.NewVersion(2, 9), Value: []byte("small")},
+	}
+	_, b := startHost(t, "b", newFakeOwner(nil), &fakeLists{newer: objects, done: make(chan struct{})})
+	held := map[string]gypsumyard.Version{"a": gypsumyard.NewVersion(2, 7), "b": gypsumyard.NewVersion(2, 7), "c": gypsumyard.NewVersion(2, 9)}
+	a, _ := startHost(t, "a", &fakeLists{held: held, done: make(chan struct{})})
+	got, err := a.FetchObjects(t.Context(), b, 0)
+	is.NoErr(err)
+	is.Equal(got.Objects, []gypsumyard.Object{{Name: "a", Version: gypsumyard.NewVersion(2, 7)}, objects[1], objects[2]})
+}
+
 // claimOwner is an owner that answers calls for claims with a script.
 type claimOwner struct {
 	*fakeOwner
--- a/internal/peer/values.go
+++ b/internal/peer/values.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
 	"github.com/gypsumyard/gypsumyard/internal/peer/peerpb"
 )
 
@@ -164,18 +166,23 @@
 }
 
 // receiveObjects returns the objects of the replies to a query, with the values that were
-// left out.
+// left out. An object that this host holds already comes without its value: the other
+// host sends it until it knows that its copies are complete up to its version.
 func (s *Service) receiveObjects(ctx context.Context, from gypsumyard.Host, replies []*peerpb.Reply) (list []gypsumyard.Object, err error) {
 	var progress gypsumyard.Progress
+	var missing []*peerpb.Object
 	for _, r := range replies {
-		progress.Size += int64(min(r.Object.GetSize(), maxValueBytes))
+		if r.Object.GetSize() > 0 && !s.holds(r.Object) {
+			missing = append(missing, r.Object)
+			progress.Size += int64(min(r.Object.GetSize(), maxValueBytes))
+		}
 	}
 	for _, r := range replies {
 		if r.Object == nil {
 			continue
 		}
 		o := decodeObject(r.Object)
-		if r.Object.GetSize() > 0 {
+		if slices.Contains(missing, r.Object) {
 			if o.Value, err = s.fetchValue(ctx, from, r.Object, progress); err != nil {
 				return nil, err
 			}
@@ -186,6 +193,12 @@
 	return list, nil
 }
 
+// holds reports whether this host has a copy of the version of the object.
+func (s *Service) holds(p *peerpb.Object) bool {
+	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](s.kernel, "lists")
+	return err == nil && lists.Holds(p.GetName(), decodeVersion(p.GetEra(), p.GetRevision()))
+}
+
 // fetchValue returns the value that p announces, from the host that has announced it.
 // before is the progress of the whole transfer before this value.
 func (s *Service) fetchValue(ctx context.Context, from gypsumyard.Host, p *peerpb.Object, before gypsumyard.Progress) (data []byte, err error) {
--- a/internal/planlist/inforce.go
+++ b/internal/planlist/inforce.go
@@ -56,5 +56,5 @@
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	d, ok := c.objects[object]
-	return ok && d.Version >= version
+	return ok && d.Version.Era() == version.Era() && d.Version >= version
 }
--- a/internal/planlist/service.go
+++ b/internal/planlist/service.go
@@ -156,6 +156,10 @@
 	return gypsumyard.ObjectUpdate{Objects: objects, Complete: complete}
 }
 
+// Holds reports whether the copy of the object is of the version, or of a later one of
+// the same era.
+func (s *Service) Holds(name string, v gypsumyard.Version) bool { return s.copy.inForce(name, v) }
+
 // Apply stores the objects that are newer than the copies, queues them to be
 // pushed to other hosts and returns their number.
 func (s *Service) Apply(objects []gypsumyard.Object) int {
--- a/peers.go
+++ b/peers.go
@@ -14,7 +14,7 @@
 	// FetchObjects returns what the host's copies add to copies that are complete
 	// up to after. It fails if no more of the answer arrives for a second or less, and
 	// takes as long as the answer needs otherwise. What has arrived of a large value is
-	// not lost when it fails.
+	// not lost when it fails. Large objects that this host holds come without value.
 	FetchObjects(ctx context.Context, from Host, after Version) (ObjectUpdate, error)
 	// ProbeInstance asks a host to read the status of an instance over a new
 	// connection.
@@ -61,6 +61,9 @@
 	Apply(objects []Object) int
 	// Newer returns what the copies add to copies that are complete up to after.
 	Newer(after Version) ObjectUpdate
+	// Holds reports whether the copy of the object is of the version, or of a later one
+	// of the same era.
+	Holds(name string, v Version) bool
 }
 
 // An ObjectUpdate holds what the copies of one host add to those of another.
