--- a/peers.go
+++ b/peers.go
@@ -12,8 +12,8 @@
 	// are newer than its own.
 	PushObjects(ctx context.Context, to Host, objects []Object) error
 	// FetchObjects returns what the host's copies add to copies that are complete
-	// up to after. It fails if no more of the answer arrives for a second or less, and
-	// takes as long as the answer needs otherwise. What has arrived of a large value is
+	// up to after. It fails if no more of the answer arrives for a second, and takes
+	// as long as the answer needs otherwise. What has arrived of a large value is
 	// not lost when it fails. Large objects that this host holds come without value.
 	FetchObjects(ctx context.Context, from Host, after Version) (ObjectUpdate, error)
 	// ProbeInstance asks a host to read the status of an instance over a new
