lineowner: tell which primary is ignored, and why

An operator saw a group wait while an instance said that it led, and no line told why it was not taken for the primary. One line for each such instance with its term and the stored one, and the term in 'replica set stored'. Checked by TestNewReplicasDoNotProveReplacedPrimary.

--- a/internal/lineowner/oldprimary_test.go
+++ b/internal/lineowner/oldprimary_test.go
@@ -53,6 +53,7 @@
 	h.members.Assign(gypsumyard.Assignment{Host: "none"})
 	b := f.addHostWithList("host-b", append(added, old)...)
 	f.awaitWait(b)
+	is.Equal(f.awaitLog(b, "primary was replaced in a later term, ignoring it").Data["instance"], old.ID())
 	f.checkRejected(b)
 	time.Sleep(longAbsence)
 	f.checkRejected(b)
--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -49,6 +49,8 @@
 	// first one is awaited.
 	answered   bool
 	awaitUntil time.Time
+	// refused is the instance that was last refused as a primary that was replaced.
+	refused *instance
 	// acceptedTerm is the term that an instance leads since an operator has accepted the
 	// loss of others, or zero. The set may hold a later one that was lost with them.
 	acceptedTerm gypsumyard.Term
@@ -261,6 +263,7 @@
 		g.wg.Go(func() { g.withReplicaSetTimeout(g.readReplicaSet) })
 		return
 	}
+	g.logReplacedPrimary()
 	p := g.claimedPrimary()
 	if p == nil || now.Sub(g.evidenceFrom(p, (*instance).isListed)) > evidenceTTL {
 		return
@@ -275,6 +278,20 @@
 	})
 }
 
+// logReplacedPrimary logs once that an instance which claims to lead is no primary because
+// the stored set holds a later term. The caller must hold g.mu.
+func (g *group) logReplacedPrimary() {
+	r := &g.replicas
+	for _, i := range g.instances {
+		if i == r.refused || !i.reachable || i.status.role != gypsumyard.RolePrimary || !g.wasReplaced(i.status.term) {
+			continue
+		}
+		r.refused = i
+		g.log.WithFields(logrus.Fields{"instance": i.id, "term": i.status.term, "stored-term": r.set.Term, "version": r.set.version}).
+			Warn("primary was replaced in a later term, ignoring it")
+	}
+}
+
 // withReplicaSetTimeout makes one call for the replica set.
 func (g *group) withReplicaSetTimeout(call func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(g.ctx, replicaSetTimeout)
@@ -339,7 +356,7 @@
 	s.version = v
 	g.replicas.set, g.replicas.mustRewrite = s, false
 	g.noteStored(s)
-	g.log.WithFields(logrus.Fields{"version": v, "instances": s.Replicas}).Info("replica set stored")
+	g.log.WithFields(logrus.Fields{"version": v, "instances": s.Replicas, "term": s.Term}).Info("replica set stored")
 	return nil
 }
 
