catalog: the watch of the store is a function of its own

readStore had grown by what belongs to one watch: its progress, its age, its logs. No change of behavior but one: the progress of a watch whose history is gone ends before the list begins.

--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -122,7 +122,18 @@
 	if list || after == 0 || after.Era() < s.latestEra() {
 		return s.list(prefix)
 	}
-	timeout := s.watchTimeout(prefix, previous != nil)
+	err := s.watch(prefix, after, s.watchTimeout(prefix, previous != nil))
+	if errors.Is(err, gypsumyard.ErrHistoryGone) {
+		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
+		return s.list(prefix)
+	}
+	return err
+}
+
+// watch applies what has changed since the version, and waits for a change for up to the
+// timeout. The copies are confirmed as of the beginning of the answer: what it says is as
+// old, however long it takes to arrive.
+func (s *Service) watch(prefix string, after gypsumyard.Version, timeout time.Duration) error {
 	var began time.Time
 	ctx := gypsumyard.WithProgress(s.stopping, func(p gypsumyard.Progress) {
 		if began.IsZero() {
@@ -135,10 +146,6 @@
 	defer s.endStoreProgress(prefix)
 	sent := s.clock.Now()
 	events, v, err := s.store(s.callReason(prefix)).Watch(ctx, prefix, after)
-	if errors.Is(err, gypsumyard.ErrHistoryGone) {
-		s.log.WithFields(logrus.Fields{"prefix": prefix, "after": after}).Info("history of the store is gone, listing again")
-		return s.list(prefix)
-	}
 	if err != nil {
 		return err
 	}
@@ -146,6 +153,7 @@
 	if began.IsZero() {
 		began = s.clock.Now()
 	}
+	// A host that was suspended meanwhile sees the answer late.
 	s.contact.noteAnswer(prefix, earlier(began, sent.Add(timeout)))
 	n := s.Apply(events)
 	s.setCompleteVersion(prefix, v)
