--- a/internal/peer/values.go
+++ b/internal/peer/values.go
@@ -21,8 +21,8 @@
 const (
 	// partTimeout bounds the wait for one part of a value.
 	partTimeout = time.Second
-	// maxValueBytes bounds the length of a value that is fetched in parts. It exceeds
-	// what the platform's client accepts from the store.
+	// maxValueBytes bounds the length of a value that is fetched in parts. A host accepts
+	// no longer response from the store either.
 	maxValueBytes = 32 << 20
 	// heldValueTimeout is how long after its last use a value is held for hosts that
 	// fetch it, also when a newer one has replaced it: hosts could otherwise not end a
@@ -172,7 +172,7 @@
 	var progress gypsumyard.Progress
 	var missing []*peerpb.Object
 	for _, r := range replies {
-		if r.Object.GetSize() > 0 && !s.holds(r.Object) {
+		if r.Object.GetSize() > 0 && !s.hasCopy(r.Object) {
 			missing = append(missing, r.Object)
 			progress.Size += int64(min(r.Object.GetSize(), maxValueBytes))
 		}
@@ -193,8 +193,8 @@
 	return list, nil
 }
 
-// holds reports whether this host has a copy of the version of the object.
-func (s *Service) holds(p *peerpb.Object) bool {
+// hasCopy reports whether this host has a copy of the version of the object.
+func (s *Service) hasCopy(p *peerpb.Object) bool {
 	lists, err := kernel.Lookup[gypsumyard.ObjectReplica](s.kernel, "lists")
 	return err == nil && lists.Holds(p.GetName(), decodeVersion(p.GetEra(), p.GetRevision()))
 }
