lineowner: read the stored set no sooner than before

Traced by the log: 'ownership gained', then three times 'instance of the stored replica set is not listed', one millisecond later.

The set is read by the first check of the supervisor again, 50 ms later, as before. The wait of up to 300 ms for it stays.

--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -151,7 +151,6 @@
 	g.ownedCtx, g.cancelOwned = context.WithCancelCause(ctx)
 	g.awaitReplicaSet()
 	g.update()
-	g.syncReplicaSet()
 	g.wg.Go(g.supervise)
 	g.wg.Go(g.rollBackIdleTransactions)
 	return g
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -277,7 +277,6 @@
 	}
 	g.regainOwnership()
 	g.update()
-	g.syncReplicaSet()
 	return g
 }
 
