lineowner: transfer a group whose primary only the claim proves

Callers of a host that reaches the primary but no replica stay with it for as long as the store answers, although another host reaches all instances.

The age of the evidence decided on the transfer, and the claim in the store counts as evidence.

--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -113,6 +113,8 @@
 	// evidenceAt is the latest time at which the primary was certain, or when
 	// the group was taken over.
 	evidenceAt time.Time
+	// ownedSince is when this host last took the group over.
+	ownedSince time.Time
 	peerViews  peerViews
 	// election is the state of failure detection and elections.
 	election election
@@ -142,6 +144,7 @@
 		changed:      make(chan struct{}),
 		lastRequest:  s.clock.Now(),
 		evidenceAt:   s.clock.Now(),
+		ownedSince:   s.clock.Now(),
 
 		transactionWaits: map[string]int{},
 	}
@@ -332,6 +335,7 @@
 	if g.ownedCtx.Err() != nil && g.ctx.Err() == nil {
 		g.log.Info("ownership regained")
 		g.ownedCtx, g.cancelOwned = context.WithCancelCause(g.ctx)
+		g.ownedSince = g.clock.Now()
 		g.restartQuota()
 		g.awaitReplicaSet()
 	}
--- a/internal/lineowner/transfer.go
+++ b/internal/lineowner/transfer.go
@@ -24,8 +24,8 @@
 	probeTimeout = 250 * time.Millisecond
 	// maxPeerViewAge is how long the answers are relied on.
 	maxPeerViewAge = 2 * time.Second
-	// transferEvidenceAge is how old the evidence for the primary must be before
-	// the group is transferred to a host that reaches more instances.
+	// transferEvidenceAge is how old the evidence from instances for the primary must
+	// be before the group is transferred to a host that reaches more instances.
 	transferEvidenceAge = 600 * time.Millisecond
 	// assignmentDuration is how long a transfer holds, assignmentInterval how
 	// often the assigned owner resends the assignment to the other hosts.
@@ -170,7 +170,9 @@
 	if p, at := g.provenPrimary(); p != nil {
 		g.evidenceAt = later(at, g.evidenceAt)
 	}
-	evidenceAge := now.Sub(g.evidenceAt)
+	// The claim may prove the primary for as long as the store answers, but it gives
+	// this host no replicas.
+	evidenceAge := now.Sub(later(g.lastProof.at, g.ownedSince))
 	g.mu.Unlock()
 	if !silent {
 		return false
