lineowner: instances of a set that is read before the list may prove who leads

The read of the set noted which instances it holds before it added those that are not listed. These so counted as not stored, and an instance that is not stored proves nothing. They are noted after all have been added. They still have to settle by a claim that was read after that, so no election in progress is missed.

--- a/internal/lineowner/replicas.go
+++ b/internal/lineowner/replicas.go
@@ -329,12 +329,12 @@
 	defer g.mu.Unlock()
 	g.replicas.set, g.replicas.known, g.replicas.mustRead = s, true, false
 	g.noteAcknowledged(s.Acknowledged)
-	g.noteStored(s)
 	for _, m := range s.Replicas {
 		if !g.forgotten[m] && !g.knowsReplica(m) {
 			g.addDeparted(m)
 		}
 	}
+	g.noteStored(s)
 	return nil
 }
 
@@ -408,7 +408,6 @@
 	g.log.WithFields(logrus.Fields{"instance": m.ID, "address": m.Address.String()}).Info("instance of the stored replica set is not listed")
 	i := g.newInstance(gypsumyard.ListedInstance{ID: m.ID, Group: g.name, Addr: m.Address, Started: time.UnixMilli(m.Started)})
 	i.departure = &departure{since: g.clock.Now()}
-	i.storedVersion = g.replicas.set.version
 	if i.successor = g.listedAt(i); i.successor != nil {
 		i.retire()
 	}
