logs: lines about single requests leave room for those about the host

The log of a host that had lost the group still ended with "election waits for absent instances", so the operator of the soak accepted a loss in a term that was not the one awaited. The lines "ownership lost" and "election waits no longer" were missing: 259 lines "statement refused" in the same half second had used up the limit of 200 lines a second, which kept a quarter of the burst for warnings only.

Lines that name a request or a session now leave 50 of the 400 lines of a burst to those about the state of the host, and within both infos to warnings.

--- a/internal/logs/explain.go
+++ b/internal/logs/explain.go
@@ -19,6 +19,12 @@
 // maxLineBytes is the size of the longest log line that can be read.
 const maxLineBytes = 1 << 20
 
+// The fields in which lines name the request and the session that they are about.
+const (
+	fieldRequest = "request"
+	fieldSession = "session"
+)
+
 // A Line is a decoded log line.
 type Line struct {
 	Time    time.Time
@@ -48,7 +54,7 @@
 		return fmt.Errorf("explain %s: %w", request, errNoRequest)
 	}
 	for _, l := range all {
-		named := l.stringField("request") == request
+		named := l.stringField(fieldRequest) == request
 		if !named && !s.inContext(l) {
 			continue
 		}
@@ -101,7 +107,7 @@
 func requestSpan(all []Line, request string) (s span, ok bool) {
 	s.hosts = map[string]bool{}
 	for _, l := range all {
-		if l.stringField("request") != request {
+		if l.stringField(fieldRequest) != request {
 			continue
 		}
 		if !ok {
@@ -119,7 +125,7 @@
 // the database group of the request, on any host, or about no group, on a host
 // of the request.
 func (s span) inContext(l Line) bool {
-	if l.stringField("request") != "" || l.stringField("session") != "" || l.Time.Before(s.first.Add(-contextWindow)) || l.Time.After(s.last.Add(contextWindow)) {
+	if l.stringField(fieldRequest) != "" || l.stringField(fieldSession) != "" || l.Time.Before(s.first.Add(-contextWindow)) || l.Time.After(s.last.Add(contextWindow)) {
 		return false
 	}
 	d := l.stringField("database")
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -58,6 +58,32 @@
 	is.True(strings.Count(out.out.String(), "statement has run") < 2*burstLines)
 }
 
+// Guards against lines about the state of a host that are dropped because lines about
+// single requests have used up the rate limit: an operator saw a wait that had ended, and
+// accepted a loss that did not end the present one (soak seed 9203).
+func TestStateGoesBeforeRequests(t *testing.T) {
+	for _, field := range []string{"request", "session"} {
+		for _, level := range []logrus.Level{logrus.InfoLevel, logrus.WarnLevel} {
+			t.Run(field+" "+level.String(), func(t *testing.T) {
+				is := is.New(t)
+				out := &blockingWriter{release: make(chan struct{})}
+				close(out.release)
+				w := NewWriter(out)
+				log := New(w, logrus.InfoLevel)
+				for range 2 * burstLines {
+					log.WithField(field, "r1").Log(level, "statement refused")
+				}
+				for range 10 {
+					log.Info("election waits no longer")
+				}
+				w.Close()
+				is.Equal(strings.Count(out.out.String(), "election waits no longer"), 10)
+				is.True(strings.Count(out.out.String(), "statement refused") < 2*burstLines)
+			})
+		}
+	}
+}
+
 // Guards against an explanation that includes lines of other requests or
 // groups, or lacks lines about the database group of the request.
 func TestExplain(t *testing.T) {
--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -17,9 +17,9 @@
 	// log lines. Lines beyond the limit are dropped and counted.
 	linesPerSecond = 200
 	burstLines     = 400
-	// reservedTokens is the part of the burst that is reserved for warnings and
-	// errors.
-	reservedTokens = burstLines / 4
+	// reservedTokens is the part of the burst that the lines of each importance leave to
+	// those of the next one.
+	reservedTokens = burstLines / 8
 	// reportInterval is the interval at which the number of dropped lines is
 	// logged.
 	reportInterval = time.Second
@@ -42,6 +42,38 @@
 	refilledAt time.Time
 }
 
+// An importance orders lines by which are dropped first.
+type importance int
+
+// The importances of lines. A line about the state of the host comes before those about
+// single requests, of which there may be thousands a second: the next line about the same
+// state may come much later.
+const (
+	requestInfo importance = iota
+	requestWarning
+	stateInfo
+	stateWarning
+
+	mostImportant = stateWarning
+)
+
+// importanceOf returns the importance of a line. Lines about a request or a session name
+// it in a field.
+func importanceOf(e *logrus.Entry) importance {
+	_, request := e.Data[fieldRequest]
+	_, session := e.Data[fieldSession]
+	warning := e.Level <= logrus.WarnLevel
+	switch {
+	case (request || session) && warning:
+		return requestWarning
+	case request || session:
+		return requestInfo
+	case warning:
+		return stateWarning
+	}
+	return stateInfo
+}
+
 // NewWriter returns a Writer that writes to out. It must be closed.
 func NewWriter(out io.Writer) *Writer {
 	w := &Writer{
@@ -69,19 +101,14 @@
 	return len(p), nil
 }
 
-// allow takes a token for a line and reports whether there was one. Lines that
-// are not urgent leave reservedTokens for those that are.
-func (w *Writer) allow(urgent bool) bool {
+// allow takes a token for a line and reports whether there was one.
+func (w *Writer) allow(i importance) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	w.tokens = min(burstLines, w.tokens+linesPerSecond*now.Sub(w.refilledAt).Seconds())
 	w.refilledAt = now
-	floor := 1.0
-	if !urgent {
-		floor += reservedTokens
-	}
-	if w.tokens < floor {
+	if floor := 1 + reservedTokens*float64(mostImportant-i); w.tokens < floor {
 		w.dropped.Add(1)
 		return false
 	}
@@ -144,7 +171,7 @@
 
 // Format returns nil for a line that is dropped.
 func (f formatter) Format(e *logrus.Entry) ([]byte, error) {
-	if !f.writer.allow(e.Level <= logrus.WarnLevel) {
+	if !f.writer.allow(importanceOf(e)) {
 		return nil, nil
 	}
 	return f.inner.Format(e)
