lineowner: an owner rejects work on a route that it has long known to be gone

That their copy was late because large values did not arrive is shown by tests only, and a host that is late for another reason would do the same: it cannot tell a late copy from a store that is away for all.

Their requests were run by an owner that had the new state. A request now carries the number of the desired state by which its route was found. An owner that has had a later one for 1.5 s rejects it as not run, with a time to come back, if the state in force does not route it to its database. Requests of open transactions go on. Hosts of before send no number.

--- a/internal/linecaller/execute.go
+++ b/internal/linecaller/execute.go
@@ -23,19 +23,21 @@
 // execute sends a statement to the owner of the database group and buffers the
 // response. It fails with errDenied if the session must end.
 func (ss *session) execute(id, text string, st line.Statement) error {
-	route, ok := ss.tx.route, true
+	route, number := ss.tx.route, ss.tx.desiredNumber
 	if ss.state == stateIdle {
-		route, ok = ss.route()
-	}
-	if !ok {
-		ss.fail(id, line.CodeNoDatabase, ss.database)
-		return nil
+		var ok bool
+		if route, ok = ss.route(); !ok {
+			ss.fail(id, line.CodeNoDatabase, ss.database)
+			return nil
+		}
+		number = ss.desired.Number
 	}
 	r, code := ss.buildRequest(id, text, st, route)
 	if code != "" {
 		ss.fail(id, code, st.Name)
 		return nil
 	}
+	r.DesiredNumber = number
 	outLen := len(ss.out)
 	res, err := ss.server.executor.Execute(ss.server.ctx, r, responseBuffer{ss})
 	if err != nil {
--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -72,8 +72,10 @@
 // A transaction is the transaction of a session in stateTransaction or
 // stateFailed.
 type transaction struct {
-	route    gypsumyard.Route
-	readOnly bool
+	route gypsumyard.Route
+	// desiredNumber is the number of the desired state that has the route.
+	desiredNumber int64
+	readOnly      bool
 	// customer is the one for which the transaction was opened, or empty.
 	customer string
 	// handle and owner are empty until the first statement has opened the
@@ -307,7 +309,7 @@
 		ss.fail(id, line.CodeNoDatabase, ss.database)
 		return
 	}
-	ss.tx = transaction{route: r, readOnly: st.ReadOnly, customer: ss.customer}
+	ss.tx = transaction{route: r, desiredNumber: ss.desired.Number, readOnly: st.ReadOnly, customer: ss.customer}
 	ss.setState(stateTransaction)
 	ss.completeLocally()
 }
--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -68,6 +68,9 @@
 	if err := g.checkKey(j); err != nil {
 		return gypsumyard.Result{}, err
 	}
+	if err := g.checkRoute(j); err != nil {
+		return gypsumyard.Result{}, err
+	}
 	g.classifyUrgency(j)
 	ctx, cancel := g.requestContext(ctx, r)
 	defer cancel()
--- a/internal/lineowner/keys.go
+++ b/internal/lineowner/keys.go
@@ -11,9 +11,10 @@
 	// keyRetryAfter is when a caller whose key is still valid may try again: the host
 	// that it is connected to has the present desired state by then.
 	keyRetryAfter = 500 * time.Millisecond
-	// keyLogRate and keyLogBurst bound the log lines about rejected keys a second.
-	keyLogRate  = 10
-	keyLogBurst = 50
+	// rejectionLogRate and rejectionLogBurst bound the log lines about rejected requests
+	// of one kind a second.
+	rejectionLogRate  = 10
+	rejectionLogBurst = 50
 )
 
 // checkKey rejects a request of a session with a key if the desired state of this host is
@@ -54,5 +55,5 @@
 	return e
 }
 
-// newKeyLog returns the limiter of log lines about rejected keys.
-func newKeyLog() *rate.Limiter { return rate.NewLimiter(keyLogRate, keyLogBurst) }
+// newRejectionLog returns the limiter of log lines about one kind of rejected requests.
+func newRejectionLog() *rate.Limiter { return rate.NewLimiter(rejectionLogRate, rejectionLogBurst) }
--- a/internal/lineowner/metrics.go
+++ b/internal/lineowner/metrics.go
@@ -18,6 +18,9 @@
 	promotions   tally.Counter
 	// keysRejected counts the requests whose key was withdrawn or moved.
 	keysRejected tally.Counter
+	// outdatedRoutes counts the requests that hosts have routed by an outdated desired
+	// state to a group that no longer serves their routes.
+	outdatedRoutes tally.Counter
 	// Connections to instances: opened or tried, closed for another customer or a
 	// lower limit, and requests that had to wait for one.
 	connectionsOpened  tally.Counter
@@ -51,6 +54,8 @@
 		promotions:   s.Counter("owner_promotions"),
 		keysRejected: s.Counter("owner_keys_rejected"),
 
+		outdatedRoutes: s.Counter("owner_outdated_routes"),
+
 		connectionsOpened:  s.Counter("owner_connections_opened"),
 		connectionsEvicted: s.Counter("owner_connections_evicted"),
 		connectionWaits:    s.Counter("owner_connection_waits"),
--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -51,6 +51,8 @@
 	failureDomain   string
 	lastHandle      atomic.Uint64
 	keyLog          *rate.Limiter
+	states          stateHistory
+	routeLog        *rate.Limiter
 	suspectLog      *rate.Limiter
 	quota           quotas
 	ctx             context.Context
@@ -107,7 +109,8 @@
 		replicaSets: &replicaSetStore{store: relayed},
 		eras:        era.NewTracker(),
 		promotions:  promotions,
-		keyLog:      newKeyLog(),
+		keyLog:      newRejectionLog(),
+		routeLog:    newRejectionLog(),
 		suspectLog:  newSuspectLog(),
 		done:        make(chan struct{}),
 		groups:      map[string]*group{},
@@ -238,6 +241,7 @@
 	if s.stopping {
 		return
 	}
+	s.states.note(d.Number, s.clock.Now())
 	s.updateReach(d)
 	for name := range d.Groups {
 		g := s.groups[name]
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -50,6 +50,7 @@
 		MaxStalenessNs: int64(r.MaxStaleness),
 		Position:       encodePosition(r.Position),
 		PositionKnown:  r.PositionKnown,
+		DesiredNumber:  r.DesiredNumber,
 		Transaction:    r.Transaction,
 		Owner:          r.Owner,
 	}
@@ -81,6 +82,7 @@
 		MaxStaleness:  time.Duration(p.MaxStalenessNs),
 		Position:      decodePosition(p.Position),
 		PositionKnown: p.PositionKnown,
+		DesiredNumber: p.DesiredNumber,
 		Transaction:   p.Transaction,
 		Owner:         p.Owner,
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -30,7 +30,7 @@
 	r := gypsumyard.Request{
 		Session: "s", Customer: "c", Login: "l", Database: "d", Class: gypsumyard.StatementBegin,
 		Messages: bytes.Repeat([]byte("m"), 100_000), Shape: 7, Repeatable: true, Priority: true, Long: true,
-		MaxStaleness: time.Second, Position: gypsumyard.Position{Term: 1, Offset: 2}, PositionKnown: true,
+		MaxStaleness: time.Second, Position: gypsumyard.Position{Term: 1, Offset: 2}, PositionKnown: true, DesiredNumber: 21,
 		Settings: []gypsumyard.Setting{{Name: "n", Value: "v"}}, Transaction: "t", Owner: "b",
 		Deadline: time.Now().Add(time.Minute),
 	}
--- a/request.go
+++ b/request.go
@@ -62,6 +62,9 @@
 	// PositionKnown is false if the session may have written through another
 	// host. The owner then uses a safe upper bound of the position.
 	PositionKnown bool
+	// DesiredNumber is the number of the desired state by which the route of the
+	// request was found. Zero means unknown.
+	DesiredNumber int64
 	// Settings are the session parameters that the session has set.
 	Settings []Setting
 	// Transaction is the handle of the open transaction, empty if there is none.
