member: the hosts that serve all others are among the large ones

Three hosts watch the store for the desired state and send it to all others. A state of 690 KB is 17 MB from each watcher to 74 hosts, 14 s over such a link, in which the watcher's callers wait as well. Another transfer ends when the host that asks reads the store itself, so hosts are in time, but only just.

Hosts with at least half of the highest capacity now come first in that choice. The order among equal capacities, or if one is not known, does not change (TestTopRankedWithoutCapacities). TestTopRankedAreLarge fails on the code before.

--- a/internal/member/platform.go
+++ b/internal/member/platform.go
@@ -73,7 +73,7 @@
 }
 
 // TopRanked returns the n hosts of this region that rank highest in rendezvous
-// order for the key, in this host's view.
+// order for the key, in this host's view. Hosts of large capacity come first.
 func (s *Service) TopRanked(key string, n int) (hosts []gypsumyard.Host) {
 	for _, c := range topCandidates(s.view().regions[s.self.host.Region], key, n) {
 		hosts = append(hosts, c.host)
--- a/internal/member/rendezvous.go
+++ b/internal/member/rendezvous.go
@@ -113,12 +113,42 @@
 }
 
 // topCandidates returns the n candidates that rank highest for the key, highest first.
+// Large ones come before all others: the few hosts that serve something to all hosts are
+// a bottleneck if one of them has little capacity.
 func topCandidates(candidates []candidate, key string, n int) []candidate {
+	r := newRanking(candidates, key)
+	limit := 0
+	if r.weighted {
+		limit = largeCapacity(candidates)
+	}
 	sorted := slices.Clone(candidates)
-	slices.SortStableFunc(sorted, newRanking(candidates, key).compare)
+	slices.SortStableFunc(sorted, func(a, b candidate) int {
+		if la, lb := a.host.Millicores >= limit, b.host.Millicores >= limit; la != lb {
+			return largeFirst(la)
+		}
+		return r.compare(a, b)
+	})
 	return sorted[:min(n, len(sorted))]
 }
 
+// largeCapacity returns half of the highest capacity in thousandths of a core. Hosts that
+// have as much count as large.
+func largeCapacity(candidates []candidate) (limit int) {
+	for i := range candidates {
+		limit = max(limit, (candidates[i].host.Millicores+1)/2)
+	}
+	return limit
+}
+
+// largeFirst orders a large candidate before one that is not. It gets whether the first of
+// them is large.
+func largeFirst(large bool) int {
+	if large {
+		return -1
+	}
+	return 1
+}
+
 // A view is an immutable snapshot of the table for readers, with a cache of the
 // owners that were looked up.
 type view struct {
--- a/internal/member/rendezvous_test.go
+++ b/internal/member/rendezvous_test.go
@@ -83,3 +83,41 @@
 		is.True(before.Name == all[9].host.Name || before.Name == after.Name)
 	}
 }
+
+// Pattern: a few hosts serve a large desired state to all others, most of which have narrow
+// links and little capacity.
+//
+// Guards against a host of little capacity among these few: the state leaves it too slowly
+// for the others to have it in time, and its own callers wait meanwhile.
+func TestTopRankedAreLarge(t *testing.T) {
+	is := is.New(t)
+	for n := range 300 {
+		key := fmt.Sprintf("list-%d", n)
+		for _, c := range topCandidates(uneven(), key, 3) {
+			is.Equal(c.host.Millicores, 800)
+		}
+		filled := topCandidates(hostsOf(192, 192, 800, 192, 500, 192), key, 3)
+		is.True(filled[0].host.Millicores >= 500 && filled[1].host.Millicores >= 500)
+		is.Equal(filled[2].host.Millicores, 192)
+		is.Equal(len(topCandidates(hostsOf(400, 100), key, 3)), 2)
+	}
+}
+
+// Guards against an order of the top hosts that changes where capacities are equal, or not
+// known of all hosts, and against a host that is always the first.
+func TestTopRankedWithoutCapacities(t *testing.T) {
+	is := is.New(t)
+	plain, equal, partial := hostsOf(0, 0, 0, 0, 0), hostsOf(400, 400, 400, 400, 400), hostsOf(400, 0, 800, 400, 200)
+	first := map[string]bool{}
+	for n := range 200 {
+		key := fmt.Sprintf("list-%d", n)
+		want := topCandidates(plain, key, 3)
+		for _, list := range [][]candidate{equal, partial} {
+			for n, c := range topCandidates(list, key, 3) {
+				is.Equal(c.host.Name, want[n].host.Name)
+			}
+		}
+		first[topCandidates(uneven(), key, 1)[0].host.Name] = true
+	}
+	is.Equal(len(first), 8)
+}
