catalog: a transfer from a peer goes on until its state counts

A host read from the store, over its narrow link, the large desired state that it had just received from a peer, if the answer of the peer before had ceased to be valid meanwhile: the transfer counted as ended while its state was being decoded, 30 to 50 ms for 1 MB. The next state then waited for the link.

The transfer now ends when the update has been applied and counts.

--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -82,8 +82,10 @@
 	after := s.minCompleteVersionLocked()
 	s.mu.Unlock()
 	sent := s.clock.Now()
+	// Up to the end of this function: until the update is applied and counts, this host
+	// would read from the store what has just arrived.
+	defer s.peerTransfer.end()
 	u, err := peers.FetchObjects(gypsumyard.WithProgress(s.stopping, s.peerTransfer.note), from, after)
-	s.peerTransfer.end()
 	if err != nil {
 		return fmt.Errorf("from %s: %w", from.Name, err)
 	}
--- a/internal/catalog/transfer_test.go
+++ b/internal/catalog/transfer_test.go
@@ -9,6 +9,8 @@
 	"github.com/gypsumyard/gypsumyard"
 	"github.com/gypsumyard/gypsumyard/internal/clock"
 	"github.com/gypsumyard/gypsumyard/internal/emulate/memstore"
+	"github.com/gypsumyard/gypsumyard/internal/kernel"
+	"github.com/gypsumyard/gypsumyard/internal/kernel/kerneltest"
 	"github.com/matryer/is"
 )
 
@@ -82,3 +84,47 @@
 		t.Fatalf("copies count for %v when answers have arrived, want up to %v", longest, valid-takes)
 	}
 }
+
+// A sendingPeers answers each fetch with a large desired state.
+type sendingPeers struct {
+	kerneltest.Stub
+	gypsumyard.PeerClient
+	state gypsumyard.Object
+}
+
+func (p *sendingPeers) FetchObjects(ctx context.Context, _ gypsumyard.Host, _ gypsumyard.Version) (gypsumyard.ObjectUpdate, error) {
+	gypsumyard.ReportProgress(ctx, gypsumyard.Progress{Arrived: 500, Size: 1000})
+	gypsumyard.ReportProgress(ctx, gypsumyard.Progress{Arrived: 1000, Size: 1000})
+	return gypsumyard.ObjectUpdate{Objects: []gypsumyard.Object{p.state}, Complete: p.state.Version}, nil
+}
+
+// A watchedDecoder calls a function while it decodes a desired state.
+type watchedDecoder struct {
+	decoder
+	decoding func()
+}
+
+func (d watchedDecoder) DesiredState(o gypsumyard.Object) (*gypsumyard.DesiredState, error) {
+	d.decoding()
+	return d.decoder.DesiredState(o)
+}
+
+// Guards against a host that reads a large desired state from the store while it puts in
+// force the same one from a peer: the answer takes the link from the next transfer.
+func TestTransferLastsUntilItsStateIsInForce(t *testing.T) {
+	is := is.New(t)
+	store := memstore.New()
+	var s *Service
+	var transferring []bool
+	d := watchedDecoder{decoding: func() { transferring = append(transferring, s.peerTransfer.endsInTime()) }}
+	s = New(forAll(store), d, names, "region")
+	p := &sendingPeers{Stub: kerneltest.New("peer"), state: gypsumyard.Object{Name: names.Desired, Version: 7, Value: []byte("2")}}
+	m := &members{Stub: kerneltest.New("members"), self: "host-1", hosts: []gypsumyard.Host{{Name: "host-0", State: gypsumyard.HostLive}}}
+	k, err := kernel.New(p, m)
+	is.NoErr(err)
+	s.kernel = k
+	is.NoErr(s.pullFromPeer())
+	is.Equal(desiredNumber(s), int64(2))
+	is.Equal(transferring, []bool{true})
+	is.True(!s.peerTransfer.endsInTime())
+}
