httpcall: a response that arrives steadily does not count as stalled

Traced by an instrumented run (trial): a host read the store beside its peers; 1.94 MB were on their way, two states, since the watch began before the state that had just arrived. The bytes came without a pause, but the read was ended as stalled after 3.2 s, all was lost, and the pull from a peer, which waits for the store's answer meanwhile, began too late.

A read of a chunked body returns only when the buffer is full or the chunk has ended. io.ReadAll's buffer grows with the body, so one read waited for 560 KB, longer than the pause allowed.

Reads of bodies with a bounded pause are of 16 KB at most.

--- a/internal/httpcall/transfer.go
+++ b/internal/httpcall/transfer.go
@@ -11,8 +11,13 @@
 	"github.com/gypsumyard/gypsumyard"
 )
 
-// maxTransfer bounds the time for which a response arrives.
-const maxTransfer = 30 * time.Second
+const (
+	// maxTransfer bounds the time for which a response arrives.
+	maxTransfer = 30 * time.Second
+	// maxReadBytes bounds one read of a body. A read of a chunked body returns only when
+	// the buffer is full or the chunk has ended, which would look like a pause.
+	maxReadBytes = 16 << 10
+)
 
 // errStalled ends a transfer in which nothing arrives. It counts as a timeout.
 var errStalled = fmt.Errorf("response has stalled: %w", context.DeadlineExceeded)
@@ -88,7 +93,7 @@
 
 // Read reads the next piece of the body.
 func (b *body) Read(p []byte) (n int, err error) {
-	n, err = b.Reader.Read(p)
+	n, err = b.Reader.Read(p[:min(len(p), maxReadBytes)])
 	if n > 0 {
 		b.arrived += int64(n)
 		if b.call != nil {
--- a/internal/httpcall/transfer_test.go
+++ b/internal/httpcall/transfer_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +92,44 @@
 		})
 	}
 }
+
+// Guards against a large response that arrives steadily and counts as stalled, because one
+// read waits for as much as its buffer holds.
+func TestSteadyResponseDoesNotStall(t *testing.T) {
+	const (
+		piece    = 4 << 10
+		pieces   = 100
+		interval = 15 * time.Millisecond
+		maxPause = 200 * time.Millisecond
+		size     = pieces*piece + 2 // With the quotation marks.
+	)
+	for name, frame := range map[string][2]string{
+		"in one chunk":                  {fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n", size), "\r\n0\r\n\r\n"},
+		"of known length":               {fmt.Sprintf("Content-Length: %d\r\n\r\n", size), ""},
+		"until the end of a connection": {"Connection: close\r\n\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+frame[0]+`"`)
+				for range pieces {
+					time.Sleep(interval)
+					_, _ = io.WriteString(c, strings.Repeat("x", piece))
+				}
+				_, _ = io.WriteString(c, `"`+frame[1])
+			}))
+			defer server.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			var out string
+			is.NoErr(Do(ctx, server.Client(), Call{Method: http.MethodGet, URL: server.URL, MaxResponseBytes: 1 << 20, MaxPause: maxPause}, &out))
+			is.Equal(len(out), pieces*piece)
+		})
+	}
+}
