lineowner: say what the log limiters and the state history are for

A newcomer reading the service found a field for the history of desired states between two limiters of log lines, without a comment. Comments and the order of fields only; go build and vet pass.

--- a/internal/lineowner/service.go
+++ b/internal/lineowner/service.go
@@ -50,15 +50,18 @@
 	self            string
 	failureDomain   string
 	lastHandle      atomic.Uint64
-	keyLog          *rate.Limiter
-	states          stateHistory
-	routeLog        *rate.Limiter
-	suspectLog      *rate.Limiter
-	quota           quotas
-	ctx             context.Context
-	cancel          context.CancelFunc
-	wg              sync.WaitGroup
-	done            chan struct{}
+	// states tells which hosts use an outdated desired state.
+	states stateHistory
+	// keyLog, routeLog and suspectLog bound the lines about rejected keys and routes, and
+	// about slow instances.
+	keyLog     *rate.Limiter
+	routeLog   *rate.Limiter
+	suspectLog *rate.Limiter
+	quota      quotas
+	ctx        context.Context
+	cancel     context.CancelFunc
+	wg         sync.WaitGroup
+	done       chan struct{}
 
 	mu       sync.Mutex
 	groups   map[string]*group
