--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -25,9 +25,9 @@
 	saveBytes = 1_000_000
 	// burstSaves is how many saves come at once. In the quiet run as many come one after
 	// the other.
-	burstSaves = 100
+	burstSaves = 150
 	// bursts is how often that happens, and burstGap the pause between two of them.
-	bursts   = 8
+	bursts   = 5
 	burstGap = 8 * time.Second
 	// endsAllowed is how often a process may end by itself on each of faultyHosts hosts
 	// before the day has a fault.
--- a/review/standin/roll.go
+++ b/review/standin/roll.go
@@ -18,7 +18,7 @@
 	// rollGap is the pause between the stops of two hosts.
 	rollGap = 2 * time.Second
 	// rollSessions is how many sessions each host has.
-	rollSessions = 8
+	rollSessions = 16
 	// beginAfter and readAfter are when each session begins its transaction and sends the
 	// transaction's first statement, since its host got SIGTERM.
 	beginAfter = 1500 * time.Millisecond
@@ -58,7 +58,7 @@
 		for k := range rollSessions {
 			wg.Go(func() {
 				name := fmt.Sprintf("c%d-%d", n+1, k+1)
-				if b := browse(h, name, stop.Add(time.Duration(k)*20*time.Millisecond), r); b != "" {
+				if b := browse(h, name, stop.Add(time.Duration(k)*15*time.Millisecond), r); b != "" {
 					mu.Lock()
 					defer mu.Unlock()
 					breaks = append(breaks, b)
