--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -135,7 +135,7 @@
 		var wg sync.WaitGroup
 		for k := range burstSaves {
 			save := func() {
-				if saveOnce(s.hosts[k%len(s.hosts)], fmt.Sprintf("b%d-%d", n+1, k+1), data) {
+				if saveOnce(s.hosts[k%len(s.hosts)], fmt.Sprintf("b%d-%d", n+1, k+1), data, r) {
 					answered.Add(1)
 				} else {
 					unanswered.Add(1)
@@ -168,12 +168,15 @@
 }
 
 // saveOnce saves data in a session of its own. It reports whether the save was answered.
-func saveOnce(h *host, name, data string) bool {
+func saveOnce(h *host, name, data string, r *record) bool {
 	c, err := lineclient.Dial(h.callers, saveRoute, name)
 	if err != nil {
+		r.logf("%s: no session at %s: %v", name, h.name, err)
 		return false
 	}
 	defer c.Close()
-	_, ok := c.Query("WRITE rug-" + name + " " + data)
+	r.logf("%s sends a WRITE of %d bytes of data to %s", name, len(data), h.name)
+	a, ok := c.Query("WRITE rug-" + name + " " + data)
+	r.logf("%s is answered: %v %q", name, ok, a.Code)
 	return ok
 }
