linecaller: a stop answers the statements that it cancels

Cause: Stop canceled the statements and closed the connections in the same step. The log of a host shows the order: the statement is refused with ABORTED, and the session ends with "write: use of closed network connection". The wait for an owner was only one way to be in flight at that moment; a statement that waits for a slot, a commit, a retry or an instance was cut off in the same way.

Change: Stop cancels the statements and interrupts the sessions, which end once they have answered. Connections are cut off only after answerTimeout, or half of the time that the stop has. Rollbacks of abandoned transactions, which took up to 1 s after the drain, end with the stop, and the stop of a host fits into a short grace period.

--- a/internal/linecaller/fixture_test.go
+++ b/internal/linecaller/fixture_test.go
@@ -28,17 +28,26 @@
 	requests  []*gypsumyard.Request
 	abandoned []string
 	reply     func(r *gypsumyard.Request, b line.Payload) (string, gypsumyard.Result, error)
+	// wait is called before reply, if not nil. Its error is that of the request.
+	wait func(ctx context.Context, b line.Payload) error
+	// abandon is called by Abandon, if not nil.
+	abandon func(ctx context.Context) error
 }
 
-func (e *executor) Execute(_ context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
+func (e *executor) Execute(ctx context.Context, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (gypsumyard.Result, error) {
 	b, err := line.UnmarshalPayload(r.Messages)
 	if err != nil {
 		return gypsumyard.Result{}, err
 	}
 	e.mu.Lock()
 	e.requests = append(e.requests, r)
-	reply := e.reply
+	reply, wait := e.reply, e.wait
 	e.mu.Unlock()
+	if wait != nil {
+		if err := wait(ctx, b); err != nil {
+			return gypsumyard.Result{}, err
+		}
+	}
 	out, res, err := reply(r, b)
 	if err == nil {
 		_, err = sink.Write([]byte(out))
@@ -46,10 +55,14 @@
 	return res, err
 }
 
-func (e *executor) Abandon(_ context.Context, r *gypsumyard.Request) error {
+func (e *executor) Abandon(ctx context.Context, r *gypsumyard.Request) error {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.abandoned = append(e.abandoned, r.Transaction)
+	abandon := e.abandon
+	e.mu.Unlock()
+	if abandon != nil {
+		return abandon(ctx)
+	}
 	return nil
 }
 
@@ -98,6 +111,7 @@
 
 type fixture struct {
 	testing.TB
+	kernel   *kernel.Kernel
 	server   *Server
 	executor *executor
 	lists    *lists
@@ -117,6 +131,21 @@
 }
 
 func newFixture(t testing.TB, options ...Option) *fixture {
+	t.Helper()
+	f := newUnstartedFixture(t, options...)
+	if err := f.kernel.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.kernel.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return f
+}
+
+// newUnstartedFixture returns a fixture whose services the test starts and stops.
+func newUnstartedFixture(t testing.TB, options ...Option) *fixture {
 	t.Helper()
 	d := &gypsumyard.DesiredState{Routes: map[string]gypsumyard.Route{
 		"orders": {
@@ -136,18 +165,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f.server = New(netip.MustParseAddrPort("127.0.0.1:0"), append([]Option{WithLogger(log)}, options...)...)
-	k, err := kernel.New(f.executor, f.lists, members{Stub: kerneltest.New("members")}, f.server)
+	var err error
+	f.kernel, err = kernel.New(f.executor, f.lists, members{Stub: kerneltest.New("members")}, f.server)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := k.Start(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		if err := k.Stop(context.Background()); err != nil {
-			t.Error(err)
-		}
-	})
 	return f
 }
 
--- a/internal/linecaller/server.go
+++ b/internal/linecaller/server.go
@@ -32,10 +32,17 @@
 	desiredStateTimeout = 1500 * time.Millisecond
 	// writeTimeout bounds the write of one response to a caller.
 	writeTimeout = 10 * time.Second
+	// answerTimeout bounds how long Stop waits until the statements that it has
+	// canceled are answered.
+	answerTimeout = 250 * time.Millisecond
 )
 
-// errDraining indicates that a session ended because the host is draining.
-var errDraining = errors.New("host is draining")
+var (
+	// errDraining indicates that a session ended because the host is draining.
+	errDraining = errors.New("host is draining")
+	// errStopped is the cause with which Stop cancels the statements in flight.
+	errStopped = errors.New("host stops")
+)
 
 // A Server is the kernel service that accepts connections of callers.
 type Server struct {
@@ -52,11 +59,15 @@
 	self     string
 
 	listener net.Listener
-	ctx      context.Context
-	cancel   context.CancelFunc
-	work     sync.WaitGroup
-	done     chan struct{}
-	started  time.Time
+	// ctx ends the statements in flight, rollbackCtx the rollbacks of abandoned
+	// transactions.
+	ctx             context.Context
+	cancel          context.CancelCauseFunc
+	rollbackCtx     context.Context
+	cancelRollbacks context.CancelFunc
+	work            sync.WaitGroup
+	done            chan struct{}
+	started         time.Time
 	// sessionCount numbers the sessions since the start.
 	sessionCount atomic.Uint64
 
@@ -102,7 +113,8 @@
 	for _, o := range options {
 		o(s)
 	}
-	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.ctx, s.cancel = context.WithCancelCause(context.Background())
+	s.rollbackCtx, s.cancelRollbacks = context.WithCancel(context.Background())
 	return s
 }
 
@@ -263,6 +275,14 @@
 func (s *Server) Drain(ctx context.Context) error {
 	s.closeListener()
 	s.CloseIdle()
+	if err := s.awaitWork(ctx); err != nil {
+		return fmt.Errorf("caller: drain: %w", err)
+	}
+	return nil
+}
+
+// awaitWork waits until all sessions and rollbacks have ended, or ctx is done.
+func (s *Server) awaitWork(ctx context.Context) error {
 	ended := make(chan struct{})
 	go func() {
 		s.work.Wait()
@@ -272,7 +292,7 @@
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("caller: drain: %w", context.Cause(ctx))
+		return context.Cause(ctx)
 	}
 }
 
@@ -283,17 +303,43 @@
 	}
 }
 
-// Stop closes all sessions and cancels the statements in flight.
-func (s *Server) Stop(context.Context) error {
+// Stop cancels the statements in flight and closes each session once its statement is
+// answered. What is left after answerTimeout, or half of the time that ctx leaves, is
+// cut off.
+func (s *Server) Stop(ctx context.Context) error {
 	s.closeListener()
-	s.cancel()
+	s.cancel(errStopped)
+	s.CloseIdle()
+	s.EndTransactions()
+	answers, cancel := context.WithTimeout(ctx, timeToAnswer(ctx))
+	defer cancel()
+	if s.awaitWork(answers) != nil {
+		s.cutOff()
+	}
+	s.cancelRollbacks()
+	s.work.Wait()
+	close(s.done)
+	return nil
+}
+
+// timeToAnswer returns how long Stop waits for answers: the rest of the host needs the
+// other half of the time.
+func timeToAnswer(ctx context.Context) time.Duration {
+	if end, ok := ctx.Deadline(); ok {
+		return min(answerTimeout, time.Until(end)/2)
+	}
+	return answerTimeout
+}
+
+// cutOff closes the connections of the sessions that are still open.
+func (s *Server) cutOff() {
 	s.mu.Lock()
 	list := s.openSessions()
 	s.mu.Unlock()
+	if len(list) > 0 {
+		s.log.WithField("sessions", len(list)).Warn("sessions are cut off")
+	}
 	for _, ss := range list {
 		_ = ss.conn.Close()
 	}
-	s.work.Wait()
-	close(s.done)
-	return nil
 }
--- a/internal/linecaller/session.go
+++ b/internal/linecaller/session.go
@@ -393,7 +393,7 @@
 	ss.tx.handle, ss.tx.owner = "", ""
 	s := ss.server
 	s.work.Go(func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), abandonTimeout)
+		ctx, cancel := context.WithTimeout(s.rollbackCtx, abandonTimeout)
 		defer cancel()
 		if err := s.executor.Abandon(ctx, r); err != nil {
 			ss.log.WithField("transaction", r.Transaction).WithError(err).Info("cannot roll back the abandoned transaction, its owner ends it")
--- a/internal/linehost/host.go
+++ b/internal/linehost/host.go
@@ -48,7 +48,8 @@
 	// drainPollInterval is the interval at which a drain checks whether
 	// sessions are left.
 	drainPollInterval = 20 * time.Millisecond
-	// stopTimeout bounds the shutdown of the services after the drain.
+	// stopTimeout bounds the shutdown of the services after the drain. With a short
+	// grace period, what is left of that bounds it.
 	stopTimeout = 500 * time.Millisecond
 )
 
@@ -203,7 +204,8 @@
 }
 
 func (h *Host) stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	left := time.Duration((1 - drainFraction) * float64(h.settings.GracePeriod))
+	ctx, cancel := context.WithTimeout(context.Background(), min(stopTimeout, left))
 	defer cancel()
 	return h.kernel.Stop(ctx)
 }
