dispatch: a host that leaves with all others rejects at once

Cause: the wait for an owner expects the membership to change in a moment. A host that is leaving and knows no live host of its region has nothing to wait for: it cannot own the database any more, and a host that starts in its place serves the callers when they connect to it.

The log line about a request that is given up has the cause, which told the end of a drain from a deadline only by its time before.

--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -71,17 +71,26 @@
 		default:
 			p.lastErr = gypsumyard.Errorf(gypsumyard.ClassNotRun, "no live host owns database %q", p.request.Database)
 			s.noOwner.Inc(1)
+			if s.leaving() {
+				s.logger(p, host, attempt).Info("request rejected: this host is leaving and knows no live owner")
+				return p.finalError(p.lastErr)
+			}
 		}
 		if !ok && attempt == 1 {
 			s.logger(p, host, attempt).Info("request waits for an owner")
 		}
 		if !s.waitForRetry(ctx, p, changed) {
-			s.logger(p, host, attempt).Info("giving up on request: deadline reached or request cancelled")
+			s.logger(p, host, attempt).WithField("cause", context.Cause(ctx)).Info("giving up on request: deadline reached or request cancelled")
 			return p.finalError(p.lastErr)
 		}
 	}
 }
 
+// leaving reports whether this host is leaving. If it then knows no owner of a database,
+// the other hosts have left or are leaving as well. One that starts in their place serves
+// the callers when they connect to it; they need not wait here.
+func (s *Service) leaving() bool { return s.members.Self().State == gypsumyard.HostLeaving }
+
 func (s *Service) logger(p *pendingRequest, host gypsumyard.Host, attempt int) logrus.FieldLogger {
 	return s.log.WithFields(logrus.Fields{
 		"reason":    p.lastErr,
