dispatch: a request waits for a connection until its deadline only

Cause: connect ended with the connection, a change of the membership or the server, never with the request's deadline. One dial takes up to 1 s and the waiting requests of a host dial one after the other, so the last of n requests waits n seconds. On a host that drains, this wait could last to the end of the drain.

Change: the deadline ends the wait; the request did not run.

Test: TestConnectEndsAtDeadline waited for its 5 s context on the old code, with a request of 200 ms.

--- a/internal/dispatch/connect_test.go
+++ b/internal/dispatch/connect_test.go
@@ -91,3 +91,30 @@
 		})
 	}
 }
+
+// Guards against requests that wait longer than their deadline, and so without an end,
+// for a connection to a host that the membership view shows as live.
+func TestConnectEndsAtDeadline(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	for _, transaction := range []string{"", "tx"} {
+		t.Run("transaction="+transaction, func(t *testing.T) {
+			is := is.New(t)
+			v := &view{stubService: stubService{"members", make(chan struct{})}, owner: "a", changed: make(chan struct{})}
+			f := &unresponsivePeers{fakePeers{stubService: stubService{"peer", make(chan struct{})}, outcomes: []error{nil}}}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			s := dispatch.New(dispatch.WithLogger(log))
+			k, err := kernel.New(v, f, s)
+			is.NoErr(err)
+			is.NoErr(k.Start(t.Context()))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			r := gypsumyard.Request{Database: "d", Transaction: transaction, Owner: "a", Deadline: time.Now().Add(timeout)}
+			var sink bytes.Buffer
+			began := time.Now()
+			_, err = s.Execute(ctx, &r, &sink)
+			is.Equal(gypsumyard.ClassOf(err), gypsumyard.ClassNotRun)
+			is.True(time.Since(began) < 5*timeout)
+		})
+	}
+}
--- a/internal/dispatch/retry.go
+++ b/internal/dispatch/retry.go
@@ -158,8 +158,9 @@
 	return p.run(owner)
 }
 
-// connect waits for a connection to the host, but only while that host is the one
-// that must run the request: a failed host may accept connections and never answer.
+// connect waits for a connection to the host until the request's deadline, but only
+// while that host is the one that must run the request: a failed host may accept
+// connections and never answer.
 func (s *Service) connect(ctx context.Context, p *pendingRequest, host gypsumyard.Host) error {
 	if s.peers.Connected(host) {
 		return nil
@@ -168,6 +169,8 @@
 	defer cancel()
 	connected := make(chan error, 1)
 	go func() { connected <- s.peers.Connect(ctx, host) }()
+	deadline := s.clock.NewTimer(p.deadline.Sub(s.clock.Now()))
+	defer deadline.Stop()
 	for {
 		changed := s.members.Changes()
 		if h, ok := s.selectHost(p.request); !ok || h.Name != host.Name {
@@ -177,6 +180,8 @@
 		case err := <-connected:
 			return err
 		case <-changed:
+		case <-deadline.C():
+			return gypsumyard.Errorf(gypsumyard.ClassNotRun, "no connection to host %s within the time of the request", host.Name)
 		}
 	}
 }
