lineowner, owner: statements of an ended transaction are not retried

Cause: the owner answers "not run", which the host of the caller retries at the holder of the transaction until the deadline. The transaction does not come back; each attempt gets "the transaction has ended".

Change: the errors of statements whose transaction is over say that there is no use in a retry, in both programs.

--- a/internal/lineowner/execute.go
+++ b/internal/lineowner/execute.go
@@ -408,7 +408,7 @@
 
 // notRun classifies an error of a request that did not run. It keeps the class of
 // an error that has one.
-func notRun(err error) error {
+func notRun(err error) *gypsumyard.Error {
 	var e *gypsumyard.Error
 	if !errors.As(err, &e) {
 		return gypsumyard.Errorf(gypsumyard.ClassNotRun, "%w", err)
--- a/internal/lineowner/transaction.go
+++ b/internal/lineowner/transaction.go
@@ -47,7 +47,7 @@
 }
 
 var (
-	errNoTransaction       = gypsumyard.Errorf(gypsumyard.ClassNotRun, "the transaction has ended")
+	errNoTransaction       = withoutRetry(gypsumyard.Errorf(gypsumyard.ClassNotRun, "the transaction has ended"))
 	errTooManyTransactions = gypsumyard.Errorf(gypsumyard.ClassLoad, "too many transactions are open on the instance")
 	// errCustomerTransactions rejects a request whose customer has too many open
 	// transactions and too many requests that wait for one of them to end.
@@ -56,6 +56,14 @@
 	}
 )
 
+// withoutRetry returns e as the error of a statement whose transaction has ended: no
+// later attempt can run it.
+func withoutRetry(e *gypsumyard.Error) *gypsumyard.Error {
+	c := *e
+	c.NoRetry = true
+	return &c
+}
+
 // beginTransaction opens a transaction and runs its first statement.
 func (g *group) beginTransaction(ctx context.Context, j *job, u *slotUse, p placement, sink gypsumyard.ResponseSink) (res gypsumyard.Result, retry bool, err error) {
 	if !g.reserveTransaction(j, u.instance) {
@@ -319,7 +327,7 @@
 			// The commit was not sent. With the rollback it is true that nothing
 			// has run, as the error says.
 			g.endTransaction(t, false)
-			return gypsumyard.Result{TxStatus: 'I'}, err
+			return gypsumyard.Result{TxStatus: 'I'}, withoutRetry(notRun(err))
 		}
 		defer func() { g.endCommit(err == nil) }()
 	}
@@ -328,7 +336,7 @@
 	if err != nil {
 		// The transaction cannot continue in time, so it is rolled back.
 		g.endTransaction(t, false)
-		return gypsumyard.Result{TxStatus: 'I'}, notRun(err)
+		return gypsumyard.Result{TxStatus: 'I'}, withoutRetry(notRun(err))
 	}
 	defer u.release()
 	u.conn = t.conn
@@ -364,7 +372,7 @@
 	if sent && j.commits() {
 		return outcomeUnknown(err)
 	}
-	return notRun(err)
+	return withoutRetry(notRun(err))
 }
 
 // lockTransaction returns the open transaction with its lock held, or nil if it
--- a/internal/owner/errors.go
+++ b/internal/owner/errors.go
@@ -29,6 +29,7 @@
 		Class:   gypsumyard.ClassNotRun,
 		State:   "25P01",
 		Message: "the transaction has ended: it was rolled back",
+		NoRetry: true,
 	}
 	// errTransactionReplaced is the error of a statement or a commit that the
 	// primary refused because it was replaced.
