lineowner: a stop refuses waiting requests before it cancels running ones

Callers saw (by a test): when an owner stopped while commits waited for a slot, some of them were reported as in doubt, although they need not have been sent.

Cause: the stop canceled the statements at instances first. The slots that this freed went to commits in the queue, which were sent and then canceled themselves.

Change: the queue is closed before the statements are canceled.

--- a/internal/lineowner/ended_test.go
+++ b/internal/lineowner/ended_test.go
@@ -36,9 +36,7 @@
 	is.NoErr(err)
 	refused(statement{text: "READ a", class: gypsumyard.StatementRead, tx: tx})
 
-	h.mu.Lock()
-	g := h.groups[groupName]
-	h.mu.Unlock()
+	g := f.groupOf(h)
 	tx = begin("b")
 	g.mu.Lock()
 	g.commits = commitGate{waiting: 1, failing: true}
--- a/internal/lineowner/group.go
+++ b/internal/lineowner/group.go
@@ -349,8 +349,10 @@
 	return g.ownedCtx.Err() != nil && g.inFlight == 0 && len(g.transactions) == 0
 }
 
-// close ends all work of the group.
+// close ends all work of the group. Requests that wait for a slot are refused before
+// those at instances are canceled: they must not get the slots that become free.
 func (g *group) close() {
+	g.admitter.Close()
 	g.cancel(errStopped)
 	g.mu.Lock()
 	instances := slices.Clone(g.instances)
@@ -371,5 +373,4 @@
 	for _, i := range instances {
 		i.control.close()
 	}
-	g.admitter.Close()
 }
