peer: a host that stops sends the answers of the requests that it ended

Cause: three parts of one fault. The peer service closed its streams as soon as it was stopped, before the answers that the owner's stop had just produced were written. A link has two streams, and its client closed both when the first one ended, with what it had not yet read of the other. Nothing waited for requests that were about to end.

Change: Stop waits, within a bound, until the requests of other hosts are answered and the answers have been sent. The end of one stream of a link ends the link only once the other one has ended as well, which is read to its end, or after endTimeout.

--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -15,6 +15,13 @@
 // whose caller has given up.
 const abandonTimeout = 5 * time.Second
 
+const (
+	// answerTimeout bounds how long Stop waits until the requests of other hosts are
+	// answered, answerCheckInterval is how often it looks.
+	answerTimeout       = 150 * time.Millisecond
+	answerCheckInterval = 2 * time.Millisecond
+)
+
 // errEntryLinkBroken is the cause with which the requests of a broken link are
 // canceled.
 var errEntryLinkBroken = errors.New("link to the entry host is broken")
@@ -37,6 +44,8 @@
 	// last request in it.
 	openTransactions map[gypsumyard.SessionID]*gypsumyard.Request
 	broken           bool
+	// unanswered is how many requests run or have a final message that is not queued.
+	unanswered int
 }
 
 // An inboundRequest is one request of an inbound link.
@@ -135,6 +144,7 @@
 	}
 	p := r.partial
 	r.partial = nil
+	in.unanswered++
 	in.wait.Go(func() { in.execute(r, p) })
 }
 
@@ -189,6 +199,32 @@
 	in.removeLocked(r)
 	in.mu.Unlock()
 	sink.sendFinal(res, err)
+	in.mu.Lock()
+	in.unanswered--
+	in.mu.Unlock()
+}
+
+// awaitAnswers waits until no request of the link runs and all answers have been sent,
+// or ctx is done.
+func (in *inboundLink) awaitAnswers(ctx context.Context) {
+	for in.runsRequests() {
+		if in.service.clock.Sleep(ctx, answerCheckInterval) != nil {
+			return
+		}
+	}
+	in.mu.Lock()
+	bulk := in.bulk
+	in.mu.Unlock()
+	in.short.awaitSent(ctx)
+	if bulk != nil {
+		bulk.awaitSent(ctx)
+	}
+}
+
+func (in *inboundLink) runsRequests() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return !in.broken && in.unanswered > 0
 }
 
 func (in *inboundLink) runOperation(ctx context.Context, op peerpb.Operation, r *gypsumyard.Request, sink gypsumyard.ResponseSink) (res gypsumyard.Result, err error) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,6 +27,8 @@
 	// maxRequests is the number of concurrent requests of a host at one peer.
 	// It covers the queue of a database at peak demand.
 	maxRequests = 4096
+	// endTimeout is how long a link whose one stream has ended waits for the other one.
+	endTimeout = 50 * time.Millisecond
 	// maxRequestBytes bounds the messages of one request.
 	maxRequestBytes = 16 << 20
 	// requestBudget bounds the total size of the messages of all running
@@ -71,17 +73,31 @@
 // run serves the link until one of its streams ends.
 func (l *link) run() {
 	var wg sync.WaitGroup
-	for _, s := range []*stream{l.short, l.bulk} {
+	serve := func(s, other *stream) {
 		wg.Go(s.write)
 		wg.Go(func() {
 			s.read(func(f *peerpb.Frame) error { return l.handle(s, f) })
+			l.awaitEnd(other)
 			l.fail(s.cause())
 		})
 	}
+	serve(l.short, l.bulk)
+	serve(l.bulk, l.short)
 	wg.Wait()
 	l.cancel()
 }
 
+// awaitEnd waits up to endTimeout for the end of the stream, after the other one has
+// ended. A peer that stops ends both, and what it has sent over this one is read first.
+func (l *link) awaitEnd(s *stream) {
+	t := l.clock.NewTimer(endTimeout)
+	defer t.Stop()
+	select {
+	case <-s.done:
+	case <-t.C():
+	}
+}
+
 // register adds the call and reserves its window. It returns false if the call
 // would exceed maxRequests or requestBudget.
 func (l *link) register(c *call) bool {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -177,12 +177,14 @@
 	return nil
 }
 
-// Stop closes all connections. The requests that peers run here are canceled
-// and their transactions are abandoned.
+// Stop closes all connections. It first sends the answers to the requests that peers
+// run here, which have ended with the services that ran them. What runs longer is
+// canceled and its transactions are abandoned.
 func (s *Service) Stop(ctx context.Context) error {
 	s.mu.Lock()
 	s.closed = true
 	s.mu.Unlock()
+	s.sendAnswers(ctx)
 	s.stop()
 	if s.listener != nil {
 		_ = s.listener.Close()
@@ -202,6 +204,23 @@
 	}
 }
 
+// sendAnswers waits for the answers of the inbound links for up to answerTimeout, or half
+// of the time that ctx leaves.
+func (s *Service) sendAnswers(ctx context.Context) {
+	limit := answerTimeout
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(end)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_, _, in, _ := s.snapshot()
+	var wg sync.WaitGroup
+	for _, i := range in {
+		wg.Go(func() { i.awaitAnswers(ctx) })
+	}
+	wg.Wait()
+}
+
 // closeAll ends all streams.
 func (s *Service) closeAll() {
 	links, gossips, in, served := s.snapshot()
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -230,6 +231,29 @@
 	}
 }
 
+// awaitSent waits until the frames that are queued now have been sent, the stream has
+// ended or ctx is done.
+func (s *stream) awaitSent(ctx context.Context) {
+	sent := make(chan struct{})
+	last := queuedFrame{beforeWrite: func() bool {
+		_ = flush(s.frames) // An error ends the stream at its next use.
+		close(sent)
+		return false
+	}}
+	select {
+	case s.data <- last:
+	case <-s.done:
+		return
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-sent:
+	case <-s.done:
+	case <-ctx.Done():
+	}
+}
+
 func (s *stream) recordReceived() {
 	s.received.Store(int64(s.clock.Since(s.started)))
 	s.quietChecks.Store(0)
