linecaller: a session at the end of a drain is refused, not started

Callers saw (in a soak of restarts): a session that began on a host that had already closed its open sessions was told READY and closed at once, so its first statement got no answer.

Cause: the state of the drain was looked at only when a started session waited for its first statement.

Change: START is answered with BUSY from then on, and so is one that waits for the desired state when the host stops.

Tests: TestSessionAtEndOfDrainIsRefused got READY, and TestStopAnswersStart the end of the connection, on the old code.

--- a/internal/linecaller/server.go
+++ b/internal/linecaller/server.go
@@ -255,6 +255,13 @@
 	}
 }
 
+// closesStarted reports whether a session would be closed as soon as it has started.
+func (s *Server) closesStarted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closingTransactions
+}
+
 // openSessions returns the open sessions. The caller must hold s.mu.
 func (s *Server) openSessions() (all []*session) {
 	for ss := range s.sessions {
--- a/internal/linecaller/start.go
+++ b/internal/linecaller/start.go
@@ -33,6 +33,10 @@
 		ss.refuse(line.CodeBusy, "desired state is not known yet")
 		return false
 	}
+	if ss.server.closesStarted() {
+		ss.refuse(line.CodeBusy, "this host stops, connect to another one")
+		return false
+	}
 	defer func() { ss.desired = nil }()
 	v := ss.identify(ss.server.clock.Now())
 	if _, ok := ss.route(); !ok {
--- a/internal/linecaller/stop_test.go
+++ b/internal/linecaller/stop_test.go
@@ -99,3 +99,32 @@
 	is.True(f.stop() < stopWithin/2)
 	c.expectEnd()
 }
+
+// Guards against a session that is told that it has started, and is closed at once
+// because the host stops, so that its first statement gets no answer.
+func TestSessionAtEndOfDrainIsRefused(t *testing.T) {
+	f := newFixture(t)
+	f.server.CloseIdle()
+	early := f.dial("START orders u1")
+	early.expect("READY I")
+	f.server.EndTransactions()
+	early.expectEnd()
+	late := f.dial("START orders u2")
+	late.expect("ERROR BUSY")
+	late.expectEnd()
+}
+
+// Guards against a stop that closes the connection of a session that waits for its start
+// without an answer.
+func TestStopAnswersStart(t *testing.T) {
+	f := newUnstartedFixture(t)
+	f.lists.ready = make(chan struct{})
+	if err := f.kernel.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	c := f.dial("START orders u1")
+	time.Sleep(50 * time.Millisecond) // The session waits for the desired state.
+	f.stop()
+	c.expect("ERROR BUSY")
+	c.expectEnd()
+}
