soak: restarts of hosts only, each statement is answered

TestSoakRestarts restarts hosts one by one, in turn and all at once while callers keep their sessions and rest inside transactions. No statement may lose its connection later than lossSlack after it was sent, and no host may outlast its grace period.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumyard/gypsumyard/internal/emulate/lineclient"
@@ -37,6 +38,12 @@
 	late      map[string]bool
 	// limited holds when instances began operations of limitedClient.
 	limited []time.Time
+	// restartsOnly indicates that no other faults than restarts are injected. sent and cut
+	// count the statements and those without an answer.
+	restartsOnly bool
+	sent, cut    int
+	// restarting indicates that hosts are being restarted.
+	restarting atomic.Bool
 }
 
 type acknowledgement struct {
@@ -117,19 +124,14 @@
 // run runs sessions until stop is closed.
 func (c *client) run(stop <-chan struct{}) {
 	c.newItem()
-	for {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	for !isClosed(stop) {
 		s, err := c.dial()
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		for n := 0; n < 1+c.random.IntN(12); n++ {
-			if !s.runOperation() {
+		for n := 0; c.history.restarting.Load() || n < 1+c.random.IntN(12); n++ {
+			if !s.runOperation() || isClosed(stop) {
 				break
 			}
 			time.Sleep(time.Duration(c.random.IntN(15)) * time.Millisecond)
@@ -138,6 +140,15 @@
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *client) newItem() {
 	c.items++
 	c.item, c.number = fmt.Sprintf("%s-%d", c.name, c.items), 0
@@ -219,7 +230,7 @@
 		s.history.recordWrite(s.item, s.number, data, refused)
 		return ok
 	}
-	time.Sleep(time.Duration(s.random.IntN(30)) * time.Millisecond)
+	s.rest()
 	r, ok = s.Query("COMMIT")
 	return s.recordOutcome(data, r, ok)
 }
--- a/internal/soak/keys_test.go
+++ b/internal/soak/keys_test.go
@@ -63,8 +63,8 @@
 	return ok && time.Since(at) > revokeTimeout
 }
 
-// Query is that of the connection. It records a statement that was served although its
-// key was withdrawn.
+// Query is that of the connection. It counts the statement, and records one that was
+// served although its key was withdrawn.
 func (s *session) Query(text string) (lineclient.Reply, bool) {
 	late := s.history.mayNotRun(s.name)
 	if late && (strings.HasPrefix(text, "WRITE ") || text == "COMMIT") {
@@ -72,7 +72,9 @@
 		s.history.late[s.lastData()] = true
 		s.history.mu.Unlock()
 	}
+	sent := time.Now()
 	r, ok := s.Session.Query(text)
+	s.history.recordStatement(text, ok, time.Since(sent))
 	if late && ok && r.Code == "" && text != "ROLLBACK" {
 		s.history.addViolation("%s was served to %s, whose key was withdrawn", text, s.name)
 	}
