--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -73,7 +73,8 @@
 	case <-h.ended():
 	case <-time.After(gracePeriod):
 		cl.history.addViolation("%s outlasts its grace period", h.name)
-		h.kill()
+		h.signal(syscall.SIGQUIT) // Its log gets the goroutines.
+		<-h.ended()
 	}
 	cl.t.Logf("%s ended after %v", h.name, time.Since(began).Round(time.Millisecond))
 	cl.start(h)
